Add schemas and the blackboard

Cause: all parts share their data and their state. Conclusion: a second writer of a section is a typed error at start-up.

--- /dev/null
+++ b/src/core/blackboard.ts
@@ -0,0 +1,101 @@
+import { FailureError } from '../schema/failure.js';
+
+/** A view that can be read but not written; only the claiming controller holds a writable section. */
+export type ReadView<T> = T extends (...parameters: never[]) => unknown
+  ? T
+  : T extends ReadonlyMap<infer Key, infer Value>
+    ? ReadonlyMap<Key, ReadView<Value>>
+    : T extends ReadonlySet<infer Value>
+      ? ReadonlySet<Value>
+      : T extends Uint8Array
+        ? T
+        : T extends readonly (infer Value)[]
+          ? readonly ReadView<Value>[]
+          : T extends object
+            ? { readonly [Key in keyof T]: ReadView<T[Key]> }
+            : T;
+
+/** The write access to one section, held by the one controller that claimed it. */
+export interface SectionWriter<Section, Post> {
+  readonly section: Section;
+  /** Tells the subscribers that the section changed. */
+  publishChange(): void;
+  /** Sets the function that handles what other controllers post to this section. */
+  handlePosts(handler: (post: Post) => void): void;
+}
+
+/**
+ * The shared store of one process: named sections, each with one writer.
+ *
+ * `Sections` maps a section name to its content, `Posts` to what others may ask of its writer.
+ */
+export interface Board<Sections extends object, Posts extends { [Name in keyof Sections]: unknown }> {
+  /** Returns the live section: later changes are visible through it. */
+  read<Name extends keyof Sections>(name: Name): ReadView<Sections[Name]>;
+  /** Gives write access once; a second claim of the same section fails with `sectionClaimed`. */
+  claim<Name extends keyof Sections>(name: Name, controller: string): SectionWriter<Sections[Name], Posts[Name]>;
+  /** Calls the listener after each published change, until the returned function is called. */
+  subscribe(name: keyof Sections, listener: () => void): () => void;
+  /** Hands a request to the section's writer, which handles it before this returns. */
+  post<Name extends keyof Sections>(name: Name, post: Posts[Name]): void;
+  /** Sections that no controller has claimed; empty on a complete node. */
+  listUnclaimed(): (keyof Sections)[];
+}
+
+interface SectionSlot {
+  readonly listeners: Set<() => void>;
+  owner: string | undefined;
+  handler: ((post: never) => void) | undefined;
+}
+
+/**
+ * Creates a blackboard over the given sections.
+ *
+ * @example
+ * const board = createBoard<Sections, Posts>(createSections());
+ * const limits = board.claim('limits', 'limitController');
+ * limits.section.concurrency = 8;
+ * limits.publishChange();
+ */
+export function createBoard<Sections extends object, Posts extends { [Name in keyof Sections]: unknown }>(
+  sections: Sections,
+): Board<Sections, Posts> {
+  const slots = new Map<keyof Sections, SectionSlot>();
+  for (const name of Object.keys(sections) as (keyof Sections)[]) {
+    slots.set(name, { listeners: new Set(), owner: undefined, handler: undefined });
+  }
+  const getSlot = (name: keyof Sections): SectionSlot => {
+    const slot = slots.get(name);
+    if (slot !== undefined) return slot;
+    throw new FailureError({ kind: 'sectionClaimed', message: 'no such section', section: String(name) });
+  };
+  return {
+    read: (name) => sections[name] as ReadView<Sections[typeof name]>,
+    claim: (name, controller) => {
+      const slot = getSlot(name);
+      if (slot.owner !== undefined) {
+        const message = `${controller} claims section ${String(name)}, which ${slot.owner} writes`;
+        throw new FailureError({ kind: 'sectionClaimed', message, section: String(name) });
+      }
+      slot.owner = controller;
+      return {
+        section: sections[name],
+        publishChange: () => {
+          for (const listener of slot.listeners) listener();
+        },
+        handlePosts: (handler) => {
+          slot.handler = handler;
+        },
+      };
+    },
+    subscribe: (name, listener) => {
+      const { listeners } = getSlot(name);
+      listeners.add(listener);
+      return () => listeners.delete(listener);
+    },
+    post: (name, post) => {
+      getSlot(name).handler?.(post as never);
+    },
+    listUnclaimed: () => [...slots].filter(([, slot]) => slot.owner === undefined).map(([name]) => name),
+  };
+}
--- /dev/null
+++ b/src/schema/failure.ts
@@ -0,0 +1,115 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+/** One wrong place in a document: where, what was found, what is allowed. */
+export const faultSchema = Type.Object({ path: Type.String(), found: Type.String(), allowed: Type.String() });
+export type Fault = Static<typeof faultSchema>;
+
+/** Whether the work of a failed call ran at a target. */
+export const ranSchema = Type.Union([Type.Literal('no'), Type.Literal('yes'), Type.Literal('unknown')]);
+export type Ran = Static<typeof ranSchema>;
+
+/** Whether another attempt can help: at another target, after a pause, or not at all. */
+export const retrySchema = Type.Union([Type.Literal('elsewhere'), Type.Literal('later'), Type.Literal('never')]);
+export type Retry = Static<typeof retrySchema>;
+
+interface CallFailureTraits {
+  ran: Ran;
+  retry: Retry;
+  /** HTTP status towards callers. */
+  status: number;
+}
+
+/** Every way in which a call can fail, with what it says about the work unless the failing place knows better. */
+export const callFailureTraits = {
+  answerTooLarge: { ran: 'yes', retry: 'never', status: 502 },
+  answerTruncated: { ran: 'unknown', retry: 'elsewhere', status: 502 },
+  callTokenInvalid: { ran: 'no', retry: 'never', status: 403 },
+  cancelled: { ran: 'unknown', retry: 'never', status: 499 },
+  connectionLost: { ran: 'unknown', retry: 'elsewhere', status: 502 },
+  deadlineExceeded: { ran: 'unknown', retry: 'never', status: 504 },
+  deadlineUnreachable: { ran: 'no', retry: 'never', status: 503 },
+  depthExceeded: { ran: 'no', retry: 'never', status: 508 },
+  internalField: { ran: 'no', retry: 'never', status: 400 },
+  noTarget: { ran: 'no', retry: 'later', status: 503 },
+  nonIdempotentUnderIdempotent: { ran: 'no', retry: 'never', status: 409 },
+  overloaded: { ran: 'no', retry: 'elsewhere', status: 503 },
+  quarantined: { ran: 'no', retry: 'never', status: 503 },
+  requestMalformed: { ran: 'no', retry: 'never', status: 400 },
+  requestTooLarge: { ran: 'no', retry: 'never', status: 413 },
+  shed: { ran: 'no', retry: 'never', status: 503 },
+  stopping: { ran: 'no', retry: 'elsewhere', status: 503 },
+  targetCrashed: { ran: 'unknown', retry: 'elsewhere', status: 502 },
+  targetDraining: { ran: 'no', retry: 'elsewhere', status: 503 },
+  targetFailed: { ran: 'yes', retry: 'elsewhere', status: 502 },
+  targetRefused: { ran: 'no', retry: 'elsewhere', status: 503 },
+  targetUnreachable: { ran: 'no', retry: 'elsewhere', status: 503 },
+  ticketInvalid: { ran: 'no', retry: 'never', status: 400 },
+  ticketMismatch: { ran: 'no', retry: 'never', status: 422 },
+  ticketUnknown: { ran: 'unknown', retry: 'never', status: 409 },
+  unknownOperation: { ran: 'no', retry: 'never', status: 404 },
+  unknownService: { ran: 'no', retry: 'never', status: 404 },
+} as const satisfies Record<string, CallFailureTraits>;
+
+export type CallFailureKind = keyof typeof callFailureTraits;
+
+const callFailureKinds = Object.keys(callFailureTraits) as CallFailureKind[];
+
+/** The failure of one call as it travels between nodes and to the caller. */
+export const callFailureSchema = Type.Object({
+  kind: Type.Union(callFailureKinds.map((kind) => Type.Literal(kind))),
+  message: Type.String({ maxLength: 1000 }),
+  ran: ranSchema,
+  retry: retrySchema,
+  host: Type.Optional(Type.String()),
+});
+export type CallFailure = Static<typeof callFailureSchema>;
+
+/** Failures outside of calls: settings, documents, the platform's log, frames and programming errors. */
+export const systemFailureSchema = Type.Union([
+  Type.Object({ kind: Type.Literal('settingsInvalid'), message: Type.String(), faults: Type.Array(faultSchema) }),
+  Type.Object({ kind: Type.Literal('documentInvalid'), message: Type.String(), faults: Type.Array(faultSchema) }),
+  Type.Object({ kind: Type.Literal('fileUnreadable'), message: Type.String(), path: Type.String() }),
+  Type.Object({ kind: Type.Literal('usage'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('logUnavailable'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('logAnswerMalformed'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('frameMalformed'), message: Type.String(), faults: Type.Array(faultSchema) }),
+  Type.Object({ kind: Type.Literal('nodeUnreachable'), message: Type.String(), address: Type.String() }),
+  Type.Object({ kind: Type.Literal('listenFailed'), message: Type.String(), address: Type.String() }),
+  Type.Object({ kind: Type.Literal('trustInsufficient'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('sectionClaimed'), message: Type.String(), section: Type.String() }),
+  Type.Object({ kind: Type.Literal('processFailed'), message: Type.String() }),
+]);
+export type SystemFailure = Static<typeof systemFailureSchema>;
+
+export type Failure = CallFailure | SystemFailure;
+
+/** Carries a typed failure through throw and rejection. */
+export class FailureError extends Error {
+  override readonly name = 'FailureError';
+
+  constructor(readonly failure: Failure) {
+    super(failure.message);
+  }
+}
+
+/**
+ * Builds a call failure; what it says about the work comes from its kind unless given.
+ *
+ * @example
+ * createCallFailure('overloaded', 'the queue of stock at host a1 is full', { host: 'a1' });
+ */
+export function createCallFailure(
+  kind: CallFailureKind,
+  message: string,
+  options: { ran?: Ran; retry?: Retry; host?: string } = {},
+): CallFailure {
+  const traits: CallFailureTraits = callFailureTraits[kind];
+  return {
+    kind,
+    message,
+    ran: options.ran ?? traits.ran,
+    retry: options.retry ?? traits.retry,
+    ...(options.host === undefined ? {} : { host: options.host }),
+  };
+}
--- /dev/null
+++ b/src/schema/frame.ts
@@ -0,0 +1,130 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+import { callFailureSchema } from './failure.js';
+import { acceptedDocumentSchema } from './logRecord.js';
+import { memberRecordSchema } from './member.js';
+
+export const MAX_REQUEST_BODY_BYTES = 256 * 1024;
+export const MAX_ANSWER_BODY_BYTES = 1024 * 1024;
+/** Deepest call graph that is served; the brief asks for 21. */
+export const MAX_DEPTH = 32;
+
+/** The connection that a frame takes: urgent frames never queue behind routine ones. */
+export const laneSchema = Type.Union([Type.Literal('urgent'), Type.Literal('routine'), Type.Literal('control')]);
+export type Lane = Static<typeof laneSchema>;
+
+/** What travels with a request from node to node. */
+export const callEnvelopeSchema = Type.Object({
+  requestId: Type.String({ minLength: 1, maxLength: 64 }),
+  service: Type.String({ maxLength: 64 }),
+  operation: Type.String({ maxLength: 64 }),
+  idempotent: Type.Boolean(),
+  priority: Type.String({ maxLength: 64 }),
+  worth: Type.Number(),
+  urgent: Type.Boolean(),
+  /** In [0, 1); the same at every depth of one request. */
+  shedKey: Type.Number({ minimum: 0, exclusiveMaximum: 1 }),
+  /** Names the caller for fair shares within a priority. */
+  callerKey: Type.String({ maxLength: 255 }),
+  depth: Type.Integer({ minimum: 0, maximum: MAX_DEPTH }),
+  /** Extra attempts that this call and everything below it may still make. */
+  allowance: Type.Integer({ minimum: 0, maximum: 100 }),
+  deadlineMs: Type.Number({ minimum: 0 }),
+  fingerprint: Type.String({ maxLength: 64 }),
+  ticket: Type.Optional(Type.String({ maxLength: 512 })),
+  contentType: Type.String({ maxLength: 255 }),
+  body: Type.Uint8Array({ maxByteLength: MAX_REQUEST_BODY_BYTES }),
+});
+export type CallEnvelope = Static<typeof callEnvelopeSchema>;
+
+/** The load of the answering target, as its node sees it. */
+export const loadHintSchema = Type.Object({
+  limit: Type.Number({ minimum: 0 }),
+  inFlight: Type.Integer({ minimum: 0 }),
+  queued: Type.Integer({ minimum: 0 }),
+});
+export type LoadHint = Static<typeof loadHintSchema>;
+
+const callId = Type.String({ minLength: 1, maxLength: 64 });
+
+/** What every reply to a call carries besides its result. */
+const replyFields = {
+  callId,
+  /** Extra attempts that were lent with the call and not spent. */
+  allowanceLeft: Type.Integer({ minimum: 0, maximum: 100 }),
+  /** Least admitted fraction of the call's priority at the answering target and below it. */
+  admittedFraction: Type.Number({ minimum: 0, maximum: 1 }),
+  load: Type.Optional(loadHintSchema),
+};
+
+export const callFrameSchema = Type.Object({
+  type: Type.Literal('call'),
+  callId,
+  /** `home`: the receiver is the home of the ticket and dispatches the call; `target`: it runs the call itself. */
+  purpose: Type.Union([Type.Literal('target'), Type.Literal('home')]),
+  envelope: callEnvelopeSchema,
+});
+export const answerFrameSchema = Type.Object({
+  type: Type.Literal('answer'),
+  ...replyFields,
+  status: Type.Integer({ minimum: 100, maximum: 599 }),
+  contentType: Type.String({ maxLength: 255 }),
+  body: Type.Uint8Array({ maxByteLength: MAX_ANSWER_BODY_BYTES }),
+});
+export const refusalFrameSchema = Type.Object({
+  type: Type.Literal('refusal'),
+  ...replyFields,
+  failure: callFailureSchema,
+});
+export const cancelFrameSchema = Type.Object({ type: Type.Literal('cancel'), callId });
+export const helloFrameSchema = Type.Object({ type: Type.Literal('hello'), member: memberRecordSchema });
+export const heartbeatFrameSchema = Type.Object({
+  type: Type.Literal('heartbeat'),
+  version: Type.Integer({ minimum: 0 }),
+  digest: Type.String({ maxLength: 32 }),
+});
+export const membersFrameSchema = Type.Object({
+  type: Type.Literal('members'),
+  records: Type.Array(memberRecordSchema),
+});
+export const configurationFrameSchema = Type.Object({
+  type: Type.Literal('configuration'),
+  appliedOffset: Type.Integer({ minimum: 0 }),
+  documents: Type.Array(acceptedDocumentSchema),
+});
+export const crashReportFrameSchema = Type.Object({
+  type: Type.Literal('crashReport'),
+  reportId: Type.String({ maxLength: 64 }),
+  host: Type.String({ maxLength: 255 }),
+  fingerprints: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 4096 }),
+});
+export const digestFrameSchema = Type.Object({
+  type: Type.Literal('digest'),
+  members: Type.Record(Type.String(), Type.String()),
+  configuration: Type.String({ maxLength: 64 }),
+});
+export const pullFrameSchema = Type.Object({
+  type: Type.Literal('pull'),
+  dataCenters: Type.Array(Type.String({ maxLength: 64 })),
+  configuration: Type.Boolean(),
+});
+
+/** Every message between two nodes. */
+export const frameSchema = Type.Union([
+  callFrameSchema,
+  answerFrameSchema,
+  refusalFrameSchema,
+  cancelFrameSchema,
+  helloFrameSchema,
+  heartbeatFrameSchema,
+  membersFrameSchema,
+  configurationFrameSchema,
+  crashReportFrameSchema,
+  digestFrameSchema,
+  pullFrameSchema,
+]);
+export type Frame = Static<typeof frameSchema>;
+export type CallFrame = Static<typeof callFrameSchema>;
+export type AnswerFrame = Static<typeof answerFrameSchema>;
+export type RefusalFrame = Static<typeof refusalFrameSchema>;
+export type ReplyFrame = AnswerFrame | RefusalFrame;
--- /dev/null
+++ b/src/schema/member.ts
@@ -0,0 +1,45 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+export const targetStateSchema = Type.Union([
+  Type.Literal('none'),
+  Type.Literal('starting'),
+  Type.Literal('ready'),
+  Type.Literal('draining'),
+]);
+export type TargetState = Static<typeof targetStateSchema>;
+
+export const nodeStateSchema = Type.Union([Type.Literal('alive'), Type.Literal('leaving'), Type.Literal('down')]);
+export type NodeState = Static<typeof nodeStateSchema>;
+
+/** What all nodes know of one node. Records of one node merge by incarnation start time, then version. */
+export const memberRecordSchema = Type.Object({
+  /** Host name; unique in the fleet. */
+  id: Type.String({ minLength: 1, maxLength: 255 }),
+  incarnation: Type.String({ minLength: 1, maxLength: 32 }),
+  /** Wall time (ms) at which the process started; orders incarnations of one host. */
+  startedAtMs: Type.Number(),
+  version: Type.Integer({ minimum: 0 }),
+  region: Type.String({ maxLength: 64 }),
+  dataCenter: Type.String({ maxLength: 64 }),
+  peerAddress: Type.String({ maxLength: 255 }),
+  callerAddress: Type.String({ maxLength: 255 }),
+  operatorAddress: Type.String({ maxLength: 255 }),
+  service: Type.Optional(Type.String({ maxLength: 64 })),
+  targetState: targetStateSchema,
+  nodeState: nodeStateSchema,
+});
+export type MemberRecord = Static<typeof memberRecordSchema>;
+
+/** What a target tells its node every second. */
+export const targetAnnouncementSchema = Type.Object(
+  {
+    service: Type.String({ pattern: '^[a-zA-Z][a-zA-Z0-9-]{0,62}$', description: 'a service name' }),
+    address: Type.String({ pattern: '^https?://[^/]+$', description: 'an address such as http://127.0.0.1:8080' }),
+    state: Type.Union([Type.Literal('starting'), Type.Literal('ready'), Type.Literal('draining')]),
+    /** Changes with every start of the target process, so that its node sees a restart. */
+    incarnation: Type.String({ minLength: 1, maxLength: 64, description: 'a text of 1 to 64 characters' }),
+  },
+  { additionalProperties: false },
+);
+export type TargetAnnouncement = Static<typeof targetAnnouncementSchema>;
--- /dev/null
+++ b/src/schema/report.ts
@@ -0,0 +1,29 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+
+/** One measured figure with its bound and the same figure for each baseline of the same run. */
+export const figureSchema = Type.Object({
+  name: Type.String(),
+  value: Type.Number(),
+  unit: Type.String(),
+  bound: Type.Optional(
+    Type.Object({ kind: Type.Union([Type.Literal('atLeast'), Type.Literal('atMost')]), value: Type.Number() }),
+  ),
+  ok: Type.Boolean(),
+  baselines: Type.Record(Type.String(), Type.Number()),
+});
+export type Figure = Static<typeof figureSchema>;
+
+/** The report of one bench run. */
+export const benchReportSchema = Type.Object({
+  name: Type.String(),
+  seed: Type.Integer(),
+  environment: Type.Object({
+    node: Type.String(),
+    cores: Type.Integer(),
+    kind: Type.Union([Type.Literal('fakeClock'), Type.Literal('realProcesses')]),
+  }),
+  figures: Type.Array(figureSchema),
+  ok: Type.Boolean(),
+});
+export type BenchReport = Static<typeof benchReportSchema>;
--- /dev/null
+++ b/src/schema/settings.ts
@@ -0,0 +1,118 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+import { Value } from '@sinclair/typebox/value';
+import { FailureError } from './failure.js';
+import type { Fault } from './failure.js';
+import { compileSchema } from './validate.js';
+
+const listenSchema = Type.Object(
+  {
+    host: Type.String({ minLength: 1, description: 'an IP address' }),
+    port: Type.Integer({ minimum: 0, maximum: 65_535, description: 'an integer from 0 to 65535' }),
+  },
+  { additionalProperties: false, description: 'an object with host and port' },
+);
+export type ListenSettings = Static<typeof listenSchema>;
+
+const tlsSchema = Type.Object(
+  {
+    keyFile: Type.String({ minLength: 1, description: 'a path to a PEM file' }),
+    certificateFile: Type.String({ minLength: 1, description: 'a path to a PEM file' }),
+    authorityFile: Type.String({ minLength: 1, description: 'a path to a PEM file' }),
+  },
+  { additionalProperties: false, description: 'an object with keyFile, certificateFile and authorityFile' },
+);
+
+/** Settings of one hemlockd process. */
+export const settingsSchema = Type.Object(
+  {
+    $schema: Type.Optional(Type.String({ description: 'the path of the JSON Schema' })),
+    host: Type.String({
+      pattern: '^[a-zA-Z0-9][a-zA-Z0-9._-]{0,254}$',
+      description: 'a host name, unique in the fleet',
+    }),
+    dataCenter: Type.String({ pattern: '^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$', description: 'the name of a data centre' }),
+    region: Type.String({ pattern: '^[a-zA-Z0-9][a-zA-Z0-9._-]{0,62}$', description: 'the name of a region' }),
+    callerListen: listenSchema,
+    localListen: listenSchema,
+    operatorListen: listenSchema,
+    peerListen: listenSchema,
+    seeds: Type.Array(
+      Type.String({ pattern: '^[^:]+:[0-9]+$', description: 'a peer address such as 127.0.0.1:7000' }),
+      {
+        default: [],
+        description: 'a list of peer addresses',
+      },
+    ),
+    logUrl: Type.Optional(Type.String({ pattern: '^https?://', description: "the URL of the platform's log" })),
+    tls: Type.Optional(tlsSchema),
+    allowPlainText: Type.Boolean({ default: false, description: 'true or false' }),
+    maxCallerConnections: Type.Integer({
+      minimum: 1,
+      maximum: 65_535,
+      default: 1024,
+      description: 'an integer from 1 to 65535',
+    }),
+    maxCallsInFlight: Type.Integer({
+      minimum: 1,
+      maximum: 1_000_000,
+      default: 4096,
+      description: 'an integer from 1 to 1000000',
+    }),
+    stopGraceMs: Type.Integer({
+      minimum: 0,
+      maximum: 600_000,
+      default: 30_000,
+      description: 'an integer from 0 to 600000 (ms)',
+    }),
+    logLevel: Type.Union(
+      [Type.Literal('trace'), Type.Literal('debug'), Type.Literal('info'), Type.Literal('warn'), Type.Literal('error')],
+      { default: 'info' },
+    ),
+  },
+  { $id: 'settings', additionalProperties: false, description: 'an object with the settings of hemlockd' },
+);
+export type Settings = Static<typeof settingsSchema>;
+
+const validator = compileSchema(settingsSchema);
+const LOOPBACK = /^(127\.\d+\.\d+\.\d+|::1|localhost)$/;
+
+/**
+ * Fills defaults in and checks the settings.
+ *
+ * @throws FailureError `settingsInvalid` with one fault per wrong place.
+ * @example
+ * const settings = parseSettings(JSON.parse(text));
+ */
+export function parseSettings(value: unknown): Settings {
+  const filled = Value.Default(settingsSchema, Value.Clone(value));
+  const faults = validator.isValid(filled) ? checkTrust(filled) : validator.listFaults(filled);
+  if (faults.length > 0 || !validator.isValid(filled)) {
+    throw new FailureError({ kind: 'settingsInvalid', message: 'the settings are invalid', faults });
+  }
+  return filled;
+}
+
+/** True when an address can be reached from this machine only. */
+export function isLoopback(host: string): boolean {
+  return LOOPBACK.test(host);
+}
+
+function checkTrust(settings: Settings): Fault[] {
+  const faults: Fault[] = [];
+  if (!isLoopback(settings.localListen.host)) {
+    faults.push({
+      path: 'localListen.host',
+      found: `"${settings.localListen.host}"`,
+      allowed: 'a loopback address, since targets are trusted',
+    });
+  }
+  if (settings.tls === undefined && !settings.allowPlainText && !isLoopback(settings.peerListen.host)) {
+    faults.push({
+      path: 'peerListen.host',
+      found: `"${settings.peerListen.host}" without tls`,
+      allowed: 'a loopback address, or tls, or allowPlainText',
+    });
+  }
+  return faults;
+}
--- /dev/null
+++ b/src/schema/state.ts
@@ -0,0 +1,71 @@
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+import { ranSchema, retrySchema } from './failure.js';
+import { loadHintSchema } from './frame.js';
+
+/** The adaptive concurrency limit of the local target. Times in ms. */
+export const limitStateSchema = Type.Object({
+  concurrency: Type.Number({ minimum: 1 }),
+  /** True until the limit first met resistance: the limit doubles per adjustment. */
+  isSlowStart: Type.Boolean(),
+  /** Own time of an uncontended call; drifts up slowly, so that a changed target is learned anew. */
+  leastOwnTimeMs: Type.Number({ minimum: 0 }),
+  /** Smoothed own time of recent calls. */
+  ownTimeMs: Type.Number({ minimum: 0 }),
+});
+export type LimitState = Static<typeof limitStateSchema>;
+
+/** What this node has observed of one remote target. Times in ms. */
+export const routeStateSchema = Type.Object({
+  inFlight: Type.Integer({ minimum: 0 }),
+  latencyMs: Type.Number({ minimum: 0 }),
+  /** Smoothed share of failed attempts, in [0, 1]. */
+  failureRate: Type.Number({ minimum: 0, maximum: 1 }),
+  /** Consecutive failures that mean the target or its node is not working. */
+  failuresInRow: Type.Integer({ minimum: 0 }),
+  /** Monotonic time until which the target gets no calls; 0 when it is not ejected. */
+  ejectedUntilMs: Type.Number(),
+  ejectionMs: Type.Number({ minimum: 0 }),
+  load: Type.Optional(loadHintSchema),
+});
+export type RouteState = Static<typeof routeStateSchema>;
+
+/** One finished attempt, as the call path records it for the controllers. Times in ms. */
+export const sampleSchema = Type.Object({
+  /** `run`: the local target ran it; `attempt`: this node sent it to `host`. */
+  role: Type.Union([Type.Literal('run'), Type.Literal('attempt')]),
+  atMs: Type.Number(),
+  host: Type.String(),
+  service: Type.String(),
+  operation: Type.String(),
+  priority: Type.String(),
+  fingerprint: Type.String(),
+  result: Type.Union([Type.Literal('answered'), Type.Literal('failed')]),
+  ran: ranSchema,
+  retry: retrySchema,
+  failureKind: Type.String(),
+  totalTimeMs: Type.Number(),
+  ownTimeMs: Type.Number(),
+  /** Calls in flight at the target when this one started, itself included. */
+  concurrency: Type.Integer(),
+});
+export type Sample = Static<typeof sampleSchema>;
+
+/** Retry tokens of one edge: this node's service to a called service. */
+export const budgetStateSchema = Type.Object({ tokens: Type.Number({ minimum: 0 }) });
+export type BudgetState = Static<typeof budgetStateSchema>;
+
+/** The share of one priority's requests that is admitted, and the arrivals since the last adjustment. */
+export const fractionStateSchema = Type.Object({
+  fraction: Type.Number({ minimum: 0, maximum: 1 }),
+  arrivals: Type.Number({ minimum: 0 }),
+  worth: Type.Number(),
+});
+export type FractionState = Static<typeof fractionStateSchema>;
+
+/** The least admitted fraction that a called operation reported for one priority. */
+export const downstreamFractionSchema = Type.Object({
+  fraction: Type.Number({ minimum: 0, maximum: 1 }),
+  heardAtMs: Type.Number(),
+});
+export type DownstreamFraction = Static<typeof downstreamFractionSchema>;
