Add the node: controllers over the blackboard

Conclusion: a node runs the same on a real and on a fake clock; the decisions are first versions, to be measured.

--- /dev/null
+++ b/src/control/buildEnvelope.ts
@@ -0,0 +1,107 @@
+import { hashText, hashToUnit } from '../core/hash.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import { MAX_DEPTH } from '../schema/frame.js';
+import type { CallEnvelope } from '../schema/frame.js';
+import type { Operation, ServiceConfiguration } from '../schema/serviceConfiguration.js';
+import type { CallerCall, RunningCall } from './calls.js';
+import type { NodeBoard } from './sections.js';
+
+export type EnvelopeOutcome =
+  { type: 'built'; envelope: CallEnvelope; document: ServiceConfiguration } | { type: 'failed'; failure: CallFailure };
+
+const MIN_FINGERPRINT_DIGITS = 8;
+
+/** Builds what travels with a request that enters here, from the published document of its service. */
+export function buildEntryEnvelope(board: NodeBoard, call: CallerCall, requestId: string): EnvelopeOutcome {
+  const found = findOperation(board, call);
+  if (found.type === 'failed') return found;
+  const { operation, document } = found;
+  const priority = document.priorities.find(({ name }) => name === operation.priority);
+  const worth = priority?.worth ?? 0;
+  const isMostWorth = document.priorities.length > 1 && document.priorities.every((other) => other.worth <= worth);
+  const envelope: CallEnvelope = {
+    requestId,
+    service: call.service,
+    operation: call.operation,
+    idempotent: operation.idempotent,
+    priority: operation.priority,
+    worth,
+    urgent: isMostWorth,
+    shedKey: hashToUnit(requestId),
+    callerKey: call.callerKey,
+    depth: 0,
+    allowance: document.retryAllowance,
+    deadlineMs: Math.min(call.deadlineMs ?? operation.deadlineMs, operation.deadlineMs),
+    fingerprint: computeFingerprint(call),
+    contentType: call.contentType,
+    body: call.body,
+  };
+  return { type: 'built', envelope, document };
+}
+
+/** Builds what travels with an onward call: all but the work itself comes from the call that makes it. */
+export function buildOnwardEnvelope(
+  board: NodeBoard,
+  call: CallerCall,
+  parent: RunningCall,
+  nowMs: number,
+): EnvelopeOutcome {
+  const found = findOperation(board, call);
+  if (found.type === 'failed') return found;
+  const { operation, document } = found;
+  const above = parent.envelope;
+  if (above.depth + 1 > MAX_DEPTH) {
+    return {
+      type: 'failed',
+      failure: createCallFailure('depthExceeded', `the call graph is deeper than ${MAX_DEPTH}`),
+    };
+  }
+  if (above.idempotent && !operation.idempotent) {
+    const message = `${above.service}/${above.operation} is idempotent and may run again, so it may not call ${call.service}/${call.operation}`;
+    return { type: 'failed', failure: createCallFailure('nonIdempotentUnderIdempotent', message) };
+  }
+  const limitMs = Math.min(call.deadlineMs ?? operation.deadlineMs, operation.deadlineMs);
+  const envelope: CallEnvelope = {
+    ...above,
+    service: call.service,
+    operation: call.operation,
+    idempotent: operation.idempotent,
+    depth: above.depth + 1,
+    allowance: parent.account.remaining,
+    deadlineMs: Math.min(limitMs, parent.deadlineAtMs - nowMs),
+    fingerprint: computeFingerprint(call),
+    contentType: call.contentType,
+    body: call.body,
+  };
+  delete envelope.ticket;
+  return { type: 'built', envelope, document };
+}
+
+type FoundOperation =
+  { type: 'found'; operation: Operation; document: ServiceConfiguration } | { type: 'failed'; failure: CallFailure };
+
+function findOperation(board: NodeBoard, call: CallerCall): FoundOperation {
+  const document = board.read('configuration').services.get(call.service)?.document as ServiceConfiguration | undefined;
+  if (document === undefined) {
+    return {
+      type: 'failed',
+      failure: createCallFailure('unknownService', `no document is in force for ${call.service}`),
+    };
+  }
+  const operation = document.operations[call.operation];
+  if (operation === undefined) {
+    const message = `the document of ${call.service} has no operation ${call.operation}`;
+    return { type: 'failed', failure: createCallFailure('unknownOperation', message) };
+  }
+  return { type: 'found', operation, document };
+}
+
+function computeFingerprint(call: CallerCall): string {
+  const text = `${call.service}/${call.operation}/${Buffer.from(call.body).toString('latin1')}`;
+  // Two seeds give 64 bits: with 32 bits, two of some thousand live fingerprints would collide now and then.
+  const digits = [hashText(text, 1), hashText(text, 2)].map((part) =>
+    part.toString(16).padStart(MIN_FINGERPRINT_DIGITS, '0'),
+  );
+  return digits.join('');
+}
--- /dev/null
+++ b/src/control/context.ts
@@ -0,0 +1,68 @@
+import type { Clock } from '../core/clock.js';
+import type { DeadlineTimer } from '../core/deadlineTimer.js';
+import type { HybridClock } from '../core/hybridClock.js';
+import type { Random } from '../core/random.js';
+import type { Policies } from '../policy/policies.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { Frame, Lane } from '../schema/frame.js';
+import type { LogAppendOutcome, LogReadOutcome, LogRecord } from '../schema/logRecord.js';
+import type { Settings } from '../schema/settings.js';
+import type { NodeBoard } from './sections.js';
+
+/** One call as the local target receives it. */
+export interface TargetRequest {
+  address: string;
+  service: string;
+  operation: string;
+  requestId: string;
+  /** Unguessable name of the running call, which the target repeats on its onward calls. */
+  token: string;
+  deadlineMs: number;
+  contentType: string;
+  body: Uint8Array;
+}
+
+export type TargetOutcome =
+  { type: 'answer'; status: number; contentType: string; body: Uint8Array } | { type: 'failure'; failure: CallFailure };
+
+/** Sends a call to the local target; the outcome is reported once unless the returned function is called first. */
+export type CallTarget = (request: TargetRequest, done: (outcome: TargetOutcome) => void) => () => void;
+
+/**
+ * Sends a frame to a node, named by its id or by a peer address. False when it certainly was not written, so that the
+ * call did not run.
+ */
+export type SendFrame = (peer: string, lane: Lane, frame: Frame) => boolean;
+
+/** Reads records from an offset on; may wait until there are some. */
+export type ReadLog = (fromOffset: number, done: (outcome: LogReadOutcome) => void) => void;
+/** Appends one record; `unknown` when the answer was lost. */
+export type AppendLog = (record: LogRecord, done: (outcome: LogAppendOutcome) => void) => void;
+
+/** What a node needs from outside: all effects are functions passed in. */
+export interface NodeIo {
+  sendFrame: SendFrame;
+  callTarget: CallTarget;
+  readLog?: ReadLog;
+  appendLog?: AppendLog;
+}
+
+/** What every controller gets when it is created. */
+export interface ControllerContext {
+  settings: Settings;
+  board: NodeBoard;
+  clock: Clock;
+  deadlines: DeadlineTimer;
+  hybridClock: HybridClock;
+  random: Random;
+  /** Creates an unguessable text. */
+  generateToken: () => string;
+  policies: Policies;
+  io: NodeIo;
+}
+
+/** A unit that reads sections and writes those that it claimed. */
+export interface Controller {
+  start(): void;
+  stop(): void;
+}
--- /dev/null
+++ b/src/control/dispatchCalls.ts
@@ -0,0 +1,294 @@
+import { generateId } from '../core/random.js';
+import { isAdmitted } from '../policy/shedding.js';
+import type { RouteCandidate } from '../policy/routing.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { CallEnvelope, ReplyFrame } from '../schema/frame.js';
+import type { MemberRecord } from '../schema/member.js';
+import type { AdmitCall } from './admitCalls.js';
+import type { AllowanceAccount, Attempt, CallReply, CallResult, DispatchedCall, RunningCall } from './calls.js';
+import type { ControllerContext } from './context.js';
+import type { Sections } from './sections.js';
+
+/** What a dispatch starts from. */
+export interface DispatchRequest {
+  envelope: CallEnvelope;
+  account: AllowanceAccount;
+  parent: RunningCall | undefined;
+  reply: CallReply;
+}
+
+export interface Dispatcher {
+  dispatch(request: DispatchRequest): DispatchedCall;
+  /** Ends a call whose caller no longer waits; no reply is made. */
+  cancel(call: DispatchedCall): void;
+  receiveReply(frame: ReplyFrame): void;
+  receiveLinkClosed(host: string, lane: string): void;
+}
+
+/** Sends calls to targets of their service, through this node's own target or other nodes, and retries where allowed. */
+export function createDispatcher(
+  context: ControllerContext,
+  calls: Sections['calls'],
+  samples: Sections['samples'],
+  admitLocally: AdmitCall,
+): Dispatcher {
+  const { board, clock, deadlines, io, policies, random, settings } = context;
+  const incarnation = board.read('members').self.incarnation;
+  let nextCallNumber = 0;
+
+  const listCandidates = (call: DispatchedCall): RouteCandidate[] => {
+    const routes = board.read('routes').byHost;
+    const candidates: RouteCandidate[] = [];
+    for (const member of board.read('members').byService.get(call.envelope.service) ?? []) {
+      if (member.targetState !== 'ready' || member.nodeState !== 'alive' || call.triedHosts.has(member.id)) continue;
+      const isLocalDataCenter = member.dataCenter === settings.dataCenter;
+      candidates.push({ member, state: routes.get(member.id), isLocalDataCenter });
+    }
+    return candidates;
+  };
+
+  const finish = (call: DispatchedCall, result: CallResult): void => {
+    if (call.isFinished) return;
+    call.isFinished = true;
+    call.cancelDeadline?.();
+    calls.dispatched.delete(call);
+    const admittedFraction = Math.min(call.admittedFraction, result.admittedFraction);
+    call.reply({ ...result, admittedFraction, allowanceLeft: call.account.remaining });
+  };
+  const fail = (call: DispatchedCall, failure: CallFailure): void => {
+    finish(call, { type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+  };
+
+  const startAttempt = (call: DispatchedCall, candidates: readonly RouteCandidate[]): void => {
+    const member = policies.chooseRoute({ candidates, nowMs: clock.now(), random });
+    const { service } = call.envelope;
+    if (member === undefined) {
+      fail(call, createCallFailure('noTarget', `no target of ${service} can take calls now`));
+      return;
+    }
+    const lent = policies.computeLoan(call.account.remaining);
+    call.account.remaining -= lent;
+    call.attempts++;
+    call.triedHosts.add(member.id);
+    const envelope = { ...call.envelope, allowance: lent, deadlineMs: Math.max(0, call.deadlineAtMs - clock.now()) };
+    board.post('routes', { type: 'started', host: member.id });
+    if (member.id === settings.host) startLocalAttempt(call, envelope, lent);
+    else startRemoteAttempt(call, envelope, member, lent);
+  };
+
+  const startLocalAttempt = (call: DispatchedCall, envelope: CallEnvelope, lent: number): void => {
+    const attempt: Attempt = {
+      callId: '',
+      host: settings.host,
+      lent,
+      startedAtMs: clock.now(),
+      cancel: () => {
+        cancelLocal();
+      },
+    };
+    call.attempt = attempt;
+    const cancelLocal = admitLocally(envelope, { remaining: lent }, (result) => {
+      settleAttempt(call, attempt, result);
+    });
+  };
+
+  const startRemoteAttempt = (
+    call: DispatchedCall,
+    envelope: CallEnvelope,
+    member: MemberRecord,
+    lent: number,
+  ): void => {
+    const callId = `${incarnation}.${(nextCallNumber++).toString(36)}`;
+    const lane = envelope.urgent ? 'urgent' : 'routine';
+    const cancel = (): void => {
+      calls.remote.delete(callId);
+      io.sendFrame(member.id, lane, { type: 'cancel', callId });
+    };
+    const attempt: Attempt = { callId, host: member.id, lent, startedAtMs: clock.now(), cancel };
+    call.attempt = attempt;
+    calls.remote.set(callId, {
+      host: member.id,
+      lane,
+      settle: (result) => {
+        settleAttempt(call, attempt, result);
+      },
+    });
+    if (io.sendFrame(member.id, lane, { type: 'call', callId, purpose: 'target', envelope })) return;
+    calls.remote.delete(callId);
+    const failure = createCallFailure('targetUnreachable', `node ${member.id} cannot be reached`, { host: member.id });
+    settleAttempt(call, attempt, { type: 'refusal', failure, allowanceLeft: lent, admittedFraction: 1 });
+  };
+
+  const settleAttempt = (call: DispatchedCall, attempt: Attempt, result: CallResult): void => {
+    if (call.isFinished || call.attempt !== attempt) return;
+    call.attempt = undefined;
+    call.account.remaining += Math.min(attempt.lent, result.allowanceLeft);
+    board.post('routes', { type: 'finished', host: attempt.host });
+    recordAttempt(call, attempt, result);
+    recordFraction(call, result);
+    if (result.type === 'answer') {
+      finish(call, result);
+      return;
+    }
+    retryOrFail(call, result.failure);
+  };
+
+  const retryOrFail = (call: DispatchedCall, failure: CallFailure): void => {
+    const { envelope, account } = call;
+    const candidates = listCandidates(call);
+    const isGranted = policies.isRetryGranted({
+      failure,
+      isIdempotent: envelope.idempotent,
+      remainingAllowance: account.remaining,
+      timeLeftMs: call.deadlineAtMs - clock.now(),
+      expectedMs:
+        board.read('configuration').services.get(envelope.service)?.document.operations[envelope.operation]
+          ?.expectedCostMs ?? 0,
+      tokens: board.read('budgets').byService.get(envelope.service)?.tokens ?? 0,
+      hasOtherTarget: candidates.length > 0,
+    });
+    if (!isGranted) {
+      fail(call, failure);
+      return;
+    }
+    account.remaining--;
+    board.post('budgets', { type: 'retry', service: envelope.service });
+    board.post('events', {
+      kind: 'callRetried',
+      ...describeCall(envelope),
+      data: { after: failure.kind, attempt: call.attempts },
+    });
+    startAttempt(call, candidates);
+  };
+
+  const recordAttempt = (call: DispatchedCall, attempt: Attempt, result: CallResult): void => {
+    const failure = result.type === 'refusal' ? result.failure : undefined;
+    const { service, operation, priority, fingerprint } = call.envelope;
+    const totalTimeMs = clock.now() - attempt.startedAtMs;
+    samples.ring.add({
+      role: 'attempt',
+      atMs: clock.now(),
+      host: attempt.host,
+      service,
+      operation,
+      priority,
+      fingerprint,
+      result: failure === undefined ? 'answered' : 'failed',
+      ran: failure?.ran ?? 'yes',
+      retry: failure?.retry ?? 'never',
+      failureKind: failure?.kind ?? '',
+      totalTimeMs,
+      ownTimeMs: totalTimeMs,
+      concurrency: 0,
+    });
+  };
+
+  const recordFraction = (call: DispatchedCall, result: CallResult): void => {
+    call.admittedFraction = Math.min(call.admittedFraction, result.admittedFraction);
+    if (call.parent !== undefined)
+      call.parent.admittedFraction = Math.min(call.parent.admittedFraction, result.admittedFraction);
+    if (result.admittedFraction >= 1) return;
+    board.post('shedding', { type: 'heard', key: formatFractionKey(call.envelope), fraction: result.admittedFraction });
+  };
+
+  const expire = (call: DispatchedCall): void => {
+    const attempt = call.attempt;
+    attempt?.cancel();
+    if (attempt !== undefined) {
+      board.post('routes', { type: 'finished', host: attempt.host });
+      const refusal = {
+        type: 'refusal',
+        failure: createCallFailure('deadlineExceeded', ''),
+        allowanceLeft: 0,
+        admittedFraction: 1,
+      } as const;
+      recordAttempt(call, attempt, refusal);
+    }
+    call.attempt = undefined;
+    const message = `${call.envelope.service}/${call.envelope.operation} gave no answer in time`;
+    fail(call, createCallFailure('deadlineExceeded', message, { ran: call.attempts === 0 ? 'no' : 'unknown' }));
+  };
+
+  return {
+    dispatch: ({ envelope, account, parent, reply }) => {
+      const deadlineAtMs = clock.now() + envelope.deadlineMs;
+      const call: DispatchedCall = {
+        envelope,
+        account,
+        deadlineAtMs,
+        reply,
+        parent,
+        triedHosts: new Set(),
+        attempts: 0,
+        admittedFraction: 1,
+        isFinished: false,
+        attempt: undefined,
+        cancelDeadline: undefined,
+      };
+      const heard = board.read('shedding').downstream.get(formatFractionKey(envelope));
+      if (heard !== undefined && !isAdmitted(envelope.shedKey, heard.fraction)) {
+        const message = `${envelope.service}/${envelope.operation} sheds ${envelope.priority} requests`;
+        reply({
+          type: 'refusal',
+          failure: createCallFailure('shed', message),
+          allowanceLeft: account.remaining,
+          admittedFraction: heard.fraction,
+        });
+        return call;
+      }
+      calls.dispatched.add(call);
+      call.cancelDeadline = deadlines.add(deadlineAtMs, () => {
+        expire(call);
+      });
+      board.post('budgets', { type: 'attempt', service: envelope.service });
+      startAttempt(call, listCandidates(call));
+      return call;
+    },
+    cancel: (call) => {
+      if (call.isFinished) return;
+      call.isFinished = true;
+      call.cancelDeadline?.();
+      calls.dispatched.delete(call);
+      if (call.attempt === undefined) return;
+      board.post('routes', { type: 'finished', host: call.attempt.host });
+      call.attempt.cancel();
+    },
+    receiveReply: (frame) => {
+      const remote = calls.remote.get(frame.callId);
+      if (remote === undefined) return;
+      calls.remote.delete(frame.callId);
+      if (frame.load !== undefined) board.post('routes', { type: 'heard', host: remote.host, load: frame.load });
+      remote.settle(frame);
+    },
+    receiveLinkClosed: (host, lane) => {
+      for (const [callId, remote] of calls.remote) {
+        if (remote.host !== host || remote.lane !== lane) continue;
+        calls.remote.delete(callId);
+        const failure = createCallFailure('connectionLost', `the connection to node ${host} was lost`, { host });
+        remote.settle({ type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+      }
+    },
+  };
+}
+
+/** The key under which the fraction of a called operation is kept for one priority. */
+export function formatFractionKey(envelope: CallEnvelope): string {
+  return `${envelope.service}/${envelope.operation}/${envelope.priority}`;
+}
+
+/** The fields that every event about a call carries. */
+export function describeCall(envelope: CallEnvelope): {
+  requestId: string;
+  service: string;
+  operation: string;
+  priority: string;
+} {
+  const { requestId, service, operation, priority } = envelope;
+  return { requestId, service, operation, priority };
+}
+
+/** Generates the id of a request that enters the system here. */
+export function generateRequestId(random: () => number): string {
+  return generateId(random, 16);
+}
--- /dev/null
+++ b/src/control/eventController.ts
@@ -0,0 +1,15 @@
+import type { Controller, ControllerContext } from './context.js';
+
+/** Writes the ring of events of this process. */
+export function createEventController(context: ControllerContext): Controller {
+  const events = context.board.claim('events', 'eventController');
+  events.handlePosts((post) => {
+    events.section.ring.add({ time: context.hybridClock.getNext(), host: context.settings.host, ...post });
+  });
+  return {
+    start: () => {
+      context.board.post('events', { kind: 'nodeStarted' });
+    },
+    stop: () => undefined,
+  };
+}
--- /dev/null
+++ b/src/control/retryController.ts
@@ -0,0 +1,29 @@
+import { addAttempt, retryBudgetDefaults, takeRetry } from '../policy/retryBudget.js';
+import type { BudgetState } from '../schema/state.js';
+import type { Controller, ControllerContext } from './context.js';
+
+/** Writes the retry budgets of the edges from this node's service to the services that it calls. */
+export function createRetryController(context: ControllerContext): Controller {
+  const { board } = context;
+  const budgets = board.claim('budgets', 'retryController');
+  const { byService } = budgets.section;
+
+  const getBudget = (service: string): BudgetState => {
+    let budget = byService.get(service);
+    if (budget === undefined) {
+      budget = { tokens: retryBudgetDefaults.capacity };
+      byService.set(service, budget);
+    }
+    return budget;
+  };
+  budgets.handlePosts((post) => {
+    const budget = getBudget(post.service);
+    if (post.type === 'retry') {
+      takeRetry(budget);
+      return;
+    }
+    const ratio = board.read('configuration').services.get(post.service)?.document.retryRatio;
+    addAttempt(budget, { ...retryBudgetDefaults, ratio: ratio ?? retryBudgetDefaults.ratio });
+  });
+  return { start: () => undefined, stop: () => undefined };
+}
--- /dev/null
+++ b/src/control/routingController.ts
@@ -0,0 +1,83 @@
+import { scheduleRepeated } from '../core/clock.js';
+import type { RouteState, Sample } from '../schema/state.js';
+import type { Controller, ControllerContext } from './context.js';
+
+const ADJUST_PERIOD_MS = 100;
+const SMOOTHING = 0.2;
+/** Failures in a row, of kinds that mean the target is not working, that eject it. */
+const EJECT_AFTER_FAILURES = 3;
+const FIRST_EJECTION_MS = 1000;
+const LONGEST_EJECTION_MS = 8000;
+const UNWORKING_KINDS = new Set([
+  'connectionLost',
+  'targetCrashed',
+  'targetUnreachable',
+  'noTarget',
+  'stopping',
+  'targetDraining',
+]);
+
+/** Writes what this node has observed of the targets that it calls. */
+export function createRoutingController(context: ControllerContext): Controller {
+  const { board, clock } = context;
+  const routes = board.claim('routes', 'routingController');
+  const { byHost } = routes.section;
+  const samples = board.read('samples').ring;
+  let cursor = samples.end;
+  let stopTimer = (): void => undefined;
+
+  const getRoute = (host: string): RouteState => {
+    let route = byHost.get(host);
+    if (route === undefined) {
+      route = {
+        inFlight: 0,
+        latencyMs: 0,
+        failureRate: 0,
+        failuresInRow: 0,
+        ejectedUntilMs: 0,
+        ejectionMs: FIRST_EJECTION_MS,
+      };
+      byHost.set(host, route);
+    }
+    return route;
+  };
+  const eject = (host: string, route: RouteState): void => {
+    route.ejectedUntilMs = clock.now() + route.ejectionMs;
+    route.ejectionMs = Math.min(LONGEST_EJECTION_MS, route.ejectionMs * 2);
+    route.failuresInRow = 0;
+    board.post('events', { kind: 'routeEjected', data: { host, untilMs: route.ejectedUntilMs } });
+  };
+  const applySample = (sample: Sample): void => {
+    if (sample.role !== 'attempt') return;
+    const route = getRoute(sample.host);
+    const isFailed = sample.result === 'failed' && UNWORKING_KINDS.has(sample.failureKind);
+    route.failureRate += SMOOTHING * ((isFailed ? 1 : 0) - route.failureRate);
+    if (isFailed) {
+      route.failuresInRow++;
+      if (route.failuresInRow >= EJECT_AFTER_FAILURES) eject(sample.host, route);
+      return;
+    }
+    route.failuresInRow = 0;
+    if (sample.result !== 'answered') return;
+    route.ejectionMs = FIRST_EJECTION_MS;
+    route.latencyMs += route.latencyMs === 0 ? sample.totalTimeMs : SMOOTHING * (sample.totalTimeMs - route.latencyMs);
+  };
+  routes.handlePosts((post) => {
+    const route = getRoute(post.host);
+    if (post.type === 'started') route.inFlight++;
+    else if (post.type === 'finished') route.inFlight = Math.max(0, route.inFlight - 1);
+    else if (post.type === 'heard') route.load = post.load;
+    else eject(post.host, route);
+  });
+  return {
+    start: () => {
+      stopTimer = scheduleRepeated(clock, ADJUST_PERIOD_MS, () => {
+        for (const sample of samples.listFrom(cursor)) applySample(sample);
+        cursor = samples.end;
+      });
+    },
+    stop: () => {
+      stopTimer();
+    },
+  };
+}
--- /dev/null
+++ b/src/node/dispatchFrame.ts
@@ -0,0 +1,59 @@
+import type { CallController } from '../control/callController.js';
+import type { NodeBoard } from '../control/sections.js';
+import type { Frame } from '../schema/frame.js';
+import type { AcceptedDocument } from '../schema/logRecord.js';
+
+export interface FrameDelivery {
+  board: NodeBoard;
+  calls: Pick<CallController, 'receiveCall' | 'receiveReply' | 'receiveCancel'>;
+  host: string;
+  frame: Frame;
+  respond: (frame: Frame) => void;
+}
+
+/** Hands a frame to the section or controller that it is for. */
+export function dispatchFrame({ board, calls, host, frame, respond }: FrameDelivery): void {
+  switch (frame.type) {
+    case 'call':
+      calls.receiveCall(host, frame, respond);
+      return;
+    case 'answer':
+    case 'refusal':
+      calls.receiveReply(frame);
+      return;
+    case 'cancel':
+      calls.receiveCancel(host, frame.callId);
+      return;
+    case 'hello':
+      board.post('members', { type: 'merge', records: [frame.member] });
+      respond({ type: 'members', records: [...board.read('members').byId.values()] });
+      respond({
+        type: 'configuration',
+        appliedOffset: board.read('configuration').appliedOffset,
+        documents: listDocuments(board),
+      });
+      return;
+    case 'members':
+      board.post('members', { type: 'merge', records: frame.records });
+      return;
+    case 'configuration':
+      board.post('configuration', { documents: frame.documents });
+      return;
+    case 'heartbeat':
+    case 'crashReport':
+    case 'digest':
+    case 'pull':
+      return;
+  }
+}
+
+function listDocuments(board: NodeBoard): AcceptedDocument[] {
+  const { services } = board.read('configuration');
+  return [...services].map(([service, { version, document }]) => ({
+    service,
+    version,
+    changeId: '',
+    operator: '',
+    document,
+  }));
+}
--- /dev/null
+++ b/src/policy/policies.ts
@@ -0,0 +1,25 @@
+import { computeLoan } from './allowance.js';
+import { adjustLimit } from './limit.js';
+import { compareWaiting } from './queueOrder.js';
+import { isRetryGranted } from './retry.js';
+import { chooseRoute } from './routing.js';
+import { adjustFraction } from './shedding.js';
+
+/** The decisions of a node that can be replaced, for baselines and for other rules. */
+export interface Policies {
+  computeLoan: typeof computeLoan;
+  isRetryGranted: typeof isRetryGranted;
+  chooseRoute: typeof chooseRoute;
+  adjustLimit: typeof adjustLimit;
+  adjustFraction: typeof adjustFraction;
+  compareWaiting: typeof compareWaiting;
+}
+
+export const defaultPolicies: Policies = {
+  computeLoan,
+  isRetryGranted,
+  chooseRoute,
+  adjustLimit,
+  adjustFraction,
+  compareWaiting,
+};
