Add the front ends of hemlockd

Cause: the node has no I/O of its own. Change: grpc-js streams with one connection per peer and lane, nestjs on fastify for callers, the local target and operators, undici to the target, the log client, settings. Conclusion: the daemon starts with checked settings and stops on SIGTERM.

--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,43 @@
+#!/usr/bin/env node
+import { FailureError } from '../schema/failure.js';
+import { formatFault } from '../schema/validate.js';
+import { readSettings } from './readSettings.js';
+import { startDaemon } from './startDaemon.js';
+
+const EXIT_FAILED = 1;
+const EXIT_INVALID = 2;
+const USAGE = 'Usage: hemlockd --settings FILE\n\nRuns the node of one target host until SIGTERM or SIGINT.\n';
+
+async function runMain(parameters: readonly string[]): Promise<void> {
+  const file = parameters[0] === '--settings' ? parameters[1] : undefined;
+  if (file === undefined || parameters.length !== 2) {
+    process.stderr.write(USAGE);
+    process.exitCode = parameters.includes('--help') ? 0 : EXIT_INVALID;
+    return;
+  }
+  const daemon = await startDaemon(readSettings(file));
+  process.stdout.write(`${JSON.stringify({ listening: daemon.addresses })}\n`);
+  const stop = (): void => {
+    void daemon.stop().then(() => process.exit(0));
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+function reportFailure(error: unknown): void {
+  if (!(error instanceof FailureError)) {
+    process.stderr.write(`hemlockd failed: ${String(error)}\n`);
+    process.exitCode = EXIT_FAILED;
+    return;
+  }
+  const { failure } = error;
+  if (failure.kind === 'settingsInvalid') {
+    for (const fault of failure.faults) process.stderr.write(`${formatFault(fault)}\n`);
+  } else {
+    process.stderr.write(`${failure.kind}: ${failure.message}\n`);
+  }
+  process.exitCode =
+    failure.kind === 'settingsInvalid' || failure.kind === 'fileUnreadable' ? EXIT_INVALID : EXIT_FAILED;
+}
+
+runMain(process.argv.slice(2)).catch(reportFailure);
--- /dev/null
+++ b/src/daemon/startDaemon.ts
@@ -0,0 +1,143 @@
+import 'reflect-metadata';
+import { randomBytes, randomInt } from 'node:crypto';
+import type { ReadLog } from '../control/context.js';
+import { createSystemClock } from '../core/clock.js';
+import { createRandom } from '../core/random.js';
+import { CallerController } from '../http/callerController.js';
+import { startHttpServer } from '../http/httpServer.js';
+import type { HttpServer } from '../http/httpServer.js';
+import { LocalController } from '../http/localController.js';
+import { createMetrics } from '../http/metrics.js';
+import { OperatorController } from '../http/operatorController.js';
+import { createTargetClient } from '../http/targetClient.js';
+import { createNode } from '../node/createNode.js';
+import type { Node } from '../node/createNode.js';
+import { createLogClient } from '../platform/logClient.js';
+import { serviceConfigurationDefaults } from '../schema/serviceConfiguration.js';
+import type { Settings } from '../schema/settings.js';
+import { createPeerClient } from '../transport/peerClient.js';
+import { createPeerCredentials } from '../transport/peerCredentials.js';
+import { startPeerServer } from '../transport/peerServer.js';
+import { createLogger } from './logger.js';
+
+export interface DaemonAddresses {
+  caller: string;
+  local: string;
+  operator: string;
+  peer: string;
+}
+
+export interface Daemon {
+  readonly addresses: DaemonAddresses;
+  /** Stops gracefully within the grace time of the settings. */
+  stop(): Promise<void>;
+}
+
+const TOKEN_BYTES = 18;
+const LOG_WAIT_MS = 2000;
+const MAX_SEED = 2 ** 31;
+
+/**
+ * Starts all of one hemlockd process.
+ *
+ * @throws FailureError `listenFailed` or `fileUnreadable`.
+ */
+export async function startDaemon(settings: Settings): Promise<Daemon> {
+  const logger = createLogger(settings.host, settings.logLevel);
+  const clock = createSystemClock();
+  const credentials = createPeerCredentials(settings);
+  const targetClient = createTargetClient({ connections: serviceConfigurationDefaults.connectionLimit });
+  const peerClient = createPeerClient({
+    host: settings.host,
+    credentials: credentials.client,
+    clock,
+    resolveAddress: (peer) => (peer.includes(':') ? peer : node.board.read('members').byId.get(peer)?.peerAddress),
+    receiveFrame: (host, lane, frame, respond) => {
+      node.receiveFrame(host, lane, frame, respond);
+    },
+    receiveLinkClosed: (host, lane) => {
+      node.receiveLinkClosed(host, lane);
+    },
+    reportFailure: (message) => {
+      logger.debug(message);
+    },
+  });
+  const node: Node = createNode({
+    settings,
+    clock,
+    random: createRandom(randomInt(MAX_SEED)),
+    generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
+    sendFrame: peerClient.sendFrame,
+    callTarget: targetClient.callTarget,
+    ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
+  });
+  const servers = await startServers(settings, node);
+  const peerServer = await startPeerServer({
+    listen: settings.peerListen,
+    credentials: credentials.server,
+    receiveFrame: node.receiveFrame,
+    reportFailure: (message) => {
+      logger.warn(message);
+    },
+  });
+  const addresses: DaemonAddresses = {
+    caller: servers.caller.address,
+    local: servers.local.address,
+    operator: servers.operator.address,
+    peer: peerServer.address,
+  };
+  const change = { peerAddress: addresses.peer, callerAddress: addresses.caller, operatorAddress: addresses.operator };
+  node.board.post('members', { type: 'setSelf', change });
+  node.start();
+  logger.info('listening', { ...addresses });
+  return {
+    addresses,
+    stop: async () => {
+      logger.info('stopping');
+      await stopNode(node, settings.stopGraceMs);
+      await Promise.all(Object.values(servers).map((server) => server.stop()));
+      peerClient.stop();
+      await Promise.all([peerServer.stop(), targetClient.stop()]);
+      logger.info('stopped');
+    },
+  };
+}
+
+interface Servers extends Record<string, HttpServer> {
+  caller: HttpServer;
+  local: HttpServer;
+  operator: HttpServer;
+}
+
+async function startServers(settings: Settings, node: Node): Promise<Servers> {
+  const caller = await startHttpServer({
+    listen: settings.callerListen,
+    controllers: [CallerController],
+    served: node,
+    maxConnections: settings.maxCallerConnections,
+  });
+  const local = await startHttpServer({ listen: settings.localListen, controllers: [LocalController], served: node });
+  const operator = await startHttpServer({
+    listen: settings.operatorListen,
+    controllers: [OperatorController],
+    served: { node, metrics: createMetrics(node) },
+  });
+  return { caller, local, operator };
+}
+
+function createLogReader(url: string): ReadLog {
+  const log = createLogClient(url);
+  return (fromOffset, done) => {
+    void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+  };
+}
+
+function stopNode(node: Node, graceMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, graceMs);
+    node.stop(() => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/http/callReply.ts
@@ -0,0 +1,25 @@
+import type { FastifyReply } from 'fastify';
+import type { CallResult } from '../control/calls.js';
+import { callFailureTraits } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+
+/** Writes the result of a call as an HTTP answer; a failure becomes its status and a JSON body. */
+export function sendResult(reply: FastifyReply, result: CallResult): void {
+  if (reply.raw.destroyed) return;
+  if (result.ticket !== undefined) void reply.header('idempotency-key', result.ticket);
+  if (result.type === 'refusal') {
+    sendFailure(reply, result.failure);
+    return;
+  }
+  void reply.code(result.status).header('content-type', result.contentType).send(Buffer.from(result.body));
+}
+
+/** Writes a failure as an HTTP answer. */
+export function sendFailure(reply: FastifyReply, failure: CallFailure): void {
+  void reply
+    .code(callFailureTraits[failure.kind].status)
+    .header('content-type', 'application/json')
+    .header('hemlock-ran', failure.ran)
+    .header('hemlock-retry', failure.retry)
+    .send(JSON.stringify({ failure }));
+}
--- /dev/null
+++ b/src/http/callRequest.ts
@@ -0,0 +1,47 @@
+import type { FastifyRequest } from 'fastify';
+import type { CallerCall } from '../control/calls.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+
+export type ParsedCall = { type: 'parsed'; call: CallerCall } | { type: 'failed'; failure: CallFailure };
+
+const MAX_CALLER_KEY_LENGTH = 255;
+const MAX_TICKET_LENGTH = 512;
+const EMPTY_BODY = new Uint8Array();
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+
+/** Reads a call from an HTTP request; the headers of callers are checked here once. */
+export function parseCallerCall(service: string, operation: string, request: FastifyRequest): ParsedCall {
+  const { headers } = request;
+  const call: CallerCall = {
+    service,
+    operation,
+    callerKey: getHeader(headers['caller-id']) ?? request.ip,
+    contentType: headers['content-type'] ?? DEFAULT_CONTENT_TYPE,
+    body: request.body instanceof Uint8Array ? request.body : EMPTY_BODY,
+  };
+  if (call.callerKey.length > MAX_CALLER_KEY_LENGTH || call.contentType.length > MAX_CALLER_KEY_LENGTH) {
+    return refuseHeader(`caller-id and content-type have at most ${MAX_CALLER_KEY_LENGTH} characters`);
+  }
+  const deadline = getHeader(headers['deadline-ms']);
+  if (deadline !== undefined) {
+    call.deadlineMs = Number(deadline);
+    if (!(call.deadlineMs > 0)) return refuseHeader(`deadline-ms is "${deadline}" and must be a number above 0`);
+  }
+  const key = getHeader(headers['idempotency-key']);
+  if (key !== undefined) {
+    if (key.length > MAX_TICKET_LENGTH)
+      return refuseHeader(`idempotency-key has more than ${MAX_TICKET_LENGTH} characters`);
+    call.idempotencyKey = key;
+  }
+  return { type: 'parsed', call };
+}
+
+/** Returns the first value of a header. */
+export function getHeader(value: string | string[] | undefined): string | undefined {
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function refuseHeader(message: string): ParsedCall {
+  return { type: 'failed', failure: createCallFailure('requestMalformed', message) };
+}
--- /dev/null
+++ b/src/http/localController.ts
@@ -0,0 +1,58 @@
+import { Controller, Inject, Param, Post, Req, Res } from '@nestjs/common';
+import type { FastifyReply, FastifyRequest } from 'fastify';
+import type { Node } from '../node/createNode.js';
+import { targetAnnouncementSchema } from '../schema/member.js';
+import { compileSchema } from '../schema/validate.js';
+import { getHeader, parseCallerCall } from './callRequest.js';
+import { sendFailure, sendResult } from './callReply.js';
+import { SERVED } from './httpServer.js';
+
+const announcementValidator = compileSchema(targetAnnouncementSchema);
+
+/** Serves the target on this host: its announcements and its onward calls. */
+@Controller('v1')
+export class LocalController {
+  constructor(@Inject(SERVED) private readonly node: Node) {}
+
+  @Post('announce')
+  handleAnnouncement(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+    const announcement = parseJson(request.body);
+    if (!announcementValidator.isValid(announcement)) {
+      void reply.code(400).send({ faults: announcementValidator.listFaults(announcement) });
+      return;
+    }
+    this.node.announceTarget(announcement);
+    void reply.code(204).send();
+  }
+
+  @Post('call/:service/:operation')
+  handleCall(
+    @Param('service') service: string,
+    @Param('operation') operation: string,
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+  ): void {
+    const parsed = parseCallerCall(service, operation, request);
+    if (parsed.type === 'failed') {
+      sendFailure(reply, parsed.failure);
+      return;
+    }
+    const token = getHeader(request.headers['hemlock-call']);
+    const call = token === undefined ? parsed.call : { ...parsed.call, token };
+    const cancel = this.node.handleOnwardCall(call, (result) => {
+      sendResult(reply, result);
+    });
+    reply.raw.once('close', () => {
+      if (!reply.raw.writableFinished) cancel();
+    });
+  }
+}
+
+function parseJson(body: unknown): unknown {
+  if (!(body instanceof Uint8Array)) return undefined;
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/http/metrics.ts
@@ -0,0 +1,96 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+import type { Node } from '../node/createNode.js';
+
+const QUANTILES = [50, 90, 99, 99.9];
+const HIGHEST_MS = 600_000;
+
+export interface MetricsRegistry {
+  /** All metrics in the Prometheus text format. */
+  renderText(): Promise<string>;
+}
+
+/** Creates the metrics of a node, computed from its blackboard when they are asked for. */
+export function createMetrics(node: Node): MetricsRegistry {
+  const registry = new Registry();
+  const { board } = node;
+  const ring = board.read('samples').ring;
+  const histograms = new Map<string, { service: string; priority: string; role: string; histogram: Histogram }>();
+  let cursor = ring.end;
+
+  const attempts = new Counter({
+    name: 'hemlock_attempts_total',
+    help: 'Finished attempts by role, service, priority and result',
+    labelNames: ['role', 'service', 'priority', 'result'] as const,
+    registers: [registry],
+  });
+  const quantile = new Gauge({
+    name: 'hemlock_attempt_duration_ms',
+    help: 'Duration of answered attempts since the start of the process, by quantile (ms)',
+    labelNames: ['role', 'service', 'priority', 'quantile'] as const,
+    registers: [registry],
+  });
+  const createGauge = (name: string, help: string, read: () => number): void => {
+    new Gauge({
+      name,
+      help,
+      registers: [registry],
+      collect() {
+        this.set(read());
+      },
+    });
+  };
+  createGauge(
+    'hemlock_limit_concurrency',
+    'Concurrency limit of the local target',
+    () => board.read('limits').concurrency,
+  );
+  createGauge('hemlock_calls_in_flight', 'Calls running at the local target', () => board.read('calls').inFlight);
+  createGauge('hemlock_calls_queued', 'Calls waiting for the local target', () => board.read('queue').waiting.length);
+  createGauge(
+    'hemlock_calls_dispatched',
+    'Calls that this node answers for',
+    () => board.read('calls').dispatched.size,
+  );
+  createGauge('hemlock_members', 'Known nodes', () => board.read('members').byId.size);
+  createGauge('hemlock_configuration_offset', 'Log offset applied', () => board.read('configuration').appliedOffset);
+
+  const takeSamples = (): void => {
+    for (const sample of ring.listFrom(cursor)) {
+      const { role, service, priority, result } = sample;
+      attempts.inc({ role, service, priority, result: result === 'answered' ? result : sample.failureKind });
+      if (result !== 'answered') continue;
+      const key = `${role} ${service} ${priority}`;
+      let entry = histograms.get(key);
+      if (entry === undefined) {
+        const histogram = build({
+          lowestDiscernibleValue: 1,
+          highestTrackableValue: HIGHEST_MS,
+          numberOfSignificantValueDigits: 2,
+        });
+        entry = { service, priority, role, histogram };
+        histograms.set(key, entry);
+      }
+      entry.histogram.recordValue(Math.min(HIGHEST_MS, Math.max(1, Math.round(sample.totalTimeMs))));
+    }
+    cursor = ring.end;
+  };
+  // The ring of samples is shorter than a scrape interval under load, so counts follow its changes more often.
+  const timer = setInterval(takeSamples, 500);
+  timer.unref();
+  return {
+    renderText: () => {
+      takeSamples();
+      for (const { service, priority, role, histogram } of histograms.values()) {
+        for (const percent of QUANTILES) {
+          quantile.set(
+            { service, priority, role, quantile: String(percent / 100) },
+            histogram.getValueAtPercentile(percent),
+          );
+        }
+      }
+      return registry.metrics();
+    },
+  };
+}
--- /dev/null
+++ b/src/http/operatorController.ts
@@ -0,0 +1,62 @@
+import { Controller, Get, Header, Inject, Query, Res } from '@nestjs/common';
+import type { FastifyReply } from 'fastify';
+import type { Node } from '../node/createNode.js';
+import type { TimelineEvent } from '../schema/event.js';
+import type { NodeStatus } from '../schema/status.js';
+import { SERVED } from './httpServer.js';
+import type { MetricsRegistry } from './metrics.js';
+
+export interface ServedToOperators {
+  node: Node;
+  metrics: MetricsRegistry;
+}
+
+/** Serves operators, read only: what they change, they publish. */
+@Controller()
+export class OperatorController {
+  constructor(@Inject(SERVED) private readonly served: ServedToOperators) {}
+
+  @Get('health')
+  getHealth(): { status: string } {
+    return { status: 'ok' };
+  }
+
+  @Get('ready')
+  getReady(@Res() reply: FastifyReply): void {
+    const { board } = this.served.node;
+    const isReady = board.read('configuration').services.size > 0 && !board.read('calls').isStopping;
+    void reply.code(isReady ? 200 : 503).send({ status: isReady ? 'ready' : 'not ready' });
+  }
+
+  @Get('status')
+  getStatus(): NodeStatus {
+    const { board } = this.served.node;
+    const { services, appliedOffset } = board.read('configuration');
+    const limits = board.read('limits');
+    const calls = board.read('calls');
+    return {
+      host: board.read('members').self.id,
+      members: [...board.read('members').byId.values()],
+      appliedOffset,
+      versions: Object.fromEntries([...services].map(([service, entry]) => [service, entry.version])),
+      limits: { ...limits },
+      inFlight: calls.inFlight,
+      dispatched: calls.dispatched.size,
+      queued: board.read('queue').waiting.length,
+      fractions: Object.fromEntries([...board.read('shedding').local].map(([name, state]) => [name, state.fraction])),
+    };
+  }
+
+  @Get('events')
+  getEvents(@Query('from') from: string | undefined): { next: number; events: TimelineEvent[] } {
+    const { ring } = this.served.node.board.read('events');
+    const start = Number(from ?? 0);
+    return { next: ring.end, events: ring.listFrom(Number.isFinite(start) ? start : 0) };
+  }
+
+  @Get('metrics')
+  @Header('content-type', 'text/plain; version=0.0.4')
+  getMetrics(): Promise<string> {
+    return this.served.metrics.renderText();
+  }
+}
--- /dev/null
+++ b/src/http/targetClient.ts
@@ -0,0 +1,128 @@
+import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { CallTarget, TargetOutcome, TargetRequest } from '../control/context.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailureKind, Ran } from '../schema/failure.js';
+import { MAX_ANSWER_BODY_BYTES } from '../schema/frame.js';
+
+export interface TargetClient {
+  callTarget: CallTarget;
+  stop(): Promise<void>;
+}
+
+const KEEP_ALIVE_MS = 60_000;
+const SERVICE_UNAVAILABLE = 503;
+
+interface RunningRequest {
+  isStarted: boolean;
+  isDone: boolean;
+  status: number;
+  contentType: string;
+  isRefused: boolean;
+  chunks: Buffer[];
+  bytes: number;
+  controller: Dispatcher.DispatchController | undefined;
+}
+
+/**
+ * Creates the HTTP client to the target on this host.
+ *
+ * @example
+ * const client = createTargetClient({ connections: 256 });
+ * const cancel = client.callTarget(request, (outcome) => settle(outcome));
+ */
+export function createTargetClient(options: { connections: number }): TargetClient {
+  const pools = new Map<string, Pool>();
+  const getPool = (address: string): Pool => {
+    let pool = pools.get(address);
+    if (pool === undefined) {
+      pool = new Pool(address, { connections: options.connections, pipelining: 1, keepAliveTimeout: KEEP_ALIVE_MS });
+      pools.set(address, pool);
+    }
+    return pool;
+  };
+  return {
+    callTarget: (request, done) => sendRequest(getPool(request.address), request, done),
+    stop: async () => {
+      await Promise.all([...pools.values()].map((pool) => pool.destroy()));
+    },
+  };
+}
+
+function sendRequest(pool: Pool, request: TargetRequest, done: (outcome: TargetOutcome) => void): () => void {
+  const state: RunningRequest = {
+    isStarted: false,
+    isDone: false,
+    status: 0,
+    contentType: '',
+    isRefused: false,
+    chunks: [],
+    bytes: 0,
+    controller: undefined,
+  };
+  const settle = (outcome: TargetOutcome): void => {
+    if (state.isDone) return;
+    state.isDone = true;
+    done(outcome);
+  };
+  const fail = (kind: CallFailureKind, message: string, ran?: Ran): void => {
+    settle({ type: 'failure', failure: createCallFailure(kind, message, ran === undefined ? {} : { ran }) });
+  };
+  const handler: Dispatcher.DispatchHandler = {
+    onRequestStart: (controller) => {
+      state.controller = controller;
+      if (state.isDone) controller.abort(new DOMException('the call was cancelled', 'AbortError'));
+      else state.isStarted = true;
+    },
+    onResponseStart: (_controller, status, headers) => {
+      state.status = status;
+      state.contentType = String(headers['content-type'] ?? 'application/octet-stream');
+      state.isRefused = status === SERVICE_UNAVAILABLE && headers['hemlock-ran'] === 'no';
+    },
+    onResponseData: (controller, chunk) => {
+      state.bytes += chunk.length;
+      if (state.bytes <= MAX_ANSWER_BODY_BYTES) {
+        state.chunks.push(chunk);
+        return;
+      }
+      fail('answerTooLarge', `the answer has more than ${MAX_ANSWER_BODY_BYTES} bytes`);
+      controller.abort(new DOMException('the answer is too large', 'AbortError'));
+    },
+    onResponseEnd: () => {
+      if (state.isRefused) fail('targetRefused', `the target of ${request.service} refused the call`);
+      else
+        settle({
+          type: 'answer',
+          status: state.status,
+          contentType: state.contentType,
+          body: Buffer.concat(state.chunks),
+        });
+    },
+    onResponseError: (_controller, error) => {
+      if (!state.isStarted) fail('targetUnreachable', `cannot connect to ${request.address}: ${error.message}`);
+      else if (state.status !== 0)
+        fail('answerTruncated', `the answer of ${request.address} broke off: ${error.message}`);
+      else fail('connectionLost', `the connection to ${request.address} was lost: ${error.message}`);
+    },
+  };
+  pool.dispatch(
+    {
+      method: 'POST',
+      path: `/${request.operation}`,
+      headers: {
+        'content-type': request.contentType,
+        'hemlock-call': request.token,
+        'hemlock-request': request.requestId,
+        'hemlock-deadline-ms': String(Math.max(1, Math.round(request.deadlineMs))),
+      },
+      body: Buffer.from(request.body),
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    },
+    handler,
+  );
+  return () => {
+    state.isDone = true;
+    state.controller?.abort(new DOMException('the call was cancelled', 'AbortError'));
+  };
+}
--- /dev/null
+++ b/src/transport/peerCredentials.ts
@@ -0,0 +1,37 @@
+import { readFileSync } from 'node:fs';
+import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { FailureError } from '../schema/failure.js';
+import type { Settings } from '../schema/settings.js';
+
+export interface PeerCredentials {
+  server: ServerCredentials;
+  client: ChannelCredentials;
+}
+
+/**
+ * Creates the credentials of both directions: mutual TLS where the settings name keys, else plain text.
+ *
+ * @throws FailureError `fileUnreadable` when a key file cannot be read.
+ */
+export function createPeerCredentials(settings: Settings): PeerCredentials {
+  const { tls } = settings;
+  if (tls === undefined)
+    return { server: ServerCredentials.createInsecure(), client: ChannelCredentials.createInsecure() };
+  const [key, certificate, authority] = [tls.keyFile, tls.certificateFile, tls.authorityFile].map(readPem);
+  if (key === undefined || certificate === undefined || authority === undefined) {
+    throw new FailureError({ kind: 'trustInsufficient', message: 'tls needs a key, a certificate and an authority' });
+  }
+  const pair = { private_key: key, cert_chain: certificate };
+  return {
+    server: ServerCredentials.createSsl(authority, [pair], true),
+    client: ChannelCredentials.createSsl(authority, key, certificate),
+  };
+}
+
+function readPem(path: string): Buffer {
+  try {
+    return readFileSync(path);
+  } catch (error) {
+    throw new FailureError({ kind: 'fileUnreadable', message: `cannot read ${path}: ${String(error)}`, path });
+  }
+}
