--- /dev/null
+++ b/src/standins/logMain.ts
@@ -0,0 +1,7 @@
+import { startLogServer } from './logServer.js';
+
+const log = await startLogServer({ port: Number(process.argv[2] ?? 0) });
+process.stdout.write(`${JSON.stringify({ listening: { log: log.url } })}\n`);
+process.once('SIGTERM', () => {
+  void log.stop().then(() => process.exit(0));
+});
--- /dev/null
+++ b/src/standins/logServer.ts
@@ -0,0 +1,113 @@
+import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import { Type } from '@sinclair/typebox';
+import type { Static } from '@sinclair/typebox';
+import { createSystemClock } from '../core/clock.js';
+import { compileSchema } from '../schema/validate.js';
+import { createLogStore } from './logStore.js';
+import type { LogStore } from './logStore.js';
+
+/** Faults that the stand-in log shows on request. */
+export const logFaultsSchema = Type.Object(
+  {
+    isDown: Type.Boolean(),
+    delayMs: Type.Number({ minimum: 0 }),
+    /** Number of further appends that are written but whose answer is lost. */
+    loseAnswers: Type.Integer({ minimum: 0 }),
+    appendsPerSecond: Type.Number({ minimum: 0 }),
+  },
+  { additionalProperties: false },
+);
+export type LogFaults = Static<typeof logFaultsSchema>;
+
+export interface LogServer {
+  readonly url: string;
+  readonly store: LogStore;
+  /** The faults in force; change its fields to show others. */
+  readonly faults: LogFaults;
+  stop(): Promise<void>;
+}
+
+const DEFAULT_APPENDS_PER_SECOND = 300;
+const MAX_PAGE_ENTRIES = 500;
+const MAX_WAIT_MS = 30_000;
+const changeValidator = compileSchema(Type.Partial(logFaultsSchema));
+
+/**
+ * Starts a stand-in for the platform's log over HTTP: `POST /records`, `GET /records?from=&waitMs=`, and `POST /faults`
+ * and `POST /expire?before=` to bring failures about.
+ *
+ * @example
+ * const log = await startLogServer({ port: 0 });
+ * log.faults.isDown = true;
+ */
+export async function startLogServer(
+  options: { host?: string; port?: number; retentionMs?: number } = {},
+): Promise<LogServer> {
+  const store = createLogStore(createSystemClock(), options);
+  const faults: LogFaults = { isDown: false, delayMs: 0, loseAnswers: 0, appendsPerSecond: DEFAULT_APPENDS_PER_SECOND };
+  const server = Fastify({ forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024 });
+  addFaultHooks(server, faults);
+  addRecordRoutes(server, store, faults);
+  addControlRoutes(server, store, faults);
+  const url = await server.listen({ host: options.host ?? '127.0.0.1', port: options.port ?? 0 });
+  return { url, store, faults, stop: () => server.close() };
+}
+
+function addFaultHooks(server: FastifyInstance, faults: LogFaults): void {
+  server.addHook('onRequest', async (request, reply) => {
+    if (!request.url.startsWith('/records')) return;
+    if (faults.isDown) {
+      reply.hijack();
+      request.raw.destroy();
+      return;
+    }
+    if (faults.delayMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.delayMs));
+  });
+}
+
+function addRecordRoutes(server: FastifyInstance, store: LogStore, faults: LogFaults): void {
+  let tokens = faults.appendsPerSecond;
+  let refilledAtMs = Date.now();
+  const takeToken = (): boolean => {
+    const nowMs = Date.now();
+    tokens = Math.min(faults.appendsPerSecond, tokens + ((nowMs - refilledAtMs) / 1000) * faults.appendsPerSecond);
+    refilledAtMs = nowMs;
+    if (tokens < 1) return false;
+    tokens--;
+    return true;
+  };
+  server.post('/records', async (request, reply) => {
+    if (!takeToken()) return reply.code(429).send({ error: 'appendRateExceeded' });
+    const offset = store.append(request.body);
+    if (faults.loseAnswers > 0) {
+      faults.loseAnswers--;
+      reply.hijack();
+      request.raw.destroy();
+      return reply;
+    }
+    return reply.send({ offset });
+  });
+  server.get<{ Querystring: { from?: string; waitMs?: string } }>('/records', async (request, reply) => {
+    const from = Number(request.query.from ?? 1);
+    const waitMs = Math.min(MAX_WAIT_MS, Number(request.query.waitMs ?? 0));
+    if (store.readFrom(from, 1).entries.length === 0 && waitMs > 0) {
+      await new Promise<void>((resolve) => {
+        store.waitForAppend(waitMs, resolve);
+      });
+    }
+    return reply.send(store.readFrom(from, MAX_PAGE_ENTRIES));
+  });
+}
+
+function addControlRoutes(server: FastifyInstance, store: LogStore, faults: LogFaults): void {
+  server.post('/faults', async (request, reply) => {
+    if (!changeValidator.isValid(request.body))
+      return reply.code(400).send({ faults: changeValidator.listFaults(request.body) });
+    return reply.send(Object.assign(faults, request.body));
+  });
+  server.post<{ Querystring: { before: string } }>('/expire', async (request, reply) => {
+    store.dropBefore(Number(request.query.before));
+    return reply.code(204).send();
+  });
+}
--- /dev/null
+++ b/src/standins/target.ts
@@ -0,0 +1,205 @@
+import Fastify from 'fastify';
+import type { FastifyInstance, FastifyReply, FastifyRequest } from 'fastify';
+import { Agent, request as sendRequest } from 'undici';
+import { createRandom, generateExponential, generateId } from '../core/random.js';
+import type { TargetSettings } from './targetSettings.js';
+
+export interface TargetStandIn {
+  readonly address: string;
+  /** Operations run since the start, by operation name. */
+  readonly runs: Map<string, number>;
+  /** Announces that it is leaving; calls under way go on. */
+  drain(): void;
+  /** Changes the speed while running. */
+  setSlowness(factor: number): void;
+  stop(): Promise<void>;
+}
+
+const ANNOUNCE_PERIOD_MS = 1000;
+const CALL_HEADER = 'hemlock-call';
+
+/**
+ * Starts a stand-in target: an HTTP server with slots, service times, onward calls and an announcement to its node.
+ *
+ * @example
+ * const target = await startTarget(Value.Default(targetSettingsSchema, settings));
+ */
+export async function startTarget(settings: TargetSettings): Promise<TargetStandIn> {
+  const random = createRandom(settings.seed);
+  const agent = new Agent({ connections: settings.connections, pipelining: 1 });
+  const incarnation = generateId(Math.random, 12);
+  const startedAtMs = performance.now();
+  const runs = new Map<string, number>();
+  const waiting: (() => void)[] = [];
+  let slowness = settings.slowness;
+  let state: 'ready' | 'draining' = 'ready';
+  let busySlots = 0;
+  let nextDirect = 0;
+
+  const takeSlot = (): Promise<void> => {
+    if (busySlots < settings.slots) {
+      busySlots++;
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => waiting.push(resolve));
+  };
+  const releaseSlot = (): void => {
+    const next = waiting.shift();
+    if (next === undefined) busySlots--;
+    else next();
+  };
+  const computeServiceTime = (operation: string): number => {
+    const { meanMs, distribution } = settings.operations[operation] ?? { meanMs: 0, distribution: 'constant' };
+    const isCold = performance.now() - startedAtMs < settings.coldStartMs;
+    const mean = meanMs * slowness * (isCold ? settings.coldSlowness : 1);
+    return distribution === 'constant' ? mean : generateExponential(random, mean);
+  };
+  const computeUrl = (service: string, operation: string): string | undefined => {
+    if (settings.node !== undefined) return `${settings.node}/v1/call/${service}/${operation}`;
+    const addresses = settings.direct?.[service] ?? [];
+    const address = addresses[nextDirect++ % Math.max(1, addresses.length)];
+    return address === undefined ? undefined : `${address}/${operation}`;
+  };
+  const sendOnward = async (
+    service: string,
+    operation: string,
+    incoming: FastifyRequest,
+    signal: AbortSignal,
+  ): Promise<unknown> => {
+    const url = computeUrl(service, operation);
+    const token = incoming.headers[CALL_HEADER];
+    const deadline = incoming.headers['hemlock-deadline-ms'];
+    const response = await sendRequest(url ?? '', {
+      method: 'POST',
+      dispatcher: agent,
+      signal,
+      headers: {
+        'content-type': 'application/json',
+        ...(typeof token === 'string' ? { [CALL_HEADER]: token } : {}),
+        ...(settings.node === undefined && typeof deadline === 'string' ? { 'hemlock-deadline-ms': deadline } : {}),
+      },
+      body: incoming.body as Buffer,
+    });
+    const text = await response.body.text();
+    if (response.statusCode !== 200) throw new OnwardCallError(response.statusCode, text);
+    return JSON.parse(text);
+  };
+  const runOperation = async (operation: string, request: FastifyRequest, reply: FastifyReply): Promise<void> => {
+    const abort = new AbortController();
+    reply.raw.once('close', () => {
+      abort.abort();
+    });
+    await takeSlot();
+    try {
+      if (abort.signal.aborted) return;
+      const body = (request.body as Buffer | undefined)?.toString('utf8') ?? '';
+      if (settings.crashOn !== undefined && body.includes(settings.crashOn)) process.exit(70);
+      runs.set(operation, (runs.get(operation) ?? 0) + 1);
+      await waitFor(computeServiceTime(operation), abort.signal);
+      const onward: unknown[] = [];
+      for (const call of settings.operations[operation]?.onward ?? []) {
+        onward.push(await sendOnward(call.service, call.operation, request, abort.signal));
+      }
+      void reply.send({ host: settings.host, service: settings.service, operation, echo: body, onward });
+    } catch (error) {
+      if (abort.signal.aborted) return;
+      const status = error instanceof OnwardCallError ? error.status : 502;
+      void reply.code(status).send({ error: 'onwardCallFailed', message: String(error) });
+    } finally {
+      releaseSlot();
+    }
+  };
+
+  const server = createServer(settings, runOperation, () => ({ state, busySlots, queued: waiting.length }));
+  const address = await server.listen({ host: '127.0.0.1', port: settings.port });
+  const sendAnnouncement = async (): Promise<void> => {
+    if (settings.node === undefined) return;
+    const body = JSON.stringify({ service: settings.service, address, state, incarnation });
+    const headers = { 'content-type': 'application/json' };
+    await sendRequest(`${settings.node}/v1/announce`, { method: 'POST', headers, body, dispatcher: agent })
+      .then((response) => response.body.dump())
+      .catch(() => undefined);
+  };
+  await sendAnnouncement();
+  const timer = setInterval(() => void sendAnnouncement(), ANNOUNCE_PERIOD_MS);
+  return {
+    address,
+    runs,
+    drain: () => {
+      state = 'draining';
+      void sendAnnouncement();
+    },
+    setSlowness: (factor) => {
+      slowness = factor;
+    },
+    stop: async () => {
+      clearInterval(timer);
+      await server.close();
+      await agent.destroy();
+    },
+  };
+}
+
+class OnwardCallError extends Error {
+  constructor(
+    readonly status: number,
+    readonly text: string,
+  ) {
+    super(`an onward call answered ${status}`);
+  }
+}
+
+interface TargetLoad {
+  state: string;
+  busySlots: number;
+  queued: number;
+}
+
+function createServer(
+  settings: TargetSettings,
+  runOperation: (operation: string, request: FastifyRequest, reply: FastifyReply) => Promise<void>,
+  getLoad: () => TargetLoad,
+): FastifyInstance {
+  const server = Fastify({ forceCloseConnections: 'idle' });
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+    done(null, body);
+  });
+  server.server.maxConnections = settings.connections;
+  const getReport = createLaggingReport(getLoad, settings.reportLagMs);
+  server.get('/health', async () => ({ state: getReport().state }));
+  server.get('/load', async () => {
+    const { busySlots, queued } = getReport();
+    return { busy: busySlots * settings.reportFactor, queued: queued * settings.reportFactor, slots: settings.slots };
+  });
+  for (const operation of Object.keys(settings.operations)) {
+    server.post(`/${operation}`, async (request, reply) => {
+      await runOperation(operation, request, reply);
+      return reply;
+    });
+  }
+  return server;
+}
+
+/** Returns what was true `lagMs` ago. */
+function createLaggingReport(getLoad: () => TargetLoad, lagMs: number): () => TargetLoad {
+  let shown = getLoad();
+  let takenAtMs = performance.now();
+  return () => {
+    if (performance.now() - takenAtMs < lagMs) return shown;
+    const previous = shown;
+    shown = getLoad();
+    takenAtMs = performance.now();
+    return lagMs === 0 ? shown : previous;
+  };
+}
+
+function waitFor(durationMs: number, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    const timer = setTimeout(resolve, durationMs);
+    signal.addEventListener('abort', () => {
+      clearTimeout(timer);
+      resolve();
+    });
+  });
+}
