--- a/eslint.config.js
+++ b/eslint.config.js
@@ -119,6 +119,6 @@
   ...Object.keys(libraries).map(describeFolder),
   {
     files: ['*.js', 'scripts/**/*.js'],
-    languageOptions: { globals: { URL: 'readonly', console: 'readonly', process: 'readonly' } },
+    languageOptions: { globals: { URL: 'readonly', console: 'readonly', process: 'readonly', Buffer: 'readonly' } },
   },
 );
--- a/scripts/ensureInstall.js
+++ b/scripts/ensureInstall.js
@@ -1,9 +1,12 @@
 import { spawnSync } from 'node:child_process';
-import { existsSync, statSync } from 'node:fs';
+import { createHash } from 'node:crypto';
+import { existsSync, readFileSync, writeFileSync } from 'node:fs';
 
-const installed = 'node_modules/.package-lock.json';
-const isCurrent = existsSync(installed) && statSync(installed).mtimeMs >= statSync('package-lock.json').mtimeMs;
-if (!isCurrent) {
+// Modification times change with every checkout, so the installed packages are matched by content.
+const marker = 'node_modules/.hemlock-lock-hash';
+const hash = createHash('sha256').update(readFileSync('package-lock.json')).digest('hex');
+if (!existsSync(marker) || readFileSync(marker, 'utf8') !== hash) {
   const result = spawnSync('npm', ['ci', '--no-audit', '--no-fund'], { stdio: 'inherit' });
-  process.exit(result.status ?? 1);
+  if (result.status !== 0) process.exit(result.status ?? 1);
+  writeFileSync(marker, hash);
 }
--- /dev/null
+++ b/src/bench/fakes/fakeFleet.ts
@@ -0,0 +1,168 @@
+import { scheduleRepeated } from '../../core/clock.js';
+import { createFakeClock } from '../../core/fakeClock.js';
+import type { FakeClock } from '../../core/fakeClock.js';
+import { createRandom, generateId } from '../../core/random.js';
+import type { Random } from '../../core/random.js';
+import { createNode } from '../../node/createNode.js';
+import type { Node, NodeOptions } from '../../node/createNode.js';
+import type { AcceptedDocument } from '../../schema/logRecord.js';
+import { parseSettings } from '../../schema/settings.js';
+import type { ServiceConfiguration } from '../../schema/serviceConfiguration.js';
+import { createFakeNetwork } from './fakeNetwork.js';
+import type { FakeNetwork } from './fakeNetwork.js';
+import { createProcessClock } from './fakeProcess.js';
+import type { ProcessClock } from './fakeProcess.js';
+import { createFakeTarget } from './fakeTarget.js';
+import type { FakeTarget, FakeTargetOptions } from './fakeTarget.js';
+
+export interface FakeHostOptions {
+  host: string;
+  dataCenter: string;
+  region?: string;
+  service?: string;
+  target?: Omit<FakeTargetOptions, 'clock' | 'random' | 'callOnward'>;
+}
+
+export interface FakeHost {
+  readonly options: FakeHostOptions;
+  readonly node: Node;
+  readonly target: FakeTarget | undefined;
+  readonly process: ProcessClock;
+}
+
+export interface FakeFleetOptions {
+  seed: number;
+  hosts: readonly FakeHostOptions[];
+  documents: readonly ServiceConfiguration[];
+  /** Replaced decisions and other options of every node. */
+  node?: Partial<Pick<NodeOptions, 'policies' | 'readLog' | 'appendLog'>>;
+  localDelayMs?: number;
+  remoteDelayMs?: number;
+}
+
+export interface FakeFleet {
+  readonly clock: FakeClock;
+  readonly random: Random;
+  readonly network: FakeNetwork;
+  readonly hosts: Map<string, FakeHost>;
+  /** Starts a host, or starts it anew after `killHost`. */
+  startHost(options: FakeHostOptions): FakeHost;
+  /** Ends node and target of a host at once. */
+  killHost(host: string): void;
+}
+
+const ANNOUNCE_PERIOD_MS = 1000;
+const SEEDS_USED = 3;
+
+/**
+ * Creates a fleet of nodes on a fake clock: the real controllers, with fakes for network and targets.
+ *
+ * @example
+ * const fleet = createFakeFleet({ seed: 1, hosts, documents });
+ * fleet.clock.advance(2000);
+ */
+export function createFakeFleet(options: FakeFleetOptions): FakeFleet {
+  const clock = createFakeClock();
+  const random = createRandom(options.seed);
+  const { localDelayMs, remoteDelayMs } = options;
+  const network = createFakeNetwork({
+    clock,
+    ...(localDelayMs === undefined ? {} : { localDelayMs }),
+    ...(remoteDelayMs === undefined ? {} : { remoteDelayMs }),
+  });
+  const hosts = new Map<string, FakeHost>();
+  const documents: AcceptedDocument[] = options.documents.map((document, index) => {
+    return { service: document.service, version: index + 1, changeId: `c${index}`, operator: 'bench', document };
+  });
+  const seeds = options.hosts.slice(0, SEEDS_USED).map(({ host }) => computeAddress(host));
+
+  const startHost = (hostOptions: FakeHostOptions): FakeHost => {
+    const process = createProcessClock(clock);
+    const hostRandom = createRandom(Math.floor(random() * 2 ** 31));
+    const node = createHostNode(hostOptions, process, hostRandom);
+    const target =
+      hostOptions.target === undefined ? undefined : createHostTarget(hostOptions.target, node, process, hostRandom);
+    targets.set(hostOptions.host, target);
+    network.attach({
+      host: hostOptions.host,
+      address: computeAddress(hostOptions.host),
+      dataCenter: hostOptions.dataCenter,
+      node,
+      process,
+    });
+    node.start();
+    node.board.post('configuration', { documents });
+    announceRepeatedly(hostOptions, node, target, process, hostRandom);
+    const entry: FakeHost = { options: hostOptions, node, target, process };
+    hosts.set(hostOptions.host, entry);
+    return entry;
+  };
+  const targets = new Map<string, FakeTarget | undefined>();
+  const createHostNode = (hostOptions: FakeHostOptions, process: ProcessClock, hostRandom: Random): Node => {
+    const { host, dataCenter, region = 'r1' } = hostOptions;
+    const listen = { host: '127.0.0.1', port: 0 };
+    const settings = parseSettings({
+      host,
+      dataCenter,
+      region,
+      callerListen: listen,
+      localListen: listen,
+      operatorListen: listen,
+      peerListen: listen,
+      seeds,
+    });
+    const node = createNode({
+      ...options.node,
+      settings,
+      clock: process,
+      random: hostRandom,
+      sendFrame: network.createSender(host),
+      callTarget: (request, done) => targets.get(host)?.callTarget(request, done) ?? ((): void => undefined),
+    });
+    node.board.post('members', { type: 'setSelf', change: { peerAddress: computeAddress(host) } });
+    return node;
+  };
+  const createHostTarget = (
+    target: NonNullable<FakeHostOptions['target']>,
+    node: Node,
+    process: ProcessClock,
+    hostRandom: Random,
+  ): FakeTarget =>
+    createFakeTarget({ ...target, clock: process, random: hostRandom, callOnward: node.handleOnwardCall });
+  const announceRepeatedly = (
+    hostOptions: FakeHostOptions,
+    node: Node,
+    target: FakeTarget | undefined,
+    process: ProcessClock,
+    hostRandom: Random,
+  ): void => {
+    const { service } = hostOptions;
+    if (service === undefined || target === undefined) return;
+    const firstIncarnation = generateId(hostRandom);
+    const announce = (): void => {
+      if (target.isDown) return;
+      const incarnation = `${firstIncarnation}-${target.starts}`;
+      node.announceTarget({ service, address: 'http://target', state: 'ready', incarnation });
+    };
+    announce();
+    scheduleRepeated(process, ANNOUNCE_PERIOD_MS, announce);
+  };
+
+  for (const host of options.hosts) startHost(host);
+  return {
+    clock,
+    random,
+    network,
+    hosts,
+    startHost,
+    killHost: (host) => {
+      hosts.get(host)?.process.kill();
+      network.detach(host);
+      hosts.delete(host);
+    },
+  };
+}
+
+function computeAddress(host: string): string {
+  return `${host}:7000`;
+}
--- /dev/null
+++ b/src/bench/fakes/fakeNetwork.ts
@@ -0,0 +1,119 @@
+import type { SendFrame } from '../../control/context.js';
+import type { Clock } from '../../core/clock.js';
+import type { Node } from '../../node/createNode.js';
+import type { Frame, Lane } from '../../schema/frame.js';
+import type { ProcessClock } from './fakeProcess.js';
+
+export interface FakeEndpoint {
+  host: string;
+  /** Peer address, under which seeds name it. */
+  address: string;
+  dataCenter: string;
+  node: Node;
+  process: ProcessClock;
+}
+
+/** Delivers frames between nodes after a fixed delay, over links that can be cut in one or both directions. */
+export interface FakeNetwork {
+  attach(endpoint: FakeEndpoint): void;
+  /** Removes a host; peers with open links learn that they closed. */
+  detach(host: string): void;
+  /** The frame sender of one host. */
+  createSender(host: string): SendFrame;
+  /** Drops frames between two places (host or data centre) silently; with `oneWay` only from the first to the second. */
+  cut(from: string, to: string, options?: { oneWay?: boolean }): void;
+  heal(from: string, to: string): void;
+  /** Drops the next `count` frames of a type, to lose answers. */
+  loseFrames(type: Frame['type'], count: number): void;
+  readonly framesSent: number;
+}
+
+export interface FakeNetworkOptions {
+  clock: Clock;
+  /** One-way delay (ms) between hosts of the same and of different data centres. */
+  localDelayMs?: number;
+  remoteDelayMs?: number;
+}
+
+/** Creates a network over the clock of the run. */
+export function createFakeNetwork(options: FakeNetworkOptions): FakeNetwork {
+  const { clock, localDelayMs = 0.1, remoteDelayMs = 1 } = options;
+  const endpoints = new Map<string, FakeEndpoint>();
+  const cuts = new Set<string>();
+  /** Links on which frames were sent: `from`, lane and `to`. */
+  const openLinks = new Map<string, { from: string; lane: Lane; to: string }>();
+  const toLose = new Map<Frame['type'], number>();
+  let framesSent = 0;
+
+  const findEndpoint = (peer: string): FakeEndpoint | undefined =>
+    endpoints.get(peer) ?? [...endpoints.values()].find((endpoint) => endpoint.address === peer);
+  const isCut = (from: FakeEndpoint, to: FakeEndpoint): boolean =>
+    cuts.size > 0 &&
+    [from.host, from.dataCenter].some((left) => [to.host, to.dataCenter].some((right) => cuts.has(`${left} ${right}`)));
+  const isLost = (frame: Frame): boolean => {
+    const count = toLose.get(frame.type) ?? 0;
+    if (count === 0) return false;
+    toLose.set(frame.type, count - 1);
+    return true;
+  };
+  const closeLink = (key: string): void => {
+    const link = openLinks.get(key);
+    if (link === undefined) return;
+    openLinks.delete(key);
+    const sender = endpoints.get(link.from);
+    clock.schedule(localDelayMs, () => {
+      sender?.process.runWhenAwake(() => {
+        sender.node.receiveLinkClosed(link.to, link.lane);
+      });
+    });
+  };
+  const deliver = (from: FakeEndpoint, to: FakeEndpoint, lane: Lane, frame: Frame): void => {
+    framesSent++;
+    if (isCut(from, to) || isLost(frame)) return;
+    const delayMs = from.dataCenter === to.dataCenter ? localDelayMs : remoteDelayMs;
+    clock.schedule(delayMs, () => {
+      if (endpoints.get(to.host) !== to || isCut(from, to)) return;
+      to.process.runWhenAwake(() => {
+        to.node.receiveFrame(from.host, lane, frame, (answer) => {
+          if (endpoints.get(from.host) === from && !to.process.isKilled) deliver(to, from, lane, answer);
+        });
+      });
+    });
+  };
+  return {
+    attach: (endpoint) => {
+      endpoints.set(endpoint.host, endpoint);
+    },
+    detach: (host) => {
+      endpoints.delete(host);
+      for (const [key, link] of openLinks) {
+        if (link.to === host) closeLink(key);
+        else if (link.from === host) openLinks.delete(key);
+      }
+    },
+    createSender: (host) => (peer, lane, frame) => {
+      const from = endpoints.get(host);
+      const to = findEndpoint(peer);
+      if (from === undefined || from.process.isKilled) return false;
+      const key = `${host} ${lane} ${to?.host ?? peer}`;
+      openLinks.set(key, { from: host, lane, to: to?.host ?? peer });
+      if (to === undefined) closeLink(key);
+      else deliver(from, to, lane, frame);
+      return true;
+    },
+    cut: (from, to, { oneWay = false } = {}) => {
+      cuts.add(`${from} ${to}`);
+      if (!oneWay) cuts.add(`${to} ${from}`);
+    },
+    heal: (from, to) => {
+      cuts.delete(`${from} ${to}`);
+      cuts.delete(`${to} ${from}`);
+    },
+    loseFrames: (type, count) => {
+      toLose.set(type, count);
+    },
+    get framesSent() {
+      return framesSent;
+    },
+  };
+}
--- /dev/null
+++ b/src/bench/scenarios/index.ts
@@ -0,0 +1,4 @@
+import type { Scenario } from '../scenario.js';
+
+/** All benches, in the order of the list. */
+export const scenarios: readonly Scenario[] = [];
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -62,7 +62,7 @@
       parent: undefined,
       reply: (result) => {
         recordResult(result, startedAtMs);
-        reply(result);
+        reply({ ...result, requestId: envelope.requestId });
       },
     });
     const recordResult = (result: CallResult, fromMs: number): void => {
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -26,6 +26,8 @@
   allowanceLeft: number;
   /** Least admitted fraction of the call's priority on its way. */
   admittedFraction: number;
+  /** Set where the request entered. */
+  requestId?: string;
   /** The ticket under which a non-idempotent call ran. */
   ticket?: string;
 }
--- a/src/http/callReply.ts
+++ b/src/http/callReply.ts
@@ -7,6 +7,7 @@
 export function sendResult(reply: FastifyReply, result: CallResult): void {
   if (reply.raw.destroyed) return;
   if (result.ticket !== undefined) void reply.header('idempotency-key', result.ticket);
+  if (result.requestId !== undefined) void reply.header('request-id', result.requestId);
   if (result.type === 'refusal') {
     sendFailure(reply, result.failure);
     return;
