Spread member records along a ring overlay and detect silent nodes

Cause: every node sent its whole member list to two random peers each second, and nothing noticed a lost node. Change: control links at ring distances 1, 2, 4, ...; two gateways per data centre; news pushed once per node; digests every 10 s; watchers at distance 1, 2 and 4 with veto; pause detection; bounded welcomes and frames.

--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -15,6 +15,8 @@
   admit: AdmitCall;
   /** Starts waiting calls while the limit allows. */
   startWaiting(): void;
+  /** Refuses all calls that have not started; they certainly did not run. */
+  refuseWaiting(): void;
   getLoad(): LoadHint;
 }
 
@@ -262,6 +264,10 @@
       };
     },
     startWaiting,
+    refuseWaiting: () => {
+      for (const call of [...waiting])
+        fail(call, createCallFailure('noTarget', `node ${settings.host} was paused`, { retry: 'elsewhere' }));
+    },
     getLoad: () => ({ limit: board.read('limits').concurrency, inFlight: calls.inFlight, queued: waiting.length }),
   };
 }
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -117,6 +117,10 @@
       });
   };
 
+  calls.handlePosts(() => {
+    admission.refuseWaiting();
+  });
+
   return {
     handleCallerCall: acceptEntry,
     handleOnwardCall: (call, reply) => {
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -40,8 +40,10 @@
   const listCandidates = (call: DispatchedCall): RouteCandidate[] => {
     const routes = board.read('routes').byHost;
     const candidates: RouteCandidate[] = [];
+    const { silentDataCenters } = board.read('members');
     for (const member of board.read('members').byService.get(call.envelope.service) ?? []) {
       if (member.targetState !== 'ready' || member.nodeState !== 'alive' || call.triedHosts.has(member.id)) continue;
+      if (silentDataCenters.has(member.dataCenter)) continue;
       const isLocalDataCenter = member.dataCenter === settings.dataCenter;
       candidates.push({ member, state: routes.get(member.id), isLocalDataCenter });
     }
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -1,8 +1,10 @@
 import type { Board } from '../core/blackboard.js';
+import { createMemberTable, putMember } from '../policy/memberMerge.js';
+import type { MemberTable } from '../policy/memberMerge.js';
 import { createRingBuffer } from '../core/ringBuffer.js';
 import type { RingBuffer } from '../core/ringBuffer.js';
 import type { TimelineEvent } from '../schema/event.js';
-import type { LoadHint } from '../schema/frame.js';
+import type { Frame, HeartbeatFrame, LoadHint, MembershipFrame } from '../schema/frame.js';
 import type { AcceptedDocument } from '../schema/logRecord.js';
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
@@ -25,10 +27,34 @@
   document: ServiceConfiguration;
 }
 
+/** One control link. Times are monotonic (ms). */
+export interface LinkState {
+  lastHeardMs: number;
+  /** False until the peer was heard: its silence says nothing about what others hear. */
+  isHeard: boolean;
+  /** Both ends are gateways, so heartbeats carry what was heard of other data centres. */
+  joinsGateways: boolean;
+}
+
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
 export interface Sections {
   configuration: { services: Map<string, ConfigurationEntry>; appliedOffset: number };
-  members: { self: MemberRecord; byId: Map<string, MemberRecord>; byService: Map<string, MemberRecord[]> };
+  members: MemberTable & {
+    self: MemberRecord;
+    /** Data centres that no gateway of the own data centre hears of: not routed to. */
+    silentDataCenters: Set<string>;
+  };
+  links: {
+    /** By node id: the peers with a control link, to which news is sent. */
+    neighbours: Map<string, LinkState>;
+    /** Neighbours whose silence this node reports. */
+    watched: Set<string>;
+    isGateway: boolean;
+    /** By data centre: monotonic time (ms) of the latest sign of life; kept by gateways only. */
+    heardDataCenters: Map<string, number>;
+    /** How late the latest tick came (ms): the process was paused or had no processor. */
+    lateMs: number;
+  };
   target: { announcement: TargetAnnouncement | undefined; leaseUntilMs: number; isDraining: boolean };
   calls: {
     dispatched: Set<DispatchedCall>;
@@ -58,9 +84,21 @@
 /** What controllers may ask of the writer of a section. */
 export interface Posts extends Record<keyof Sections, unknown> {
   configuration: { documents: readonly AcceptedDocument[] };
-  members: { type: 'merge'; records: MemberRecord[] } | { type: 'setSelf'; change: Partial<MemberRecord> };
-  target: { type: 'announce'; announcement: TargetAnnouncement };
-  calls: never;
+  members:
+    | { type: 'receive'; host: string; frame: MembershipFrame; respond: (frame: Frame) => void }
+    | { type: 'setSelf'; change: Partial<MemberRecord> };
+  /**
+   * `spread` sends a frame to all neighbours but `from`, once per `newsId`: a controller that receives news posts it
+   * again with the id that the frame carries.
+   */
+  links:
+    | { type: 'spread'; frame: Frame; newsId: string; from?: string }
+    | { type: 'heard'; host: string }
+    | { type: 'heartbeat'; host: string; frame: HeartbeatFrame; respond: (frame: Frame) => void };
+  /** `lapse` ends the lease: the process was paused, and the target may have changed meanwhile. */
+  target: { type: 'announce'; announcement: TargetAnnouncement } | { type: 'lapse' };
+  /** `refuseWaiting` refuses the calls that have not started: the process was paused. */
+  calls: { type: 'refuseWaiting' };
   queue: never;
   samples: never;
   limits: { type: 'restart'; concurrency: number };
@@ -75,9 +113,12 @@
 
 /** Creates the sections of a node that just started. */
 export function createSections(self: MemberRecord): Sections {
+  const table = createMemberTable();
+  putMember(table, self);
   return {
     configuration: { services: new Map(), appliedOffset: 0 },
-    members: { self, byId: new Map([[self.id, self]]), byService: new Map() },
+    members: { ...table, self, silentDataCenters: new Set() },
+    links: { neighbours: new Map(), watched: new Set(), isGateway: false, heardDataCenters: new Map(), lateMs: 0 },
     target: { announcement: undefined, leaseUntilMs: 0, isDraining: false },
     calls: {
       dispatched: new Set(),
--- /dev/null
+++ b/src/control/spreadMembers.ts
@@ -0,0 +1,61 @@
+import { MAX_RECORDS_PER_FRAME } from '../schema/frame.js';
+import type { Frame } from '../schema/frame.js';
+import type { MemberRecord } from '../schema/member.js';
+import type { ControllerContext } from './context.js';
+
+/** Records that arrive within this time leave in one frame; a change crosses the fleet in some ten such pauses. */
+const COLLECT_MS = 20;
+
+interface PendingRecord {
+  record: MemberRecord;
+  /** Neighbours that sent it and need not get it. */
+  senders: Set<string>;
+}
+
+export interface MemberNews {
+  /** Sends a new record to all neighbours but those that send it meanwhile. */
+  add(record: MemberRecord, sender?: string): void;
+  /** Notes that a neighbour holds a record that may still wait here. */
+  recordSender(record: MemberRecord, sender: string): void;
+  /** Sends what waits, without a pause. */
+  sendPending(): void;
+}
+
+/** Creates the spreading of new member records along the control links. */
+export function createMemberNews({ board, clock, io }: ControllerContext): MemberNews {
+  const pending = new Map<string, PendingRecord>();
+  let isScheduled = false;
+
+  const sendPending = (): void => {
+    if (pending.size === 0) return;
+    const waiting = [...pending.values()];
+    pending.clear();
+    for (const neighbour of board.read('links').neighbours.keys()) {
+      const records = waiting.filter(({ senders }) => !senders.has(neighbour)).map(({ record }) => record);
+      sendRecords(records, (frame) => io.sendFrame(neighbour, 'control', frame));
+    }
+  };
+  return {
+    add: (record, sender) => {
+      pending.set(record.id, { record, senders: new Set(sender === undefined ? [] : [sender]) });
+      if (isScheduled) return;
+      isScheduled = true;
+      clock.schedule(COLLECT_MS, () => {
+        isScheduled = false;
+        sendPending();
+      });
+    },
+    recordSender: (record, sender) => {
+      const waiting = pending.get(record.id);
+      if (waiting?.record.version === record.version && waiting.record.startedAtMs === record.startedAtMs)
+        waiting.senders.add(sender);
+    },
+    sendPending,
+  };
+}
+
+/** Sends records in frames of bounded size. */
+export function sendRecords(records: readonly MemberRecord[], send: (frame: Frame) => void): void {
+  for (let start = 0; start < records.length; start += MAX_RECORDS_PER_FRAME)
+    send({ type: 'members', records: records.slice(start, start + MAX_RECORDS_PER_FRAME) });
+}
--- a/src/control/targetController.ts
+++ b/src/control/targetController.ts
@@ -40,7 +40,14 @@
     board.post('events', { kind: 'targetChanged', ...(service === undefined ? {} : { service }), data: { state } });
     target.publishChange();
   };
-  target.handlePosts(({ announcement }) => {
+  target.handlePosts((post) => {
+    if (post.type === 'announce') receiveAnnouncement(post.announcement);
+    else {
+      target.section.leaseUntilMs = 0;
+      update();
+    }
+  });
+  const receiveAnnouncement = (announcement: TargetAnnouncement): void => {
     const isRestarted = announcement.incarnation !== target.section.announcement?.incarnation;
     target.section.announcement = announcement;
     target.section.leaseUntilMs = clock.now() + TARGET_LEASE_MS;
@@ -54,7 +61,7 @@
       });
     }
     update();
-  });
+  };
   return {
     start: () => {
       board.subscribe('configuration', update);
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -6,6 +6,7 @@
 import type { Controller, ControllerContext, NodeIo } from '../control/context.js';
 import { createEventController } from '../control/eventController.js';
 import { createLimitController } from '../control/limitController.js';
+import { createLinkController } from '../control/linkController.js';
 import { createMembershipController } from '../control/membershipController.js';
 import { createRetryController } from '../control/retryController.js';
 import { createRoutingController } from '../control/routingController.js';
@@ -74,6 +75,7 @@
   const controllers: Controller[] = [
     createEventController(context),
     createConfigurationController(context),
+    createLinkController(context),
     createMembershipController(context),
     createTargetController(context),
     createLimitController(context),
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -13,6 +13,7 @@
 
 /** Hands a frame to the section or controller that it is for. */
 export function dispatchFrame({ board, calls, host, frame, respond }: FrameDelivery): void {
+  board.post('links', { type: 'heard', host });
   switch (frame.type) {
     case 'call':
       calls.receiveCall(host, frame, respond);
@@ -25,24 +26,28 @@
       calls.receiveCancel(host, frame.callId);
       return;
     case 'hello':
-      board.post('members', { type: 'merge', records: [frame.member] });
-      respond({ type: 'members', records: [...board.read('members').byId.values()] });
+      board.post('members', { type: 'receive', host, frame, respond });
       respond({
         type: 'configuration',
         appliedOffset: board.read('configuration').appliedOffset,
         documents: listDocuments(board),
       });
       return;
-    case 'members':
-      board.post('members', { type: 'merge', records: frame.records });
-      return;
     case 'configuration':
       board.post('configuration', { documents: frame.documents });
       return;
     case 'heartbeat':
-    case 'crashReport':
+      board.post('links', { type: 'heartbeat', host, frame, respond });
+      board.post('members', { type: 'receive', host, frame, respond });
+      return;
+    case 'members':
+    case 'suspicion':
     case 'digest':
+    case 'versions':
     case 'pull':
+      board.post('members', { type: 'receive', host, frame, respond });
+      return;
+    case 'crashReport':
       return;
   }
 }
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -9,6 +9,9 @@
 /** Deepest call graph that is served; the brief asks for 21. */
 export const MAX_DEPTH = 32;
 
+/** About 20 KB: larger sets of records are split, so that no frame holds up others for long. */
+export const MAX_RECORDS_PER_FRAME = 64;
+
 /** The connection that a frame takes: urgent frames never queue behind routine ones. */
 export const laneSchema = Type.Union([Type.Literal('urgent'), Type.Literal('routine'), Type.Literal('control')]);
 export type Lane = Static<typeof laneSchema>;
@@ -80,12 +83,23 @@
 export const helloFrameSchema = Type.Object({ type: Type.Literal('hello'), member: memberRecordSchema });
 export const heartbeatFrameSchema = Type.Object({
   type: Type.Literal('heartbeat'),
+  /** Version of the sender's own record. */
   version: Type.Integer({ minimum: 0 }),
-  digest: Type.String({ maxLength: 32 }),
+  /** Answers a heartbeat of a node that is no neighbour, and is not answered itself. */
+  isReply: Type.Optional(Type.Boolean()),
+  /** Between gateways: by data centre, how long ago (in units of 100 ms) something was heard of it. */
+  ages: Type.Optional(Type.Record(Type.String({ maxLength: 64 }), Type.Integer({ minimum: 0 }))),
+});
+/** What one watcher of a node tells the others. */
+export const suspicionFrameSchema = Type.Object({
+  type: Type.Literal('suspicion'),
+  host: Type.String({ maxLength: 255 }),
+  silentMs: Type.Number({ minimum: 0 }),
+  isReply: Type.Boolean(),
 });
 export const membersFrameSchema = Type.Object({
   type: Type.Literal('members'),
-  records: Type.Array(memberRecordSchema),
+  records: Type.Array(memberRecordSchema, { maxItems: MAX_RECORDS_PER_FRAME }),
 });
 export const configurationFrameSchema = Type.Object({
   type: Type.Literal('configuration'),
@@ -105,9 +119,19 @@
 });
 export const pullFrameSchema = Type.Object({
   type: Type.Literal('pull'),
-  dataCenters: Type.Array(Type.String({ maxLength: 64 })),
+  dataCenters: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 256 }),
+  hosts: Type.Array(Type.String({ maxLength: 255 }), { maxItems: 4096 }),
   configuration: Type.Boolean(),
 });
+/** The records that a node holds of one data centre, so that only what differs is sent. */
+export const versionsFrameSchema = Type.Object({
+  type: Type.Literal('versions'),
+  dataCenter: Type.String({ maxLength: 64 }),
+  /** Host, start time of its process, and rank of the record within it. */
+  entries: Type.Array(Type.Tuple([Type.String({ maxLength: 255 }), Type.Number(), Type.Integer({ minimum: 0 })]), {
+    maxItems: 4096,
+  }),
+});
 
 /** Every message between two nodes. */
 export const frameSchema = Type.Union([
@@ -122,9 +146,21 @@
   crashReportFrameSchema,
   digestFrameSchema,
   pullFrameSchema,
+  suspicionFrameSchema,
+  versionsFrameSchema,
 ]);
 export type Frame = Static<typeof frameSchema>;
 export type CallFrame = Static<typeof callFrameSchema>;
 export type AnswerFrame = Static<typeof answerFrameSchema>;
 export type RefusalFrame = Static<typeof refusalFrameSchema>;
+export type HelloFrame = Static<typeof helloFrameSchema>;
+export type HeartbeatFrame = Static<typeof heartbeatFrameSchema>;
+export type SuspicionFrame = Static<typeof suspicionFrameSchema>;
+export type MembersFrame = Static<typeof membersFrameSchema>;
+export type DigestFrame = Static<typeof digestFrameSchema>;
+export type PullFrame = Static<typeof pullFrameSchema>;
+export type VersionsFrame = Static<typeof versionsFrameSchema>;
+/** The frames by which nodes keep their member records. */
+export type MembershipFrame =
+  HelloFrame | HeartbeatFrame | SuspicionFrame | MembersFrame | DigestFrame | PullFrame | VersionsFrame;
 export type ReplyFrame = AnswerFrame | RefusalFrame;
