Count control bytes on the fake clock and spread start-up news in larger batches

Cause: a fleet that starts at once sent each record along every link. Change: news waits 250 ms while much of it arrives; welcomes are not sent on; the fake network shows its frames.

--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -9,7 +9,7 @@
 import { parseSettings } from '../../schema/settings.js';
 import type { ServiceConfiguration } from '../../schema/serviceConfiguration.js';
 import { createFakeNetwork } from './fakeNetwork.js';
-import type { FakeNetwork } from './fakeNetwork.js';
+import type { FakeNetwork, FrameObserver } from './fakeNetwork.js';
 import { createProcessClock } from './fakeProcess.js';
 import type { ProcessClock } from './fakeProcess.js';
 import { createFakeTarget } from './fakeTarget.js';
@@ -38,6 +38,8 @@
   node?: Partial<Pick<NodeOptions, 'policies' | 'readLog' | 'appendLog'>>;
   localDelayMs?: number;
   remoteDelayMs?: number;
+  /** Sees every frame that a host sends. */
+  observeFrame?: FrameObserver;
 }
 
 export interface FakeFleet {
@@ -69,6 +71,7 @@
     clock,
     ...(localDelayMs === undefined ? {} : { localDelayMs }),
     ...(remoteDelayMs === undefined ? {} : { remoteDelayMs }),
+    ...(options.observeFrame === undefined ? {} : { observeFrame: options.observeFrame }),
   });
   const hosts = new Map<string, FakeHost>();
   const documents: AcceptedDocument[] = options.documents.map((document, index) => {
--- a/src/bench/fakes/fakeNetwork.ts
+++ b/src/bench/fakes/fakeNetwork.ts
@@ -33,8 +33,12 @@
   /** One-way delay (ms) between hosts of the same and of different data centres. */
   localDelayMs?: number;
   remoteDelayMs?: number;
+  /** Sees every frame that a host sends, also those that are cut or lost. */
+  observeFrame?: FrameObserver;
 }
 
+export type FrameObserver = (from: string, to: string, lane: Lane, frame: Frame) => void;
+
 /** Creates a network over the clock of the run. */
 export function createFakeNetwork(options: FakeNetworkOptions): FakeNetwork {
   const { clock, localDelayMs = 0.1, remoteDelayMs = 1 } = options;
@@ -69,6 +73,7 @@
   };
   const deliver = (from: FakeEndpoint, to: FakeEndpoint, lane: Lane, frame: Frame): void => {
     framesSent++;
+    options.observeFrame?.(from.host, to.host, lane, frame);
     if (isCut(from, to) || isLost(frame)) return;
     const delayMs = from.dataCenter === to.dataCenter ? localDelayMs : remoteDelayMs;
     clock.schedule(delayMs, () => {
--- a/src/control/exchangeMembers.ts
+++ b/src/control/exchangeMembers.ts
@@ -30,7 +30,7 @@
     if (theirs === own?.toString(36)) return;
     const records = listRecords(dataCenter);
     if (own === undefined || records.length === 0) sendPull(respond, { dataCenters: [dataCenter] });
-    else if (theirs === undefined) sendRecords(records, respond);
+    else if (theirs === undefined) sendRecords(records, respond, { isWelcome: true });
     else {
       const entries = records.map((record): VersionsFrame['entries'][number] => [
         record.id,
@@ -84,7 +84,7 @@
         if (other === dataCenter) continue;
         for (const id of selectGateways(ring)) records.push(members.byId.get(id) as MemberRecord);
       }
-      sendRecords(records, respond);
+      sendRecords(records, respond, { isWelcome: true });
     },
   };
 }
--- a/src/control/membershipController.ts
+++ b/src/control/membershipController.ts
@@ -43,22 +43,22 @@
     welcomesSinceMs: 0,
   };
 
-  const applyRecord = (record: MemberRecord, sender: string | undefined): boolean => {
+  const applyRecord = (record: MemberRecord, sender: string, isWelcome: boolean): boolean => {
     if (record.id === settings.host) {
       mergeOwnRecord(record);
       return false;
     }
     if (!mergeMember(section, record)) {
-      if (sender !== undefined) news.recordSender(record, sender);
+      news.recordSender(record, sender);
       return false;
     }
-    recordChange(record, sender);
+    if (!isWelcome) news.add(record, sender);
+    recordChange(record);
     return true;
   };
-  const recordChange = (record: MemberRecord, sender: string | undefined): void => {
+  const recordChange = (record: MemberRecord): void => {
     if (record.nodeState === 'alive') goneAtMs.delete(record.id);
     else goneAtMs.set(record.id, clock.now() + GONE_RECORD_KEPT_MS);
-    news.add(record, sender);
     board.post('events', {
       kind: 'memberChanged',
       data: { host: record.id, targetState: record.targetState, nodeState: record.nodeState },
@@ -68,9 +68,9 @@
     updateSilentDataCenters();
     members.publishChange();
   };
-  const applyRecords = (records: readonly MemberRecord[], sender: string | undefined): void => {
+  const applyRecords = (records: readonly MemberRecord[], sender: string, isWelcome = false): void => {
     let isChanged = false;
-    for (const record of records) isChanged = applyRecord(record, sender) || isChanged;
+    for (const record of records) isChanged = applyRecord(record, sender, isWelcome) || isChanged;
     if (isChanged) publishChange();
   };
 
@@ -95,7 +95,8 @@
     if (known?.nodeState !== 'alive') return;
     const record: MemberRecord = { ...known, nodeState: 'down' };
     putMember(section, record);
-    recordChange(record, undefined);
+    news.add(record);
+    recordChange(record);
     publishChange();
   };
   const watch = createMemberWatch(context, markDown);
@@ -130,7 +131,7 @@
         checkKnown(host, frame.version, respond);
         return;
       case 'members':
-        applyRecords(frame.records, host);
+        applyRecords(frame.records, host, frame.isWelcome);
         finishWelcome();
         return;
       case 'suspicion':
--- a/src/control/spreadMembers.ts
+++ b/src/control/spreadMembers.ts
@@ -5,6 +5,12 @@
 
 /** Records that arrive within this time leave in one frame; a change crosses the fleet in some ten such pauses. */
 const COLLECT_MS = 20;
+/**
+ * More news than this at once comes from a fleet or data centre that starts: a longer pause lets copies from several
+ * neighbours meet here, so that fewer are sent on.
+ */
+const MANY_RECORDS = 16;
+const COLLECT_MANY_MS = 250;
 
 interface PendingRecord {
   record: MemberRecord;
@@ -25,11 +31,15 @@
 export function createMemberNews({ board, clock, io }: ControllerContext): MemberNews {
   const pending = new Map<string, PendingRecord>();
   let isScheduled = false;
+  let sentLastMs = -Infinity;
+  let sentLast = 0;
 
   const sendPending = (): void => {
     if (pending.size === 0) return;
     const waiting = [...pending.values()];
     pending.clear();
+    sentLastMs = clock.now();
+    sentLast = waiting.length;
     for (const neighbour of board.read('links').neighbours.keys()) {
       const records = waiting.filter(({ senders }) => !senders.has(neighbour)).map(({ record }) => record);
       sendRecords(records, (frame) => io.sendFrame(neighbour, 'control', frame));
@@ -40,7 +50,8 @@
       pending.set(record.id, { record, senders: new Set(sender === undefined ? [] : [sender]) });
       if (isScheduled) return;
       isScheduled = true;
-      clock.schedule(COLLECT_MS, () => {
+      const isBusy = sentLast > MANY_RECORDS && clock.now() - sentLastMs < COLLECT_MANY_MS;
+      clock.schedule(isBusy ? COLLECT_MANY_MS : COLLECT_MS, () => {
         isScheduled = false;
         sendPending();
       });
@@ -55,7 +66,11 @@
 }
 
 /** Sends records in frames of bounded size. */
-export function sendRecords(records: readonly MemberRecord[], send: (frame: Frame) => void): void {
+export function sendRecords(
+  records: readonly MemberRecord[],
+  send: (frame: Frame) => void,
+  options: { isWelcome?: boolean } = {},
+): void {
   for (let start = 0; start < records.length; start += MAX_RECORDS_PER_FRAME)
-    send({ type: 'members', records: records.slice(start, start + MAX_RECORDS_PER_FRAME) });
+    send({ type: 'members', records: records.slice(start, start + MAX_RECORDS_PER_FRAME), ...options });
 }
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -100,6 +100,8 @@
 export const membersFrameSchema = Type.Object({
   type: Type.Literal('members'),
   records: Type.Array(memberRecordSchema, { maxItems: MAX_RECORDS_PER_FRAME }),
+  /** Sent to a node that joins: its neighbours hold the records already, so it does not send them on. */
+  isWelcome: Type.Optional(Type.Boolean()),
 });
 export const configurationFrameSchema = Type.Object({
   type: Type.Literal('configuration'),
