Report silent data centres within the own data centre only, test membership

Cause: a trial showed that the records of all gateways were sent to every node when regions met. Change: gateways spread what they hear nothing of within their data centre; heartbeats leave at once after a late tick.

--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -38,6 +38,8 @@
   node?: Partial<Pick<NodeOptions, 'policies' | 'readLog' | 'appendLog'>>;
   localDelayMs?: number;
   remoteDelayMs?: number;
+  /** Called before the first host starts, for links that are cut from the beginning. */
+  prepareNetwork?: (network: FakeNetwork) => void;
   /** Sees every frame that a host sends. */
   observeFrame?: FrameObserver;
 }
@@ -151,6 +153,7 @@
     scheduleRepeated(process, ANNOUNCE_PERIOD_MS, announce);
   };
 
+  options.prepareNetwork?.(network);
   for (const host of options.hosts) startHost(host);
   return {
     clock,
--- a/src/bench/fakes/memberFleet.ts
+++ b/src/bench/fakes/memberFleet.ts
@@ -24,8 +24,8 @@
   listDiverged(): string[];
   /** Advances in steps until no host diverges; the time taken (ms), or undefined after `limitMs`. */
   measureConvergence(limitMs: number): number | undefined;
-  /** How many hosts hold a record that fulfils a condition. */
-  countViews(host: string, check: (record: MemberRecord | undefined) => boolean): number;
+  /** Hosts that hold a record of a host, or none, that fulfils a condition. */
+  listViews(host: string, check: (record: MemberRecord | undefined) => boolean): string[];
 }
 
 const STEP_MS = 100;
@@ -113,7 +113,9 @@
       }
       return fleet.clock.now() - startMs;
     },
-    countViews: (host, check) =>
-      [...fleet.hosts.values()].filter(({ node }) => check(node.board.read('members').byId.get(host))).length,
+    listViews: (host, check) =>
+      [...fleet.hosts]
+        .filter(([, { node }]) => check(node.board.read('members').byId.get(host)))
+        .map(([viewer]) => viewer),
   };
 }
--- a/src/control/linkController.ts
+++ b/src/control/linkController.ts
@@ -2,15 +2,18 @@
 import { computeOverlay, selectGateways } from '../policy/overlay.js';
 import type { Frame, HeartbeatFrame } from '../schema/frame.js';
 import type { Controller, ControllerContext } from './context.js';
+import type { Posts } from './sections.js';
 
 /** Half of the heartbeat period, so that silence is noticed at most this late. */
 const TICK_MS = 500;
-const TICKS_PER_HEARTBEAT = 2;
+const HEARTBEAT_PERIOD_MS = 1000;
 /** A tick later than this means that this process did not run, so that the silence of peers proves nothing. */
 const LATE_TICK_MS = 250;
 const NEWS_REMEMBERED = 4096;
 const AGE_UNIT_MS = 100;
 
+type SpreadPost = Extract<Posts['links'], { type: 'spread' }>;
+
 /** Writes the control links of this node: who its neighbours are, when they were heard, and what is spread to them. */
 export function createLinkController(context: ControllerContext): Controller {
   const { board, clock, io } = context;
@@ -20,7 +23,7 @@
   const members = board.read('members');
   const knownNews = new Set<string>();
   let knownRingVersion = -1;
-  let ticks = 0;
+  let nextHeartbeatMs = 0;
   let lastTickMs = clock.now();
   let stopTimer = (): void => undefined;
 
@@ -35,10 +38,10 @@
     for (const id of neighbours.keys()) if (!overlay.neighbours.has(id)) neighbours.delete(id);
     const ownGateways = selectGateways(members.rings.get(self.dataCenter) ?? []);
     for (const id of overlay.neighbours) {
-      const isRemote = members.byId.get(id)?.dataCenter !== self.dataCenter;
-      const joinsGateways = overlay.isGateway && (isRemote || ownGateways.includes(id));
+      const isLocal = members.byId.get(id)?.dataCenter === self.dataCenter;
+      const joinsGateways = overlay.isGateway && (!isLocal || ownGateways.includes(id));
       const link = neighbours.get(id);
-      if (link === undefined) neighbours.set(id, { lastHeardMs: clock.now(), isHeard: false, joinsGateways });
+      if (link === undefined) neighbours.set(id, { lastHeardMs: clock.now(), isHeard: false, joinsGateways, isLocal });
       else link.joinsGateways = joinsGateways;
     }
   };
@@ -78,7 +81,7 @@
     if (!neighbours.has(host) && frame.isReply !== true)
       respond({ type: 'heartbeat', version: members.self.version, isReply: true });
   };
-  const spread = (frame: Frame, newsId: string, from: string | undefined): void => {
+  const spread = ({ frame, newsId, from, withinDataCenter = false }: SpreadPost): void => {
     if (knownNews.has(newsId)) return;
     knownNews.add(newsId);
     if (knownNews.size > NEWS_REMEMBERED) {
@@ -87,12 +90,13 @@
         break;
       }
     }
-    for (const id of neighbours.keys()) if (id !== from) io.sendFrame(id, 'control', frame);
+    for (const [id, { isLocal }] of neighbours)
+      if (id !== from && (isLocal || !withinDataCenter)) io.sendFrame(id, 'control', frame);
   };
   links.handlePosts((post) => {
     if (post.type === 'heard') recordHeard(post.host);
     else if (post.type === 'heartbeat') receiveHeartbeat(post.host, post.frame, post.respond);
-    else spread(post.frame, post.newsId, post.from);
+    else spread(post);
   });
 
   const runTick = (): void => {
@@ -101,7 +105,10 @@
     lastTickMs = nowMs;
     if (section.lateMs > LATE_TICK_MS) adjustHeardTimes(section.lateMs);
     updateOverlay();
-    if (ticks++ % TICKS_PER_HEARTBEAT === 0) sendHeartbeats();
+    if (nowMs + TICK_MS / 2 >= nextHeartbeatMs || section.lateMs > LATE_TICK_MS) {
+      nextHeartbeatMs = nowMs + HEARTBEAT_PERIOD_MS;
+      sendHeartbeats();
+    }
     links.publishChange();
   };
   const adjustHeardTimes = (lateMs: number): void => {
--- a/src/control/membershipController.ts
+++ b/src/control/membershipController.ts
@@ -1,10 +1,10 @@
-import { DATA_CENTER_SILENT_AFTER_MS, DOWN_ALONE_AFTER_MS } from '../policy/failureDetector.js';
+import { DOWN_ALONE_AFTER_MS } from '../policy/failureDetector.js';
 import { compareMemberRecords, mergeMember, putMember, removeMember } from '../policy/memberMerge.js';
-import { selectGateways } from '../policy/overlay.js';
 import type { Frame, MembershipFrame } from '../schema/frame.js';
 import type { MemberRecord } from '../schema/member.js';
 import type { Controller, ControllerContext } from './context.js';
 import { createMemberExchange } from './exchangeMembers.js';
+import { createSilenceReports } from './reportSilence.js';
 import { createMemberNews } from './spreadMembers.js';
 import { createMemberWatch } from './watchMembers.js';
 
@@ -64,21 +64,17 @@
       data: { host: record.id, targetState: record.targetState, nodeState: record.nodeState },
     });
   };
-  const publishChange = (): void => {
-    updateSilentDataCenters();
-    members.publishChange();
-  };
   const applyRecords = (records: readonly MemberRecord[], sender: string, isWelcome = false): void => {
     let isChanged = false;
     for (const record of records) isChanged = applyRecord(record, sender, isWelcome) || isChanged;
-    if (isChanged) publishChange();
+    if (isChanged) members.publishChange();
   };
 
   const updateSelf = (change: Partial<MemberRecord>): void => {
     section.self = { ...section.self, ...change, version: section.self.version + 1 };
     putMember(section, section.self);
     news.add(section.self);
-    publishChange();
+    members.publishChange();
     news.sendPending();
   };
   // A record of this host that is newer than its own says that it is down, or comes from an earlier process whose clock
@@ -97,30 +93,11 @@
     putMember(section, record);
     news.add(record);
     recordChange(record);
-    publishChange();
+    members.publishChange();
   };
+  const silence = createSilenceReports(context, section);
   const watch = createMemberWatch(context, markDown);
 
-  const updateSilentDataCenters = (): void => {
-    const gateways = selectGateways(section.rings.get(settings.dataCenter) ?? []);
-    const [first, ...others] = gateways.map((id) => section.byId.get(id)?.silentDataCenters ?? []);
-    section.silentDataCenters.clear();
-    for (const dataCenter of first ?? [])
-      if (others.every((list) => list.includes(dataCenter))) section.silentDataCenters.add(dataCenter);
-  };
-  const reportSilentDataCenters = (): void => {
-    const silent: string[] = [];
-    for (const dataCenter of links.isGateway ? section.rings.keys() : []) {
-      if (dataCenter === settings.dataCenter) continue;
-      const heardMs = links.heardDataCenters.get(dataCenter);
-      if (heardMs !== undefined && clock.now() - heardMs > DATA_CENTER_SILENT_AFTER_MS) silent.push(dataCenter);
-    }
-    silent.sort();
-    const reported = section.self.silentDataCenters ?? [];
-    if (silent.join(' ') === reported.join(' ')) return;
-    updateSelf({ silentDataCenters: silent.length > 0 ? silent : undefined });
-  };
-
   const receive = (host: string, frame: MembershipFrame, respond: (frame: Frame) => void): void => {
     switch (frame.type) {
       case 'hello':
@@ -134,6 +111,9 @@
         applyRecords(frame.records, host, frame.isWelcome);
         finishWelcome();
         return;
+      case 'silence':
+        silence.receiveSilence(frame, host);
+        return;
       case 'suspicion':
         watch.receiveSuspicion(host, frame, respond);
         return;
@@ -218,7 +198,7 @@
     if (state.isStopped) return;
     if (links.lateMs > PAUSE_MS) handlePause();
     watch.check();
-    reportSilentDataCenters();
+    silence.check();
     joinIfAlone();
     if (clock.now() < state.nextExchangeMs) return;
     state.nextExchangeMs = clock.now() + EXCHANGE_PERIOD_MS;
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -34,6 +34,7 @@
   isHeard: boolean;
   /** Both ends are gateways, so heartbeats carry what was heard of other data centres. */
   joinsGateways: boolean;
+  isLocal: boolean;
 }
 
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
@@ -89,10 +90,10 @@
     | { type: 'setSelf'; change: Partial<MemberRecord> };
   /**
    * `spread` sends a frame to all neighbours but `from`, once per `newsId`: a controller that receives news posts it
-   * again with the id that the frame carries.
+   * again with the id that the frame carries. With `withinDataCenter` it stays in the own data centre.
    */
   links:
-    | { type: 'spread'; frame: Frame; newsId: string; from?: string }
+    | { type: 'spread'; frame: Frame; newsId: string; from?: string; withinDataCenter?: boolean }
     | { type: 'heard'; host: string }
     | { type: 'heartbeat'; host: string; frame: HeartbeatFrame; respond: (frame: Frame) => void };
   /** `lapse` ends the lease: the process was paused, and the target may have changed meanwhile. */
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -41,6 +41,7 @@
       board.post('members', { type: 'receive', host, frame, respond });
       return;
     case 'members':
+    case 'silence':
     case 'suspicion':
     case 'digest':
     case 'versions':
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -90,6 +90,13 @@
   /** Between gateways: by data centre, how long ago (in units of 100 ms) something was heard of it. */
   ages: Type.Optional(Type.Record(Type.String({ maxLength: 64 }), Type.Integer({ minimum: 0 }))),
 });
+/** Data centres of which a gateway hears nothing; spread within its own data centre. */
+export const silenceFrameSchema = Type.Object({
+  type: Type.Literal('silence'),
+  newsId: Type.String({ maxLength: 300 }),
+  host: Type.String({ maxLength: 255 }),
+  dataCenters: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 256 }),
+});
 /** What one watcher of a node tells the others. */
 export const suspicionFrameSchema = Type.Object({
   type: Type.Literal('suspicion'),
@@ -148,6 +155,7 @@
   crashReportFrameSchema,
   digestFrameSchema,
   pullFrameSchema,
+  silenceFrameSchema,
   suspicionFrameSchema,
   versionsFrameSchema,
 ]);
@@ -157,6 +165,7 @@
 export type RefusalFrame = Static<typeof refusalFrameSchema>;
 export type HelloFrame = Static<typeof helloFrameSchema>;
 export type HeartbeatFrame = Static<typeof heartbeatFrameSchema>;
+export type SilenceFrame = Static<typeof silenceFrameSchema>;
 export type SuspicionFrame = Static<typeof suspicionFrameSchema>;
 export type MembersFrame = Static<typeof membersFrameSchema>;
 export type DigestFrame = Static<typeof digestFrameSchema>;
@@ -164,5 +173,5 @@
 export type VersionsFrame = Static<typeof versionsFrameSchema>;
 /** The frames by which nodes keep their member records. */
 export type MembershipFrame =
-  HelloFrame | HeartbeatFrame | SuspicionFrame | MembersFrame | DigestFrame | PullFrame | VersionsFrame;
+  HelloFrame | HeartbeatFrame | SilenceFrame | SuspicionFrame | MembersFrame | DigestFrame | PullFrame | VersionsFrame;
 export type ReplyFrame = AnswerFrame | RefusalFrame;
--- a/src/schema/member.ts
+++ b/src/schema/member.ts
@@ -28,10 +28,6 @@
   service: Type.Optional(Type.String({ maxLength: 64 })),
   targetState: targetStateSchema,
   nodeState: nodeStateSchema,
-  /** Data centres of which this node, a gateway, hears nothing; left out when there are none. */
-  silentDataCenters: Type.Optional(
-    Type.Unsafe<readonly string[]>(Type.Array(Type.String({ maxLength: 64 }), { maxItems: 64 })),
-  ),
 });
 export type MemberRecord = Static<typeof memberRecordSchema>;
 
