Notice dead peer connections within 3 s and bound what waits for slow peers

Cause: a cut connection stayed open, a stream could hold gigabytes, and a restarted node was reached at its old address. Change: keepalive, dial timeout, redial with back-off and jitter, a byte bound per stream, one control connection for both directions, traffic counters on /metrics.

--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -18,6 +18,9 @@
 import { createPeerClient } from '../transport/peerClient.js';
 import { createPeerCredentials } from '../transport/peerCredentials.js';
 import { startPeerServer } from '../transport/peerServer.js';
+import type { PeerServer } from '../transport/peerServer.js';
+import { createTrafficCounters } from '../transport/trafficCounters.js';
+import type { TrafficCounters } from '../transport/trafficCounters.js';
 import { createLogger } from './logger.js';
 
 export interface DaemonAddresses {
@@ -47,7 +50,10 @@
   const clock = createSystemClock();
   const credentials = createPeerCredentials(settings);
   const targetClient = createTargetClient({ connections: serviceConfigurationDefaults.connectionLimit });
+  const counters = createTrafficCounters();
   const peerClient = createPeerClient({
+    random: createRandom(randomInt(MAX_SEED)),
+    counters,
     host: settings.host,
     credentials: credentials.client,
     clock,
@@ -62,24 +68,32 @@
       logger.debug(message);
     },
   });
+  const peerStreams: Pick<PeerServer, 'sendAccepted'> = { sendAccepted: () => false };
   const node: Node = createNode({
     settings,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
-    sendFrame: peerClient.sendFrame,
+    sendFrame: (peer, lane, frame) => {
+      // Neighbours keep one connection for both directions.
+      if (lane === 'control' && !peerClient.hasLink(peer, lane) && peerStreams.sendAccepted(peer, lane, frame))
+        return true;
+      return peerClient.sendFrame(peer, lane, frame);
+    },
     callTarget: targetClient.callTarget,
     ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
   });
-  const servers = await startServers(settings, node);
+  const servers = await startServers(settings, node, counters);
   const peerServer = await startPeerServer({
     listen: settings.peerListen,
     credentials: credentials.server,
+    counters,
     receiveFrame: node.receiveFrame,
     reportFailure: (message) => {
       logger.warn(message);
     },
   });
+  peerStreams.sendAccepted = peerServer.sendAccepted;
   const addresses: DaemonAddresses = {
     caller: servers.caller.address,
     local: servers.local.address,
@@ -109,7 +123,7 @@
   operator: HttpServer;
 }
 
-async function startServers(settings: Settings, node: Node): Promise<Servers> {
+async function startServers(settings: Settings, node: Node, counters: TrafficCounters): Promise<Servers> {
   const caller = await startHttpServer({
     listen: settings.callerListen,
     controllers: [CallerController],
@@ -120,7 +134,7 @@
   const operator = await startHttpServer({
     listen: settings.operatorListen,
     controllers: [OperatorController],
-    served: { node, metrics: createMetrics(node) },
+    served: { node, metrics: createMetrics(node, { traffic: counters }) },
   });
   return { caller, local, operator };
 }
--- a/src/http/metrics.ts
+++ b/src/http/metrics.ts
@@ -6,13 +6,21 @@
 const QUANTILES = [50, 90, 99, 99.9];
 const HIGHEST_MS = 600_000;
 
+type TrafficCounts = ReadonlyMap<string, { frames: number; bytes: number }>;
+
+/** Messages between nodes by direction and frame type. */
+export interface PeerTraffic {
+  sent: TrafficCounts;
+  received: TrafficCounts;
+}
+
 export interface MetricsRegistry {
   /** All metrics in the Prometheus text format. */
   renderText(): Promise<string>;
 }
 
 /** Creates the metrics of a node, computed from its blackboard when they are asked for. */
-export function createMetrics(node: Node): MetricsRegistry {
+export function createMetrics(node: Node, options: { traffic?: PeerTraffic } = {}): MetricsRegistry {
   const registry = new Registry();
   const { board } = node;
   const ring = board.read('samples').ring;
@@ -56,6 +64,8 @@
   createGauge('hemlock_members', 'Known nodes', () => board.read('members').byId.size);
   createGauge('hemlock_configuration_offset', 'Log offset applied', () => board.read('configuration').appliedOffset);
 
+  createTrafficGauges(registry, options.traffic);
+
   const takeSamples = (): void => {
     for (const sample of ring.listFrom(cursor)) {
       const { role, service, priority, result } = sample;
@@ -94,3 +104,20 @@
     },
   };
 }
+
+function createTrafficGauges(registry: Registry, traffic: PeerTraffic | undefined): void {
+  if (traffic === undefined) return;
+  for (const unit of ['bytes', 'frames'] as const) {
+    new Counter({
+      name: `hemlock_peer_${unit}_total`,
+      help: `Messages to and from other nodes by direction and type (${unit}; without TLS, TCP and IP)`,
+      labelNames: ['direction', 'type'] as const,
+      registers: [registry],
+      collect() {
+        this.reset();
+        for (const direction of ['sent', 'received'] as const)
+          for (const [type, count] of traffic[direction]) this.inc({ direction, type }, count[unit]);
+      },
+    });
+  }
+}
--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -1,15 +1,24 @@
 import { Client, Metadata } from '@grpc/grpc-js';
 import type { ChannelCredentials, ClientDuplexStream } from '@grpc/grpc-js';
+import { scheduleRepeated } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
+import type { Random } from '../core/random.js';
 import type { Frame, Lane } from '../schema/frame.js';
-import { HOST_HEADER, LANE_HEADER, MAX_FRAME_BYTES, peerService } from './peerService.js';
+import { createFrameWriter } from './frameWriter.js';
+import type { WriteFrame } from './frameWriter.js';
+import { createPeerService, HOST_HEADER, KEEPALIVE_OPTIONS, LANE_HEADER, MAX_FRAME_BYTES } from './peerService.js';
 import type { FrameReceiver } from './peerService.js';
+import { createTrafficCounters } from './trafficCounters.js';
+import type { TrafficCounters } from './trafficCounters.js';
 
 export interface PeerClientOptions {
   /** Host name of this node. */
   host: string;
   credentials: ChannelCredentials;
   clock: Clock;
+  /** Spreads the redials of many nodes. */
+  random?: Random;
+  counters?: TrafficCounters;
   /** Turns a node id into its peer address; undefined when it is not known. */
   resolveAddress: (peer: string) => string | undefined;
   receiveFrame: FrameReceiver;
@@ -20,33 +29,47 @@
 export interface PeerClient {
   /** Writes a frame on the stream to a peer, opening it when there is none; false when it was certainly not written. */
   sendFrame(peer: string, lane: Lane, frame: Frame): boolean;
+  /** True while a stream to a peer is open or being opened. */
+  hasLink(peer: string, lane: Lane): boolean;
   stop(): void;
 }
 
 interface PeerLink {
-  client: Client;
-  stream: ClientDuplexStream<Frame, Frame>;
+  readonly peer: string;
+  readonly lane: Lane;
+  readonly address: string;
+  readonly client: Client;
+  readonly stream: ClientDuplexStream<Frame, Frame>;
+  readonly write: WriteFrame;
+  isOpen: boolean;
   lastUsedMs: number;
 }
 
+interface Redial {
+  pauseMs: number;
+  notBeforeMs: number;
+}
+
 const IDLE_CLOSE_MS = 60_000;
-const IDLE_CHECK_MS = 10_000;
-/** A peer that could not be reached is not dialled again for this long, so that callers fail over at once. */
-const REDIAL_PAUSE_MS = 500;
-/** Frames queued by a stream beyond this mean that the peer does not read. */
-const MAX_BUFFERED_FRAMES = 4096;
+const CHECK_PERIOD_MS = 1000;
+/** An address that drops packets is given up after this long. */
+const DIAL_TIMEOUT_MS = 3000;
+/** A peer that could not be reached is not dialled again at once, so that callers fail over without waiting. */
+const FIRST_REDIAL_PAUSE_MS = 250;
+const LONGEST_REDIAL_PAUSE_MS = 4000;
 
 /** Creates the sending side of the streams to other nodes: one connection per peer and lane, opened on demand. */
 export function createPeerClient(options: PeerClientOptions): PeerClient {
-  const { clock } = options;
+  const { clock, random = () => 0.5, counters = createTrafficCounters() } = options;
   const links = new Map<string, PeerLink>();
-  const redialAtMs = new Map<string, number>();
+  const redials = new Map<string, Redial>();
+  const { exchange } = createPeerService(counters);
   let isStopped = false;
 
-  const openLink = (key: string, peer: string, lane: Lane): PeerLink | undefined => {
-    const address = options.resolveAddress(peer);
-    if (address === undefined || isStopped || clock.now() < (redialAtMs.get(key) ?? 0)) return undefined;
+  const openLink = (key: string, peer: string, lane: Lane, address: string): PeerLink | undefined => {
+    if (isStopped || clock.now() < (redials.get(key)?.notBeforeMs ?? 0)) return undefined;
     const client = new Client(address, options.credentials, {
+      ...KEEPALIVE_OPTIONS,
       'grpc.max_receive_message_length': MAX_FRAME_BYTES,
       'grpc.max_send_message_length': MAX_FRAME_BYTES,
       // Without its own pool, lanes to one address would share a connection and urgent frames could queue behind others.
@@ -55,53 +78,76 @@
     const metadata = new Metadata();
     metadata.set(HOST_HEADER, options.host);
     metadata.set(LANE_HEADER, lane);
-    const { path, requestSerialize, responseDeserialize } = peerService.exchange;
+    const { path, requestSerialize, responseDeserialize } = exchange;
     const stream = client.makeBidiStreamRequest(path, requestSerialize, responseDeserialize, metadata);
-    const link: PeerLink = { client, stream, lastUsedMs: clock.now() };
-    const respond = (frame: Frame): void => {
-      stream.write(frame);
-    };
+    const write = createFrameWriter(stream, () => {
+      failLink(link, 'the peer reads too slowly');
+    });
+    const link: PeerLink = { peer, lane, address, client, stream, write, isOpen: false, lastUsedMs: clock.now() };
+    stream.on('metadata', () => {
+      link.isOpen = true;
+      redials.delete(key);
+    });
     stream.on('data', (frame: Frame) => {
-      options.receiveFrame(peer, lane, frame, respond);
+      link.lastUsedMs = clock.now();
+      options.receiveFrame(peer, lane, frame, write);
     });
     stream.on('error', (error: Error) => {
-      redialAtMs.set(key, clock.now() + REDIAL_PAUSE_MS);
-      options.reportFailure?.(`the stream to ${peer} (${lane}) failed: ${error.message}`);
-      closeLink(key, link, peer, lane);
+      failLink(link, error.message);
     });
     stream.on('end', () => {
-      closeLink(key, link, peer, lane);
+      closeLink(link);
     });
     links.set(key, link);
     return link;
   };
-  const closeLink = (key: string, link: PeerLink, peer: string, lane: Lane): void => {
+  const failLink = (link: PeerLink, reason: string): void => {
+    const key = formatKey(link.peer, link.lane);
+    if (links.get(key) !== link) return;
+    const pauseMs = Math.min(LONGEST_REDIAL_PAUSE_MS, 2 * (redials.get(key)?.pauseMs ?? FIRST_REDIAL_PAUSE_MS / 2));
+    redials.set(key, { pauseMs, notBeforeMs: clock.now() + pauseMs * (0.5 + random()) });
+    options.reportFailure?.(`the stream to ${link.peer} (${link.lane}) failed: ${reason}`);
+    closeLink(link);
+  };
+  const closeLink = (link: PeerLink): void => {
+    const key = formatKey(link.peer, link.lane);
     if (links.get(key) !== link) return;
     links.delete(key);
+    link.stream.cancel();
     link.client.close();
-    options.receiveLinkClosed(peer, lane);
+    options.receiveLinkClosed(link.peer, link.lane);
   };
-  const closeIdle = (): void => {
-    if (isStopped) return;
-    const idleSinceMs = clock.now() - IDLE_CLOSE_MS;
+  const stopChecks = scheduleRepeated(clock, CHECK_PERIOD_MS, () => {
+    const nowMs = clock.now();
     for (const link of links.values()) {
-      if (link.lastUsedMs < idleSinceMs) link.stream.end();
+      if (link.lastUsedMs < nowMs - IDLE_CLOSE_MS) link.stream.end();
+      else if (!link.isOpen && link.lastUsedMs < nowMs - DIAL_TIMEOUT_MS) failLink(link, 'no connection in time');
     }
-    clock.schedule(IDLE_CHECK_MS, closeIdle);
+    for (const [key, { notBeforeMs }] of redials) if (notBeforeMs < nowMs - IDLE_CLOSE_MS) redials.delete(key);
+  });
+  // A restarted node has another address: the old stream is closed at once and not when its keepalive ends.
+  const findLink = (key: string, address: string): PeerLink | undefined => {
+    const link = links.get(key);
+    if (link === undefined || link.address === address) return link;
+    closeLink(link);
+    redials.delete(key);
+    return undefined;
   };
-  clock.schedule(IDLE_CHECK_MS, closeIdle);
 
   return {
     sendFrame: (peer, lane, frame) => {
-      const key = `${lane} ${peer}`;
-      const link = links.get(key) ?? openLink(key, peer, lane);
-      if (link === undefined || link.stream.writableLength > MAX_BUFFERED_FRAMES) return false;
-      link.lastUsedMs = clock.now();
-      link.stream.write(frame);
-      return true;
+      const address = options.resolveAddress(peer);
+      if (address === undefined) return false;
+      const key = formatKey(peer, lane);
+      const link = findLink(key, address) ?? openLink(key, peer, lane, address);
+      if (link === undefined) return false;
+      if (link.isOpen) link.lastUsedMs = clock.now();
+      return link.write(frame);
     },
+    hasLink: (peer, lane) => links.has(formatKey(peer, lane)),
     stop: () => {
       isStopped = true;
+      stopChecks();
       for (const link of links.values()) {
         link.stream.end();
         link.client.close();
@@ -110,3 +156,7 @@
     },
   };
 }
+
+function formatKey(peer: string, lane: Lane): string {
+  return `${lane} ${peer}`;
+}
--- a/src/transport/peerService.ts
+++ b/src/transport/peerService.ts
@@ -1,19 +1,46 @@
 import type { ServiceDefinition } from '@grpc/grpc-js';
 import type { Frame } from '../schema/frame.js';
 import { decodeFrame, encodeFrame } from './frameCodec.js';
+import { recordTraffic } from './trafficCounters.js';
+import type { TrafficCounters } from './trafficCounters.js';
 
 /** The one method between nodes: a stream of frames in both directions. */
-export const peerService = {
+export interface PeerService extends ServiceDefinition {
   exchange: {
-    path: '/hemlockstack.Peer/Exchange',
-    requestStream: true,
-    responseStream: true,
-    requestSerialize: encodeFrame,
-    requestDeserialize: decodeFrame,
-    responseSerialize: encodeFrame,
-    responseDeserialize: decodeFrame,
-  },
-} as const satisfies ServiceDefinition;
+    path: string;
+    requestStream: true;
+    responseStream: true;
+    requestSerialize: (frame: Frame) => Buffer;
+    requestDeserialize: (bytes: Buffer) => Frame;
+    responseSerialize: (frame: Frame) => Buffer;
+    responseDeserialize: (bytes: Buffer) => Frame;
+  };
+}
+
+/** Creates the service over counters of its messages. */
+export function createPeerService(counters: TrafficCounters): PeerService {
+  const encode = (frame: Frame): Buffer => {
+    const bytes = encodeFrame(frame);
+    recordTraffic(counters.sent, frame.type, bytes.length);
+    return bytes;
+  };
+  const decode = (bytes: Buffer): Frame => {
+    const frame = decodeFrame(bytes);
+    recordTraffic(counters.received, frame.type, bytes.length);
+    return frame;
+  };
+  return {
+    exchange: {
+      path: '/hemlockstack.Peer/Exchange',
+      requestStream: true,
+      responseStream: true,
+      requestSerialize: encode,
+      requestDeserialize: decode,
+      responseSerialize: encode,
+      responseDeserialize: decode,
+    },
+  };
+}
 
 /** Headers with which a node opens a stream. */
 export const HOST_HEADER = 'hemlock-host';
@@ -21,6 +48,25 @@
 
 /** Larger than a frame with the largest answer body. */
 export const MAX_FRAME_BYTES = 2 * 1024 * 1024;
+/** A peer that reads slower than this much is written to is cut off, so that its frames do not fill the memory. */
+export const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+/** A dead connection is noticed within 3 s: an unanswered ping after 2 s without one, or silence for 1 s after it. */
+export const KEEPALIVE_OPTIONS = {
+  'grpc.keepalive_time_ms': 2000,
+  'grpc.keepalive_timeout_ms': 1000,
+  'grpc.keepalive_permit_without_calls': 0,
+};
+
+/** Estimates the encoded size of a frame without encoding it. */
+export function estimateFrameBytes(frame: Frame): number {
+  if (frame.type === 'call') return FIXED_FRAME_BYTES + frame.envelope.body.length;
+  if (frame.type === 'answer') return FIXED_FRAME_BYTES + frame.body.length;
+  if (frame.type === 'members') return FIXED_FRAME_BYTES * (1 + frame.records.length);
+  return FIXED_FRAME_BYTES;
+}
+
+/** About a call envelope without its body, or a member record. */
+const FIXED_FRAME_BYTES = 400;
 
 /** Receives a frame; `respond` writes on the stream that it came by. */
 export type FrameReceiver = (
