Answer every malformed input with a tagged failure and stop without losing requests

Cause: nestjs and fastify answered unknown routes, large bodies and headers with bodies of their own; a decoding error on a peer stream left no log line; the peer server cut its streams before the last answers were flushed; the caller port closed idle kept connections while requests could arrive; a call that was refused at once failed with 'cannot access recordResult', seen as 500 by callers under SIGTERM. Change: one filter and one parser handler map framework errors to failures; malformed announcements, settings, keys and frames have their kinds; seeds need TLS beyond loopback; a stopping node lingers 2 s, closes connections by the answer, flushes peer streams; a refusal by a leaving host ejects its route at once; a stopping stand-in target waits until quiet.

--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -56,15 +56,6 @@
     const { envelope } = outcome;
     const startedAtMs = clock.now();
     const account = { remaining: envelope.allowance };
-    const dispatched = dispatcher.dispatch({
-      envelope,
-      account,
-      parent: undefined,
-      reply: (result) => {
-        recordResult(result, startedAtMs);
-        reply({ ...result, requestId: envelope.requestId });
-      },
-    });
     const recordResult = (result: CallResult, fromMs: number): void => {
       const data = {
         durationMs: clock.now() - fromMs,
@@ -74,6 +65,15 @@
       else if (envelope.shedKey < SAMPLED_EVENTS)
         board.post('events', { kind: 'callAnswered', ...describeCall(envelope), data });
     };
+    const dispatched = dispatcher.dispatch({
+      envelope,
+      account,
+      parent: undefined,
+      reply: (result) => {
+        recordResult(result, startedAtMs);
+        reply({ ...result, requestId: envelope.requestId });
+      },
+    });
     return () => {
       dispatcher.cancel(dispatched);
     };
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -10,6 +10,9 @@
 import type { ControllerContext } from './context.js';
 import type { Sections } from './sections.js';
 
+/** Refusals of a host that leaves; further calls to it would each use up a retry until its record arrives. */
+const LEAVING_KINDS = new Set(['stopping', 'targetDraining']);
+
 /** What a dispatch starts from. */
 export interface DispatchRequest {
   envelope: CallEnvelope;
@@ -127,6 +130,8 @@
     board.post('routes', { type: 'finished', host: attempt.host });
     recordAttempt(call, attempt, result);
     recordFraction(call, result);
+    if (result.type === 'refusal' && LEAVING_KINDS.has(result.failure.kind) && result.failure.host === attempt.host)
+      board.post('routes', { type: 'leaving', host: attempt.host });
     if (result.type === 'answer') {
       finish(call, result);
       return;
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -66,7 +66,8 @@
   limits: { type: 'restart'; concurrency: number };
   shedding: { type: 'arrival'; priority: string; worth: number } | { type: 'heard'; key: string; fraction: number };
   routes:
-    { type: 'started' | 'finished' | 'linkClosed'; host: string } | { type: 'heard'; host: string; load: LoadHint };
+    | { type: 'started' | 'finished' | 'linkClosed' | 'leaving'; host: string }
+    | { type: 'heard'; host: string; load: LoadHint };
   budgets: { type: 'attempt' | 'retry'; service: string };
   events: EventPost;
 }
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,6 +6,7 @@
 
 const EXIT_FAILED = 1;
 const EXIT_INVALID = 2;
+const INVALID_KINDS = new Set<string>(['settingsInvalid', 'fileUnreadable', 'trustInsufficient']);
 const USAGE = 'Usage: hemlockd --settings FILE\n\nRuns the node of one target host until SIGTERM or SIGINT.\n';
 
 async function runMain(parameters: readonly string[]): Promise<void> {
@@ -36,8 +37,7 @@
   } else {
     process.stderr.write(`${failure.kind}: ${failure.message}\n`);
   }
-  process.exitCode =
-    failure.kind === 'settingsInvalid' || failure.kind === 'fileUnreadable' ? EXIT_INVALID : EXIT_FAILED;
+  process.exitCode = INVALID_KINDS.has(failure.kind) ? EXIT_INVALID : EXIT_FAILED;
 }
 
 runMain(process.argv.slice(2)).catch(reportFailure);
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -76,8 +76,8 @@
     listen: settings.peerListen,
     credentials: credentials.server,
     receiveFrame: node.receiveFrame,
-    reportFailure: (message) => {
-      logger.warn(message);
+    reportFailure: ({ message, ...fields }) => {
+      logger.warn(message, fields);
     },
   });
   const addresses: DaemonAddresses = {
@@ -94,6 +94,7 @@
     addresses,
     stop: async () => {
       logger.info('stopping');
+      servers.caller.announceStop();
       await stopNode(node, settings.stopGraceMs);
       await Promise.all(Object.values(servers).map((server) => server.stop()));
       peerClient.stop();
--- a/src/http/callRequest.ts
+++ b/src/http/callRequest.ts
@@ -5,7 +5,7 @@
 
 export type ParsedCall = { type: 'parsed'; call: CallerCall } | { type: 'failed'; failure: CallFailure };
 
-const MAX_CALLER_KEY_LENGTH = 255;
+const SHORT_TEXT = /^[\x20-\x7e]{1,255}$/;
 const MAX_TICKET_LENGTH = 512;
 const EMPTY_BODY = new Uint8Array();
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
@@ -20,8 +20,8 @@
     contentType: headers['content-type'] ?? DEFAULT_CONTENT_TYPE,
     body: request.body instanceof Uint8Array ? request.body : EMPTY_BODY,
   };
-  if (call.callerKey.length > MAX_CALLER_KEY_LENGTH || call.contentType.length > MAX_CALLER_KEY_LENGTH) {
-    return refuseHeader(`caller-id and content-type have at most ${MAX_CALLER_KEY_LENGTH} characters`);
+  if (!SHORT_TEXT.test(call.callerKey) || !SHORT_TEXT.test(call.contentType)) {
+    return refuseHeader('caller-id and content-type have 1 to 255 printable ASCII characters');
   }
   const deadline = getHeader(headers['deadline-ms']);
   if (deadline !== undefined) {
--- /dev/null
+++ b/src/http/httpErrors.ts
@@ -0,0 +1,52 @@
+import { STATUS_CODES } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { callFailureTraits, createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+
+const NOT_FOUND = 404;
+const TOO_LARGE = 413;
+const SERVER_FAULT = 500;
+
+/** Describes an error of the HTTP framework as a call failure; none of them has run anything at a target. */
+export function describeHttpError(error: unknown): CallFailure {
+  const status = readStatus(error);
+  const message = error instanceof Error ? error.message : String(error);
+  if (status === NOT_FOUND) return createCallFailure('routeUnknown', `no such route: ${message}`);
+  if (status === TOO_LARGE) return createCallFailure('requestTooLarge', message);
+  if (status < SERVER_FAULT) return createCallFailure('requestMalformed', message);
+  return createCallFailure('internalFault', message);
+}
+
+function readStatus(error: unknown): number {
+  if (typeof error !== 'object' || error === null) return SERVER_FAULT;
+  if ('getStatus' in error && typeof error.getStatus === 'function') return Number(error.getStatus());
+  return 'statusCode' in error && typeof error.statusCode === 'number' ? error.statusCode : SERVER_FAULT;
+}
+
+/** Answers bytes that Node's HTTP parser refused, before any framework saw a request. */
+export function sendParserFailure(error: Error & { code?: string }, socket: Duplex): void {
+  if (error.code === 'ECONNRESET' || !socket.writable) {
+    socket.destroy();
+    return;
+  }
+  const failure = describeParserError(error);
+  const { status } = callFailureTraits[failure.kind];
+  const body = JSON.stringify({ failure });
+  const head = [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    `hemlock-ran: ${failure.ran}`,
+    `hemlock-retry: ${failure.retry}`,
+    'connection: close',
+  ];
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+}
+
+function describeParserError(error: Error & { code?: string }): CallFailure {
+  if (error.code === 'HPE_HEADER_OVERFLOW')
+    return createCallFailure('headersTooLarge', 'the headers are larger than 16 KiB');
+  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT')
+    return createCallFailure('requestTimeout', 'the request did not arrive in time');
+  return createCallFailure('requestMalformed', `not an HTTP request: ${error.message}`);
+}
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -1,12 +1,17 @@
+import type { Socket } from 'node:net';
+import { Server as NetServer } from 'node:net';
 import { Module } from '@nestjs/common';
 import type { DynamicModule, Type } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
-import type { FastifyInstance } from 'fastify';
+import type { FastifyInstance, FastifyReply } from 'fastify';
 import { FailureError } from '../schema/failure.js';
 import { MAX_REQUEST_BODY_BYTES } from '../schema/frame.js';
 import type { ListenSettings } from '../schema/settings.js';
+import { sendFailure } from './callReply.js';
+import { FailureFilter } from './failureFilter.js';
+import { describeHttpError, sendParserFailure } from './httpErrors.js';
 
 /** The token under which controllers get what they serve. */
 export const SERVED = Symbol('served');
@@ -17,19 +22,25 @@
 const MAX_HEADER_BYTES = 16 * 1024;
 /** Longer than a caller takes to send the largest body, shorter than a connection held open on purpose. */
 const RECEIVE_TIMEOUT_MS = 30_000;
+/** Sent as the keep-alive hint; clients that follow it close first, so that no request meets a closing connection. */
+const KEEP_ALIVE_MS = 5000;
+const DEFAULT_MAX_CONNECTIONS = 1024;
 
 export interface HttpServerOptions {
   listen: ListenSettings;
   controllers: Type[];
   /** Given to the controllers under the token `SERVED`. */
   served: unknown;
+  /** Further connections are closed unread; default 1024. */
   maxConnections?: number;
 }
 
 export interface HttpServer {
   /** Host and the port that was bound, as `host:port`. */
   readonly address: string;
-  /** Refuses new connections and returns when the open requests are answered. */
+  /** From now on every answer closes its connection, so that callers move to other nodes. */
+  announceStop(): void;
+  /** Stops listening and returns when callers closed their connections, or after the keep-alive time of idle ones. */
   stop(): Promise<void>;
 }
 
@@ -44,15 +55,21 @@
   const adapter = new FastifyAdapter({
     bodyLimit: MAX_REQUEST_BODY_BYTES,
     requestTimeout: RECEIVE_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
     forceCloseConnections: 'idle',
     http: { maxHeaderSize: MAX_HEADER_BYTES },
+    clientErrorHandler: sendParserFailure,
+    frameworkErrors: (error: unknown, _request: unknown, reply: FastifyReply) => {
+      sendFailure(reply, describeHttpError(error));
+    },
   });
   const fastify = adapter.getInstance() as unknown as FastifyInstance;
   fastify.removeAllContentTypeParsers();
   fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
   });
-  if (options.maxConnections !== undefined) fastify.server.maxConnections = options.maxConnections;
+  fastify.server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+  const connections = recordConnections(fastify);
   const application = await createApplication(adapter, options);
   const { host, port } = options.listen;
   try {
@@ -63,14 +80,61 @@
   }
   const bound = fastify.server.address();
   const boundPort = typeof bound === 'object' && bound !== null ? bound.port : port;
-  return { address: `${host}:${boundPort}`, stop: () => application.close() };
+  return {
+    address: `${host}:${boundPort}`,
+    announceStop: connections.announceStop,
+    stop: async () => {
+      await connections.drain();
+      await application.close();
+    },
+  };
 }
 
-function createApplication(adapter: FastifyAdapter, options: HttpServerOptions): Promise<NestFastifyApplication> {
+function recordConnections(fastify: FastifyInstance): { announceStop(): void; drain(): Promise<void> } {
+  const open = new Set<Socket>();
+  let isClosing = false;
+  let finishDrain = (): void => undefined;
+  fastify.server.on('connection', (socket: Socket) => {
+    open.add(socket);
+    socket.once('close', () => {
+      open.delete(socket);
+      if (open.size === 0) finishDrain();
+    });
+  });
+  const announceStop = (): void => {
+    if (isClosing) return;
+    isClosing = true;
+    fastify.server.prependListener('request', (_request, response) => {
+      response.shouldKeepAlive = false;
+    });
+  };
+  return {
+    announceStop,
+    drain: () => {
+      announceStop();
+      // The close of http.Server would also cut idle connections, on which a request may be arriving.
+      NetServer.prototype.close.call(fastify.server);
+      if (open.size === 0) return Promise.resolve();
+      return new Promise((resolve) => {
+        const timer = setTimeout(resolve, KEEP_ALIVE_MS);
+        finishDrain = () => {
+          clearTimeout(timer);
+          resolve();
+        };
+      });
+    },
+  };
+}
+
+async function createApplication(adapter: FastifyAdapter, options: HttpServerOptions): Promise<NestFastifyApplication> {
   const module: DynamicModule = {
     module: HttpModule,
     controllers: options.controllers,
     providers: [{ provide: SERVED, useValue: options.served }],
   };
-  return NestFactory.create<NestFastifyApplication>(module, adapter, { bodyParser: false, logger: false });
+  const application = await NestFactory.create<NestFastifyApplication>(module, adapter, {
+    bodyParser: false,
+    logger: false,
+  });
+  return application.useGlobalFilters(new FailureFilter());
 }
--- a/src/http/localController.ts
+++ b/src/http/localController.ts
@@ -1,6 +1,7 @@
 import { Controller, Inject, Param, Post, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { Node } from '../node/createNode.js';
+import type { SystemFailure } from '../schema/failure.js';
 import { targetAnnouncementSchema } from '../schema/member.js';
 import { compileSchema } from '../schema/validate.js';
 import { getHeader, parseCallerCall } from './callRequest.js';
@@ -18,7 +19,12 @@
   handleAnnouncement(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
     const announcement = parseJson(request.body);
     if (!announcementValidator.isValid(announcement)) {
-      void reply.code(400).send({ faults: announcementValidator.listFaults(announcement) });
+      const failure: SystemFailure = {
+        kind: 'announcementInvalid',
+        message: 'the announcement of the target is malformed',
+        faults: announcementValidator.listFaults(announcement),
+      };
+      void reply.code(400).send({ failure });
       return;
     }
     this.node.announceTarget(announcement);
--- a/src/http/operatorController.ts
+++ b/src/http/operatorController.ts
@@ -1,8 +1,9 @@
 import { Controller, Get, Header, Inject, Query, Res } from '@nestjs/common';
 import type { FastifyReply } from 'fastify';
 import type { Node } from '../node/createNode.js';
-import type { TimelineEvent } from '../schema/event.js';
-import type { NodeStatus } from '../schema/status.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { EventPage, NodeStatus } from '../schema/status.js';
+import { sendFailure } from './callReply.js';
 import { SERVED } from './httpServer.js';
 import type { MetricsRegistry } from './metrics.js';
 
@@ -48,10 +49,15 @@
   }
 
   @Get('events')
-  getEvents(@Query('from') from: string | undefined): { next: number; events: TimelineEvent[] } {
+  getEvents(@Query('from') from: string | undefined, @Res() reply: FastifyReply): void {
     const { ring } = this.served.node.board.read('events');
     const start = Number(from ?? 0);
-    return { next: ring.end, events: ring.listFrom(Number.isFinite(start) ? start : 0) };
+    if (!Number.isInteger(start) || start < 0) {
+      sendFailure(reply, createCallFailure('requestMalformed', `from is "${from}" and must be an integer from 0`));
+      return;
+    }
+    const page: EventPage = { next: ring.end, events: ring.listFrom(start) };
+    void reply.send(page);
   }
 
   @Get('metrics')
--- a/src/http/targetClient.ts
+++ b/src/http/targetClient.ts
@@ -12,6 +12,8 @@
 
 const KEEP_ALIVE_MS = 60_000;
 const SERVICE_UNAVAILABLE = 503;
+const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
+const CONTENT_TYPE = /^[\x20-\x7e]{1,255}$/;
 
 interface RunningRequest {
   isStarted: boolean;
@@ -49,6 +51,12 @@
   };
 }
 
+/** A content type that a frame or an HTTP answer could not carry is replaced, so that the answer still arrives. */
+function readContentType(value: string | string[] | undefined): string {
+  const text = String(value ?? DEFAULT_CONTENT_TYPE);
+  return CONTENT_TYPE.test(text) ? text : DEFAULT_CONTENT_TYPE;
+}
+
 function sendRequest(pool: Pool, request: TargetRequest, done: (outcome: TargetOutcome) => void): () => void {
   const state: RunningRequest = {
     isStarted: false,
@@ -76,7 +84,7 @@
     },
     onResponseStart: (_controller, status, headers) => {
       state.status = status;
-      state.contentType = String(headers['content-type'] ?? 'application/octet-stream');
+      state.contentType = readContentType(headers['content-type']);
       state.isRefused = status === SERVICE_UNAVAILABLE && headers['hemlock-ran'] === 'no';
     },
     onResponseData: (controller, chunk) => {
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -48,6 +48,11 @@
 }
 
 const TOKEN_DIGITS = 24;
+/**
+ * A stopping node goes on to refuse calls for this long, since one that meets a closed connection would count as
+ * `unknown`. By design all nodes know within 2 s that it is leaving.
+ */
+const STOP_LINGER_MS = 2000;
 
 /**
  * Creates a node over functions for its effects, so that the daemon, the benches and the fuzzers run the same code.
@@ -102,9 +107,12 @@
     stop: (done) => {
       board.post('events', { kind: 'nodeStopping' });
       board.post('members', { type: 'setSelf', change: { nodeState: 'leaving' } });
+      const lingerUntilMs = clock.now() + STOP_LINGER_MS;
       callController.stopAccepting(() => {
-        for (const controller of controllers) controller.stop();
-        done();
+        clock.schedule(Math.max(0, lingerUntilMs - clock.now()), () => {
+          for (const controller of controllers) controller.stop();
+          done();
+        });
       });
     },
   };
--- a/src/schema/failure.ts
+++ b/src/schema/failure.ts
@@ -30,13 +30,17 @@
   deadlineExceeded: { ran: 'unknown', retry: 'never', status: 504 },
   deadlineUnreachable: { ran: 'no', retry: 'never', status: 503 },
   depthExceeded: { ran: 'no', retry: 'never', status: 508 },
+  headersTooLarge: { ran: 'no', retry: 'never', status: 431 },
+  internalFault: { ran: 'unknown', retry: 'never', status: 500 },
   internalField: { ran: 'no', retry: 'never', status: 400 },
   noTarget: { ran: 'no', retry: 'later', status: 503 },
   nonIdempotentUnderIdempotent: { ran: 'no', retry: 'never', status: 409 },
   overloaded: { ran: 'no', retry: 'elsewhere', status: 503 },
   quarantined: { ran: 'no', retry: 'never', status: 503 },
   requestMalformed: { ran: 'no', retry: 'never', status: 400 },
+  requestTimeout: { ran: 'no', retry: 'later', status: 408 },
   requestTooLarge: { ran: 'no', retry: 'never', status: 413 },
+  routeUnknown: { ran: 'no', retry: 'never', status: 404 },
   shed: { ran: 'no', retry: 'never', status: 503 },
   stopping: { ran: 'no', retry: 'elsewhere', status: 503 },
   targetCrashed: { ran: 'unknown', retry: 'elsewhere', status: 502 },
@@ -55,10 +59,13 @@
 
 const callFailureKinds = Object.keys(callFailureTraits) as CallFailureKind[];
 
+/** Longer messages are cut, since a frame with a longer one would be refused by the peer. */
+const MAX_MESSAGE_LENGTH = 1000;
+
 /** The failure of one call as it travels between nodes and to the caller. */
 export const callFailureSchema = Type.Object({
   kind: Type.Union(callFailureKinds.map((kind) => Type.Literal(kind))),
-  message: Type.String({ maxLength: 1000 }),
+  message: Type.String({ maxLength: MAX_MESSAGE_LENGTH }),
   ran: ranSchema,
   retry: retrySchema,
   host: Type.Optional(Type.String()),
@@ -74,6 +81,7 @@
   Type.Object({ kind: Type.Literal('logUnavailable'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('logAnswerMalformed'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('frameMalformed'), message: Type.String(), faults: Type.Array(faultSchema) }),
+  Type.Object({ kind: Type.Literal('announcementInvalid'), message: Type.String(), faults: Type.Array(faultSchema) }),
   Type.Object({ kind: Type.Literal('nodeUnreachable'), message: Type.String(), address: Type.String() }),
   Type.Object({ kind: Type.Literal('listenFailed'), message: Type.String(), address: Type.String() }),
   Type.Object({ kind: Type.Literal('trustInsufficient'), message: Type.String() }),
@@ -107,7 +115,7 @@
   const traits: CallFailureTraits = callFailureTraits[kind];
   return {
     kind,
-    message,
+    message: message.length > MAX_MESSAGE_LENGTH ? message.slice(0, MAX_MESSAGE_LENGTH) : message,
     ran: options.ran ?? traits.ran,
     retry: options.retry ?? traits.retry,
     ...(options.host === undefined ? {} : { host: options.host }),
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -114,5 +114,14 @@
       allowed: 'a loopback address, or tls, or allowPlainText',
     });
   }
-  return faults;
+  return [...faults, ...checkSeeds(settings)];
+}
+
+function checkSeeds(settings: Settings): Fault[] {
+  if (settings.tls !== undefined || settings.allowPlainText) return [];
+  return settings.seeds.flatMap((seed, index) => {
+    if (isLoopback(seed.slice(0, seed.lastIndexOf(':')))) return [];
+    const allowed = 'a loopback address, or tls, or allowPlainText';
+    return [{ path: `seeds.${index}`, found: `"${seed}" without tls`, allowed }];
+  });
 }
--- a/src/schema/status.ts
+++ b/src/schema/status.ts
@@ -20,3 +20,4 @@
 
 /** A page of the events of one node. */
 export const eventPageSchema = Type.Object({ next: Type.Integer(), events: Type.Array(eventSchema) });
+export type EventPage = Static<typeof eventPageSchema>;
--- a/src/standins/target.ts
+++ b/src/standins/target.ts
@@ -9,13 +9,17 @@
   /** Operations run since the start, by operation name. */
   readonly runs: Map<string, number>;
   /** Announces that it is leaving; calls under way go on. */
-  drain(): void;
+  drain(): Promise<void>;
   /** Changes the speed while running. */
   setSlowness(factor: number): void;
+  /** Drains, waits until no call has come for a while, and closes. */
   stop(): Promise<void>;
 }
 
 const ANNOUNCE_PERIOD_MS = 1000;
+const QUIET_MS = 300;
+const QUIET_CHECK_MS = 50;
+const QUIET_TIMEOUT_MS = 20_000;
 const CALL_HEADER = 'hemlock-call';
 
 /**
@@ -35,6 +39,7 @@
   let state: 'ready' | 'draining' = 'ready';
   let busySlots = 0;
   let nextDirect = 0;
+  const activity = { open: 0, lastMs: 0 };
 
   const takeSlot = (): Promise<void> => {
     if (busySlots < settings.slots) {
@@ -86,7 +91,10 @@
   };
   const runOperation = async (operation: string, request: FastifyRequest, reply: FastifyReply): Promise<void> => {
     const abort = new AbortController();
+    activity.open++;
     reply.raw.once('close', () => {
+      activity.open--;
+      activity.lastMs = performance.now();
       abort.abort();
     });
     await takeSlot();
@@ -127,12 +135,15 @@
     runs,
     drain: () => {
       state = 'draining';
-      void sendAnnouncement();
+      return sendAnnouncement();
     },
     setSlowness: (factor) => {
       slowness = factor;
     },
     stop: async () => {
+      state = 'draining';
+      await sendAnnouncement();
+      if (settings.node !== undefined) await waitUntilQuiet(activity);
       clearInterval(timer);
       await server.close();
       await agent.destroy();
@@ -140,6 +151,16 @@
   };
 }
 
+/** Calls that the node had already admitted still come after the announcement. */
+async function waitUntilQuiet(activity: { open: number; lastMs: number }): Promise<void> {
+  const endMs = performance.now() + QUIET_TIMEOUT_MS;
+  const startedMs = performance.now();
+  while (performance.now() < endMs) {
+    if (activity.open === 0 && performance.now() - Math.max(startedMs, activity.lastMs) > QUIET_MS) return;
+    await new Promise((resolve) => setTimeout(resolve, QUIET_CHECK_MS));
+  }
+}
+
 class OnwardCallError extends Error {
   constructor(
     readonly status: number,
--- a/src/standins/targetMain.ts
+++ b/src/standins/targetMain.ts
@@ -17,10 +17,9 @@
   const target = await startTarget(settings);
   process.stdout.write(`${JSON.stringify({ listening: { target: target.address } })}\n`);
   process.once('SIGUSR2', () => {
-    target.drain();
+    void target.drain();
   });
   process.once('SIGTERM', () => {
-    target.drain();
     void target.stop().then(() => process.exit(0));
   });
 }
--- a/src/transport/peerCredentials.ts
+++ b/src/transport/peerCredentials.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs';
+import { createSecureContext } from 'node:tls';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { FailureError } from '../schema/failure.js';
 import type { Settings } from '../schema/settings.js';
@@ -11,7 +12,7 @@
 /**
  * Creates the credentials of both directions: mutual TLS where the settings name keys, else plain text.
  *
- * @throws FailureError `fileUnreadable` when a key file cannot be read.
+ * @throws FailureError `fileUnreadable` when a key file cannot be read, `trustInsufficient` when its content is unusable.
  */
 export function createPeerCredentials(settings: Settings): PeerCredentials {
   const { tls } = settings;
@@ -21,11 +22,18 @@
   if (key === undefined || certificate === undefined || authority === undefined) {
     throw new FailureError({ kind: 'trustInsufficient', message: 'tls needs a key, a certificate and an authority' });
   }
-  const pair = { private_key: key, cert_chain: certificate };
-  return {
-    server: ServerCredentials.createSsl(authority, [pair], true),
-    client: ChannelCredentials.createSsl(authority, key, certificate),
-  };
+  try {
+    const pair = { private_key: key, cert_chain: certificate };
+    // Checks that key and certificate belong together, which grpc-js would report at the first connection only.
+    createSecureContext({ key, cert: certificate, ca: authority });
+    return {
+      server: ServerCredentials.createSsl(authority, [pair], true),
+      client: ChannelCredentials.createSsl(authority, key, certificate),
+    };
+  } catch (error) {
+    const message = `the key, certificate and authority named by tls cannot be used: ${String(error)}`;
+    throw new FailureError({ kind: 'trustInsufficient', message });
+  }
 }
 
 function readPem(path: string): Buffer {
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -1,10 +1,12 @@
 import { Metadata, Server, status } from '@grpc/grpc-js';
 import type { ServerCredentials, ServerDuplexStream } from '@grpc/grpc-js';
 import { FailureError } from '../schema/failure.js';
+import type { SystemFailure } from '../schema/failure.js';
 import { laneSchema } from '../schema/frame.js';
 import type { Frame } from '../schema/frame.js';
 import type { ListenSettings } from '../schema/settings.js';
 import { compileSchema } from '../schema/validate.js';
+import { decodeFrame } from './frameCodec.js';
 import { HOST_HEADER, LANE_HEADER, MAX_FRAME_BYTES, peerService } from './peerService.js';
 import type { FrameReceiver } from './peerService.js';
 
@@ -13,7 +15,7 @@
   credentials: ServerCredentials;
   receiveFrame: FrameReceiver;
   /** Called with what went wrong on a stream; the stream is closed, the server goes on. */
-  reportFailure?: (message: string) => void;
+  reportFailure?: (failure: SystemFailure) => void;
 }
 
 export interface PeerServer {
@@ -22,6 +24,9 @@
   stop(): Promise<void>;
 }
 
+const HOST_NAME = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,254}$/;
+/** A peer that has not closed its side by then does not read. */
+const FLUSH_TIMEOUT_MS = 1000;
 const laneValidator = compileSchema(laneSchema);
 
 /**
@@ -34,24 +39,45 @@
     'grpc.max_receive_message_length': MAX_FRAME_BYTES,
     'grpc.max_send_message_length': MAX_FRAME_BYTES,
   });
-  server.addService(peerService, {
-    exchange: (stream: ServerDuplexStream<Frame, Frame>) => {
-      acceptStream(stream, options);
+  const streams = new Set<ServerDuplexStream<Frame, Frame>>();
+  const exchange = { ...peerService.exchange, requestDeserialize: createDecoder(options) };
+  server.addService(
+    { exchange },
+    {
+      exchange: (stream: ServerDuplexStream<Frame, Frame>) => {
+        streams.add(stream);
+        stream.once('close', () => streams.delete(stream));
+        acceptStream(stream, options);
+      },
     },
-  });
+  );
   const { host, port } = options.listen;
   const boundPort = await openServer(server, `${host}:${port}`, options.credentials);
   return {
     address: `${host}:${boundPort}`,
-    stop: () => stopServer(server),
+    stop: () => stopServer(server, streams),
+  };
+}
+
+/** Decoding errors end the stream inside grpc-js, so they are reported where they arise. */
+function createDecoder({ reportFailure }: PeerServerOptions): (bytes: Buffer) => Frame {
+  return (bytes) => {
+    try {
+      return decodeFrame(bytes);
+    } catch (error) {
+      if (error instanceof FailureError) reportFailure?.(error.failure as SystemFailure);
+      throw error;
+    }
   };
 }
 
 function acceptStream(stream: ServerDuplexStream<Frame, Frame>, options: PeerServerOptions): void {
   const host = String(stream.metadata.get(HOST_HEADER)[0] ?? '');
   const lane: unknown = stream.metadata.get(LANE_HEADER)[0];
-  if (host === '' || !laneValidator.isValid(lane)) {
-    stream.emit('error', { code: status.INVALID_ARGUMENT, details: 'host or lane header is missing' });
+  if (!HOST_NAME.test(host) || !laneValidator.isValid(lane)) {
+    const message = `a peer opened a stream without a valid ${HOST_HEADER} or ${LANE_HEADER} header`;
+    options.reportFailure?.({ kind: 'frameMalformed', message, faults: [] });
+    stream.emit('error', { code: status.INVALID_ARGUMENT, details: message });
     return;
   }
   stream.sendMetadata(new Metadata());
@@ -62,7 +88,8 @@
     options.receiveFrame(host, lane, frame, respond);
   });
   stream.on('error', (error: Error) => {
-    options.reportFailure?.(`the stream from ${host} (${lane}) failed: ${error.message}`);
+    const message = `the stream from ${host} (${lane}) failed: ${error.message}`;
+    options.reportFailure?.({ kind: 'nodeUnreachable', message, address: host });
   });
   stream.on('end', () => {
     stream.end();
@@ -81,11 +108,17 @@
   });
 }
 
-function stopServer(server: Server): Promise<void> {
+/** Ends the streams after what was written on them, so that the last answers reach their nodes. */
+function stopServer(server: Server, streams: ReadonlySet<ServerDuplexStream<Frame, Frame>>): Promise<void> {
   return new Promise((resolve) => {
+    const timer = setTimeout(() => {
+      server.forceShutdown();
+      resolve();
+    }, FLUSH_TIMEOUT_MS);
+    for (const stream of streams) stream.end();
     server.tryShutdown(() => {
+      clearTimeout(timer);
       resolve();
     });
-    server.forceShutdown();
   });
 }
