Infer the types of calls and their results from schemas

Cause: the types of caller calls, results and target requests were written by hand, against the rule that data types follow from schemas. Change: src/schema/call.ts holds the schemas; control keeps only types with functions in them. Conclusion: no behaviour changes.

--- a/src/bench/fakes/fakeTarget.ts
+++ b/src/bench/fakes/fakeTarget.ts
@@ -1,7 +1,8 @@
-import type { CallTarget, TargetOutcome, TargetRequest } from '../../control/context.js';
-import type { CallReply, CancelCall, OnwardCall } from '../../control/calls.js';
+import type { CallTarget } from '../../control/context.js';
+import type { CallReply, CancelCall } from '../../control/calls.js';
 import { generateExponential } from '../../core/random.js';
 import type { Random } from '../../core/random.js';
+import type { OnwardCall, TargetOutcome, TargetRequest } from '../../schema/call.js';
 import { createCallFailure } from '../../schema/failure.js';
 import type { ProcessClock } from './fakeProcess.js';
 
--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -1,10 +1,11 @@
 import { isAdmitted } from '../policy/shedding.js';
+import type { CallResult, TargetOutcome } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, LoadHint } from '../schema/frame.js';
 import { serviceConfigurationDefaults } from '../schema/serviceConfiguration.js';
-import type { AllowanceAccount, CallReply, CallResult, CancelCall, RunningCall } from './calls.js';
-import type { ControllerContext, TargetOutcome } from './context.js';
+import type { AllowanceAccount, CallReply, CancelCall, RunningCall } from './calls.js';
+import type { ControllerContext } from './context.js';
 import { describeCall } from './dispatchCalls.js';
 import type { Sections } from './sections.js';
 
--- a/src/control/buildEnvelope.ts
+++ b/src/control/buildEnvelope.ts
@@ -1,10 +1,11 @@
 import { hashText, hashToUnit } from '../core/hash.js';
+import type { CallerCall } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import { MAX_DEPTH } from '../schema/frame.js';
 import type { CallEnvelope } from '../schema/frame.js';
 import type { Operation, ServiceConfiguration } from '../schema/serviceConfiguration.js';
-import type { CallerCall, RunningCall } from './calls.js';
+import type { RunningCall } from './calls.js';
 import type { NodeBoard } from './sections.js';
 
 export type EnvelopeOutcome =
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -1,9 +1,10 @@
+import type { CallResult, CallerCall, OnwardCall } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFrame, Frame, Lane, ReplyFrame } from '../schema/frame.js';
 import { createAdmission } from './admitCalls.js';
 import { buildEntryEnvelope, buildOnwardEnvelope } from './buildEnvelope.js';
 import type { EnvelopeOutcome } from './buildEnvelope.js';
-import type { CallerCall, CallReply, CallResult, CancelCall, OnwardCall, RunningCall } from './calls.js';
+import type { CallReply, CancelCall, RunningCall } from './calls.js';
 import type { Controller, ControllerContext } from './context.js';
 import { createDispatcher, describeCall, generateRequestId } from './dispatchCalls.js';
 
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -1,41 +1,7 @@
 import type { CancelDeadline } from '../core/deadlineTimer.js';
-import type { CallFailure } from '../schema/failure.js';
+import type { CallResult } from '../schema/call.js';
 import type { CallEnvelope } from '../schema/frame.js';
 
-/** A call as an outside caller makes it. */
-export interface CallerCall {
-  service: string;
-  operation: string;
-  /** Names the caller for fair shares. */
-  callerKey: string;
-  contentType: string;
-  body: Uint8Array;
-  /** Time that the caller allows (ms); capped by the operation's own deadline. */
-  deadlineMs?: number;
-  /** A ticket, for non-idempotent operations. */
-  idempotencyKey?: string;
-}
-
-/** A call that the local target makes; `token` names the running call that it belongs to. */
-export interface OnwardCall extends CallerCall {
-  token?: string;
-}
-
-interface ResultFields {
-  /** Extra attempts not spent out of those given with the call. */
-  allowanceLeft: number;
-  /** Least admitted fraction of the call's priority on its way. */
-  admittedFraction: number;
-  /** Set where the request entered. */
-  requestId?: string;
-  /** The ticket under which a non-idempotent call ran. */
-  ticket?: string;
-}
-
-export type CallAnswer = ResultFields & { type: 'answer'; status: number; contentType: string; body: Uint8Array };
-export type CallRefusal = ResultFields & { type: 'refusal'; failure: CallFailure };
-export type CallResult = CallAnswer | CallRefusal;
-
 /** Receives the one result of a call. */
 export type CallReply = (result: CallResult) => void;
 
--- a/src/control/context.ts
+++ b/src/control/context.ts
@@ -3,28 +3,12 @@
 import type { HybridClock } from '../core/hybridClock.js';
 import type { Random } from '../core/random.js';
 import type { Policies } from '../policy/policies.js';
-import type { CallFailure } from '../schema/failure.js';
+import type { TargetOutcome, TargetRequest } from '../schema/call.js';
 import type { Frame, Lane } from '../schema/frame.js';
 import type { LogAppendOutcome, LogReadOutcome, LogRecord } from '../schema/logRecord.js';
 import type { Settings } from '../schema/settings.js';
 import type { NodeBoard } from './sections.js';
 
-/** One call as the local target receives it. */
-export interface TargetRequest {
-  address: string;
-  service: string;
-  operation: string;
-  requestId: string;
-  /** Unguessable name of the running call, which the target repeats on its onward calls. */
-  token: string;
-  deadlineMs: number;
-  contentType: string;
-  body: Uint8Array;
-}
-
-export type TargetOutcome =
-  { type: 'answer'; status: number; contentType: string; body: Uint8Array } | { type: 'failure'; failure: CallFailure };
-
 /** Sends a call to the local target; the outcome is reported once unless the returned function is called first. */
 export type CallTarget = (request: TargetRequest, done: (outcome: TargetOutcome) => void) => () => void;
 
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -1,12 +1,13 @@
 import { generateId } from '../core/random.js';
 import { isAdmitted } from '../policy/shedding.js';
 import type { RouteCandidate } from '../policy/routing.js';
+import type { CallResult } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, ReplyFrame } from '../schema/frame.js';
 import type { MemberRecord } from '../schema/member.js';
 import type { AdmitCall } from './admitCalls.js';
-import type { AllowanceAccount, Attempt, CallReply, CallResult, DispatchedCall, RunningCall } from './calls.js';
+import type { AllowanceAccount, Attempt, CallReply, DispatchedCall, RunningCall } from './calls.js';
 import type { ControllerContext } from './context.js';
 import type { Sections } from './sections.js';
 
--- a/src/http/callReply.ts
+++ b/src/http/callReply.ts
@@ -1,5 +1,5 @@
 import type { FastifyReply } from 'fastify';
-import type { CallResult } from '../control/calls.js';
+import type { CallResult } from '../schema/call.js';
 import { callFailureTraits } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 
--- a/src/http/callRequest.ts
+++ b/src/http/callRequest.ts
@@ -1,5 +1,5 @@
 import type { FastifyRequest } from 'fastify';
-import type { CallerCall } from '../control/calls.js';
+import type { CallerCall } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 
--- a/src/http/targetClient.ts
+++ b/src/http/targetClient.ts
@@ -1,6 +1,7 @@
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { CallTarget, TargetOutcome, TargetRequest } from '../control/context.js';
+import type { CallTarget } from '../control/context.js';
+import type { TargetOutcome, TargetRequest } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailureKind, Ran } from '../schema/failure.js';
 import { MAX_ANSWER_BODY_BYTES } from '../schema/frame.js';
