Run non-idempotent requests under tickets

A non-idempotent request ran once per resend: idempotency-key was read and ignored. Tickets are issued by POST /v1/tickets or at the entry, and only the process that issued one decides about it: it runs the first use, joins a running one, repeats the answer, and answers unknown for all that it does not remember. An idempotent call whose first attempt may have run and whose retry was refused said ran no; the attempts are merged now. Calls from a node whose stream ended are cancelled. A reply made within admission left its entry in calls.incoming; it no longer does.

--- a/src/bench/fakes/fakeNetwork.ts
+++ b/src/bench/fakes/fakeNetwork.ts
@@ -43,6 +43,8 @@
   /** Links on which frames were sent: `from`, lane and `to`. */
   const openLinks = new Map<string, { from: string; lane: Lane; to: string }>();
   const toLose = new Map<Frame['type'], number>();
+  /** By sender, lane and receiver: the function with which the receiver writes back on the sender's stream. */
+  const responders = new Map<string, { from: FakeEndpoint; to: FakeEndpoint; respond: (frame: Frame) => void }>();
   let framesSent = 0;
 
   const findEndpoint = (peer: string): FakeEndpoint | undefined =>
@@ -74,18 +76,39 @@
     clock.schedule(delayMs, () => {
       if (endpoints.get(to.host) !== to || isCut(from, to)) return;
       to.process.runWhenAwake(() => {
-        to.node.receiveFrame(from.host, lane, frame, (answer) => {
-          if (endpoints.get(from.host) === from && !to.process.isKilled) deliver(to, from, lane, answer);
-        });
+        to.node.receiveFrame(from.host, lane, frame, getResponder(from, to, lane));
       });
     });
   };
+  const getResponder = (from: FakeEndpoint, to: FakeEndpoint, lane: Lane): ((frame: Frame) => void) => {
+    const key = `${from.host} ${lane} ${to.host}`;
+    const known = responders.get(key);
+    if (known?.from === from && known.to === to) return known.respond;
+    const respond = (answer: Frame): void => {
+      if (endpoints.get(from.host) === from && !to.process.isKilled) deliver(to, from, lane, answer);
+    };
+    responders.set(key, { from, to, respond });
+    return respond;
+  };
+  const endStreams = (host: string): void => {
+    for (const [key, { from, to, respond }] of responders) {
+      if (from.host !== host && to.host !== host) continue;
+      responders.delete(key);
+      if (from.host !== host) continue;
+      clock.schedule(localDelayMs, () => {
+        to.process.runWhenAwake(() => {
+          to.node.receiveStreamEnded(respond);
+        });
+      });
+    }
+  };
   return {
     attach: (endpoint) => {
       endpoints.set(endpoint.host, endpoint);
     },
     detach: (host) => {
       endpoints.delete(host);
+      endStreams(host);
       for (const [key, link] of openLinks) {
         if (link.to === host) closeLink(key);
         else if (link.from === host) openLinks.delete(key);
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -1,11 +1,11 @@
-import { createCallFailure } from '../schema/failure.js';
 import type { CallFrame, Frame, Lane, ReplyFrame } from '../schema/frame.js';
 import { createAdmission } from './admitCalls.js';
-import { buildEntryEnvelope, buildOnwardEnvelope } from './buildEnvelope.js';
-import type { EnvelopeOutcome } from './buildEnvelope.js';
 import type { CallerCall, CallReply, CallResult, CancelCall, OnwardCall, RunningCall } from './calls.js';
 import type { Controller, ControllerContext } from './context.js';
-import { createDispatcher, describeCall, generateRequestId } from './dispatchCalls.js';
+import { createDispatcher } from './dispatchCalls.js';
+import { createEntryCalls } from './entryCalls.js';
+import { createHomeCalls } from './homeCalls.js';
+import { createOnwardCalls } from './onwardCalls.js';
 
 export interface CallController extends Controller {
   handleCallerCall(call: CallerCall, reply: CallReply): CancelCall;
@@ -14,103 +14,63 @@
   receiveReply(frame: ReplyFrame): void;
   receiveCancel(host: string, callId: string): void;
   receiveLinkClosed(host: string, lane: Lane): void;
+  /** Cancels the calls that came by a stream which ended, since no answer can reach their caller. */
+  receiveStreamEnded(respond: (frame: Frame) => void): void;
   /** Refuses new calls and calls back once none is in flight. */
   stopAccepting(done: () => void): void;
 }
 
 const ignore = (): void => undefined;
+const IDLE_CHECK_MS = 20;
 
 /** Writes the calls of this node: takes them in, sends them to targets, and runs those for the local target. */
 export function createCallController(context: ControllerContext): CallController {
-  const { board, clock, random } = context;
+  const { board, clock } = context;
   const calls = board.claim('calls', 'callController');
   const queue = board.claim('queue', 'callController');
   const samples = board.claim('samples', 'callController');
-  const incoming = calls.section.incoming;
+  const { section } = calls;
+  const { incoming } = section;
 
   const cancelChildren = (call: RunningCall): void => {
     for (const child of call.children) dispatcher.cancel(child);
     call.children.clear();
   };
-  const admission = createAdmission(context, calls.section, queue.section, samples.section, cancelChildren);
-  const dispatcher = createDispatcher(context, calls.section, samples.section, admission.admit);
+  const admission = createAdmission(context, section, queue.section, samples.section, cancelChildren);
+  const dispatcher = createDispatcher(context, section, samples.section, admission.admit);
+  const homeCalls = createHomeCalls(context, section, dispatcher);
+  const entryCalls = createEntryCalls(context, section, dispatcher, homeCalls);
+  const onwardCalls = createOnwardCalls(context, section, dispatcher);
 
-  const refuse = (reply: CallReply, failure: ReturnType<typeof createCallFailure>): CancelCall => {
-    reply({ type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
-    return ignore;
-  };
-  const acceptEntry = (call: CallerCall, reply: CallReply): CancelCall => {
-    if (calls.section.isStopping)
-      return refuse(reply, createCallFailure('stopping', 'this node is stopping; use another one'));
-    if (calls.section.dispatched.size >= context.settings.maxCallsInFlight) {
-      return refuse(
-        reply,
-        createCallFailure('overloaded', 'this node has too many calls in flight', { retry: 'later' }),
-      );
+  const respondWith = (callId: string, result: CallResult, respond: (frame: Frame) => void): void => {
+    const { allowanceLeft, admittedFraction } = result;
+    const shared = { callId, allowanceLeft, admittedFraction, load: admission.getLoad() };
+    if (result.type === 'refusal') {
+      respond({ type: 'refusal', ...shared, failure: result.failure });
+      return;
     }
-    const outcome = buildEntryEnvelope(board, call, generateRequestId(random));
-    if (outcome.type === 'failed') return refuse(reply, outcome.failure);
-    return dispatchEntry(outcome, reply);
-  };
-  const dispatchEntry = (outcome: EnvelopeOutcome & { type: 'built' }, reply: CallReply): CancelCall => {
-    const { envelope } = outcome;
-    const startedAtMs = clock.now();
-    const account = { remaining: envelope.allowance };
-    const dispatched = dispatcher.dispatch({
-      envelope,
-      account,
-      parent: undefined,
-      reply: (result) => {
-        recordResult(result, startedAtMs);
-        reply({ ...result, requestId: envelope.requestId });
-      },
-    });
-    const recordResult = (result: CallResult, fromMs: number): void => {
-      const data = {
-        durationMs: clock.now() - fromMs,
-        result: result.type === 'answer' ? 'answered' : result.failure.kind,
-      };
-      if (result.type === 'refusal') board.post('events', { kind: 'callRefused', ...describeCall(envelope), data });
-      else if (envelope.shedKey < SAMPLED_EVENTS)
-        board.post('events', { kind: 'callAnswered', ...describeCall(envelope), data });
-    };
-    return () => {
-      dispatcher.cancel(dispatched);
-    };
+    const { status, contentType, body } = result;
+    respond({ type: 'answer', ...shared, status, contentType, body });
   };
-
-  const acceptOnward = (call: OnwardCall, parent: RunningCall, reply: CallReply): CancelCall => {
-    const outcome = buildOnwardEnvelope(board, call, parent, clock.now());
-    if (outcome.type === 'failed') return refuse(reply, outcome.failure);
-    openOnward(parent);
-    const child = dispatcher.dispatch({
-      envelope: outcome.envelope,
-      account: parent.account,
-      parent,
-      reply: (result) => {
-        closeOnward(parent);
-        if (result.type === 'refusal' && result.failure.retry === 'never') parent.isRetryForbidden = true;
-        reply(result);
-      },
-    });
-    if (!child.isFinished) parent.children.add(child);
-    return () => {
-      if (child.isFinished) return;
-      dispatcher.cancel(child);
-      closeOnward(parent);
+  const receiveCall = (host: string, frame: CallFrame, respond: (frame: Frame) => void): void => {
+    const { callId, envelope, purpose } = frame;
+    const key = `${host}/${callId}`;
+    let isReplied = false;
+    const finish = (result: CallResult): void => {
+      isReplied = true;
+      incoming.delete(key);
+      respondWith(callId, result, respond);
     };
-  };
-  const openOnward = (parent: RunningCall): void => {
-    if (parent.onwardOpen === 0) parent.onwardSinceMs = clock.now();
-    parent.onwardOpen++;
-  };
-  const closeOnward = (parent: RunningCall): void => {
-    parent.onwardOpen--;
-    if (parent.onwardOpen === 0) parent.onwardTimeMs += clock.now() - parent.onwardSinceMs;
+    const cancel =
+      purpose === 'home'
+        ? homeCalls.handle(envelope, finish, { canBeResent: true })
+        : admission.admit(envelope, { remaining: envelope.allowance }, finish);
+    if (!isReplied) incoming.set(key, { respond, cancel });
   };
 
   const checkIdle = (done: () => void): void => {
-    if (calls.section.dispatched.size === 0 && calls.section.running.size === 0) done();
+    const { dispatched, forwarded, running } = section;
+    if (dispatched.size === 0 && forwarded.size === 0 && running.size === 0) done();
     else
       clock.schedule(IDLE_CHECK_MS, () => {
         checkIdle(done);
@@ -118,44 +78,26 @@
   };
 
   return {
-    handleCallerCall: acceptEntry,
-    handleOnwardCall: (call, reply) => {
-      if (call.token === undefined) return acceptEntry(call, reply);
-      const parent = calls.section.running.get(call.token);
-      if (parent?.state !== 'running')
-        return refuse(reply, createCallFailure('callTokenInvalid', 'the call that makes this call is not running'));
-      return acceptOnward(call, parent, reply);
-    },
-    receiveCall: (host, frame, respond) => {
-      const key = `${host}/${frame.callId}`;
-      const cancel = admission.admit(frame.envelope, { remaining: frame.envelope.allowance }, (result) => {
-        incoming.delete(key);
-        const shared = {
-          callId: frame.callId,
-          allowanceLeft: result.allowanceLeft,
-          admittedFraction: result.admittedFraction,
-          load: admission.getLoad(),
-        };
-        if (result.type === 'refusal') respond({ type: 'refusal', ...shared, failure: result.failure });
-        else
-          respond({
-            type: 'answer',
-            ...shared,
-            status: result.status,
-            contentType: result.contentType,
-            body: result.body,
-          });
-      });
-      if (cancel !== ignore) incoming.set(key, cancel);
-    },
+    handleCallerCall: entryCalls.accept,
+    handleOnwardCall: (call, reply) =>
+      call.token === undefined ? entryCalls.accept(call, reply) : onwardCalls.accept(call, call.token, reply),
+    receiveCall,
     receiveReply: dispatcher.receiveReply,
     receiveCancel: (host, callId) => {
-      incoming.get(`${host}/${callId}`)?.();
-      incoming.delete(`${host}/${callId}`);
+      const key = `${host}/${callId}`;
+      incoming.get(key)?.cancel();
+      incoming.delete(key);
     },
     receiveLinkClosed: dispatcher.receiveLinkClosed,
+    receiveStreamEnded: (respond) => {
+      for (const [key, call] of incoming) {
+        if (call.respond !== respond) continue;
+        incoming.delete(key);
+        call.cancel();
+      }
+    },
     stopAccepting: (done) => {
-      calls.section.isStopping = true;
+      section.isStopping = true;
       calls.publishChange();
       checkIdle(done);
     },
@@ -165,7 +107,3 @@
     stop: ignore,
   };
 }
-
-const IDLE_CHECK_MS = 20;
-/** Share of requests whose answers are recorded on the time line; refusals always are. */
-const SAMPLED_EVENTS = 0.01;
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -1,6 +1,6 @@
 import type { CancelDeadline } from '../core/deadlineTimer.js';
-import type { CallFailure } from '../schema/failure.js';
-import type { CallEnvelope } from '../schema/frame.js';
+import type { CallFailure, Ran } from '../schema/failure.js';
+import type { CallEnvelope, Frame } from '../schema/frame.js';
 
 /** A call as an outside caller makes it. */
 export interface CallerCall {
@@ -56,6 +56,8 @@
   readonly parent: RunningCall | undefined;
   readonly triedHosts: Set<string>;
   attempts: number;
+  /** What the attempts so far say about the work together. */
+  ran: Ran;
   /** Least fraction heard from attempts of this call. */
   admittedFraction: number;
   isFinished: boolean;
@@ -79,6 +81,27 @@
   settle(result: CallResult): void;
 }
 
+/** A call that a peer sent; its reply is written on the stream that it came by. */
+export interface IncomingCall {
+  readonly respond: (frame: Frame) => void;
+  readonly cancel: CancelCall;
+}
+
+/** A call that the home of its ticket answers. */
+export interface ForwardedCall {
+  readonly callId: string;
+  isFinished: boolean;
+}
+
+/** The one execution of a ticket, at the ticket's home. */
+export interface HomeRun {
+  /** Callers of this ticket that wait for the result. */
+  readonly waiting: Set<CallReply>;
+  /** False when no caller knows the ticket yet, so that none can ask for the result again. */
+  readonly canBeResent: boolean;
+  call: DispatchedCall | undefined;
+}
+
 /** A call that waits for or runs at the local target. */
 export interface RunningCall {
   readonly token: string;
--- a/src/control/context.ts
+++ b/src/control/context.ts
@@ -3,6 +3,7 @@
 import type { HybridClock } from '../core/hybridClock.js';
 import type { Random } from '../core/random.js';
 import type { Policies } from '../policy/policies.js';
+import type { ComputeMac } from '../policy/ticket.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { Frame, Lane } from '../schema/frame.js';
 import type { LogAppendOutcome, LogReadOutcome, LogRecord } from '../schema/logRecord.js';
@@ -57,6 +58,8 @@
   random: Random;
   /** Creates an unguessable text. */
   generateToken: () => string;
+  /** Keyed hash of this process for its tickets. */
+  computeTicketMac: ComputeMac;
   policies: Policies;
   io: NodeIo;
 }
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -1,5 +1,6 @@
 import { generateId } from '../core/random.js';
 import { isAdmitted } from '../policy/shedding.js';
+import { mergeRan } from '../policy/ran.js';
 import type { RouteCandidate } from '../policy/routing.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
@@ -57,7 +58,9 @@
     call.reply({ ...result, admittedFraction, allowanceLeft: call.account.remaining });
   };
   const fail = (call: DispatchedCall, failure: CallFailure): void => {
-    finish(call, { type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+    // An earlier attempt may have run even if the last one certainly did not.
+    const told = { ...failure, ran: mergeRan(call.ran, failure.ran) };
+    finish(call, { type: 'refusal', failure: told, allowanceLeft: 0, admittedFraction: 1 });
   };
 
   const startAttempt = (call: DispatchedCall, candidates: readonly RouteCandidate[]): void => {
@@ -131,6 +134,7 @@
       finish(call, result);
       return;
     }
+    call.ran = mergeRan(call.ran, result.failure.ran);
     retryOrFail(call, result.failure);
   };
 
@@ -221,6 +225,7 @@
         parent,
         triedHosts: new Set(),
         attempts: 0,
+        ran: 'no',
         admittedFraction: 1,
         isFinished: false,
         attempt: undefined,
@@ -256,7 +261,10 @@
     },
     receiveReply: (frame) => {
       const remote = calls.remote.get(frame.callId);
-      if (remote === undefined) return;
+      if (remote === undefined) {
+        calls.lateReplies++;
+        return;
+      }
       calls.remote.delete(frame.callId);
       if (frame.load !== undefined) board.post('routes', { type: 'heard', host: remote.host, load: frame.load });
       remote.settle(frame);
--- /dev/null
+++ b/src/control/entryCalls.ts
@@ -0,0 +1,117 @@
+import { createInvalidTicketFailure, parseTicket } from '../policy/ticket.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { CallEnvelope } from '../schema/frame.js';
+import { hashToUnit } from '../core/hash.js';
+import { buildEntryEnvelope } from './buildEnvelope.js';
+import type { CallerCall, CallReply, CallResult, CancelCall } from './calls.js';
+import type { ControllerContext } from './context.js';
+import { describeCall, generateRequestId } from './dispatchCalls.js';
+import type { Dispatcher } from './dispatchCalls.js';
+import { createForwarder } from './forwardCalls.js';
+import type { HomeCalls } from './homeCalls.js';
+import type { Sections } from './sections.js';
+
+export interface EntryCalls {
+  /** Takes a request from outside; the reply is made once unless the returned function is called first. */
+  accept(call: CallerCall, reply: CallReply): CancelCall;
+}
+
+const ignore = (): void => undefined;
+/** Share of requests whose answers are recorded on the time line; refusals always are. */
+const SAMPLED_EVENTS = 0.01;
+
+/** Takes requests in: idempotent ones are dispatched here, all others at the home of their ticket. */
+export function createEntryCalls(
+  context: ControllerContext,
+  calls: Sections['calls'],
+  dispatcher: Dispatcher,
+  homeCalls: HomeCalls,
+): EntryCalls {
+  const { board, clock, random, settings } = context;
+  const forwarder = createForwarder(context, calls);
+
+  const checkCapacity = (): CallFailure | undefined => {
+    if (calls.isStopping) return createCallFailure('stopping', 'this node is stopping; use another one');
+    if (calls.dispatched.size + calls.forwarded.size < settings.maxCallsInFlight) return undefined;
+    return createCallFailure('overloaded', 'this node has too many calls in flight', { retry: 'later' });
+  };
+  const issueTicket = (): string => {
+    let ticket = '';
+    board.post('tickets', {
+      type: 'issue',
+      count: 1,
+      take: ([issued = '']) => {
+        ticket = issued;
+      },
+    });
+    return ticket;
+  };
+
+  const acceptTicket = (envelope: CallEnvelope, key: string, reply: CallReply): CancelCall => {
+    const ticket = parseTicket(key);
+    if (ticket === undefined) {
+      return refuse(reply, createInvalidTicketFailure('the idempotency-key is not a ticket of this system'));
+    }
+    if (ticket.home === settings.host) return homeCalls.handle(envelope, reply, { canBeResent: true });
+    const failure = checkCapacity();
+    // Only the home knows what became of an earlier use of the ticket.
+    if (failure !== undefined) return refuse(reply, { ...failure, ran: 'unknown' });
+    return forwarder.forward(ticket.home, envelope, reply);
+  };
+
+  const acceptUnkeyed = (envelope: CallEnvelope, reply: CallReply): CancelCall => {
+    const failure = checkCapacity();
+    if (failure !== undefined) return refuse(reply, failure);
+    if (!envelope.idempotent) return homeCalls.handle(envelope, reply, { canBeResent: false });
+    const dispatched = dispatcher.dispatch({
+      envelope,
+      account: { remaining: envelope.allowance },
+      parent: undefined,
+      reply,
+    });
+    return () => {
+      dispatcher.cancel(dispatched);
+    };
+  };
+
+  const createRecorder = (envelope: CallEnvelope, reply: CallReply): CallReply => {
+    const startedAtMs = clock.now();
+    return (result) => {
+      const data = { durationMs: clock.now() - startedAtMs, result: describeResult(result) };
+      if (result.type === 'refusal') board.post('events', { kind: 'callRefused', ...describeCall(envelope), data });
+      else if (envelope.shedKey < SAMPLED_EVENTS)
+        board.post('events', { kind: 'callAnswered', ...describeCall(envelope), data });
+      reply({
+        ...result,
+        requestId: envelope.requestId,
+        ...(envelope.ticket === undefined ? {} : { ticket: envelope.ticket }),
+      });
+    };
+  };
+
+  return {
+    accept: (call, reply) => {
+      const key = call.idempotencyKey;
+      const outcome = buildEntryEnvelope(board, call, generateRequestId(random));
+      if (outcome.type === 'failed') {
+        return refuse(reply, key === undefined ? outcome.failure : { ...outcome.failure, ran: 'unknown' });
+      }
+      const { envelope } = outcome;
+      if (envelope.idempotent) return acceptUnkeyed(envelope, createRecorder(envelope, reply));
+      const ticket = key ?? issueTicket();
+      const ticketed = { ...envelope, ticket, shedKey: hashToUnit(ticket) };
+      const recorder = createRecorder(ticketed, reply);
+      return key === undefined ? acceptUnkeyed(ticketed, recorder) : acceptTicket(ticketed, key, recorder);
+    },
+  };
+}
+
+function refuse(reply: CallReply, failure: CallFailure): CancelCall {
+  reply({ type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+  return ignore;
+}
+
+function describeResult(result: CallResult): string {
+  return result.type === 'answer' ? 'answered' : result.failure.kind;
+}
--- /dev/null
+++ b/src/control/homeCalls.ts
@@ -0,0 +1,123 @@
+import { createInvalidTicketFailure, parseTicket, resolveTicket } from '../policy/ticket.js';
+import type { Ticket } from '../policy/ticket.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { CallEnvelope } from '../schema/frame.js';
+import type { TicketOutcome } from '../schema/state.js';
+import type { CallReply, CallResult, CancelCall, HomeRun } from './calls.js';
+import type { ControllerContext } from './context.js';
+import type { Dispatcher } from './dispatchCalls.js';
+import type { Sections } from './sections.js';
+
+export interface HomeCalls {
+  /**
+   * Handles a call at the home of its ticket: runs it on first use, joins the run, or repeats its result. With
+   * `canBeResent` the run goes on when its callers leave, so that a resend finds the result.
+   */
+  handle(envelope: CallEnvelope, reply: CallReply, options: { canBeResent: boolean }): CancelCall;
+}
+
+const ignore = (): void => undefined;
+
+/** Decides about the tickets that this process issued; no other process does. */
+export function createHomeCalls(
+  context: ControllerContext,
+  calls: Sections['calls'],
+  dispatcher: Dispatcher,
+): HomeCalls {
+  const { board, clock, computeTicketMac, deadlines, settings } = context;
+
+  const refuse = (reply: CallReply, failure: CallFailure): CancelCall => {
+    reply({ type: 'refusal', failure: { ...failure, host: settings.host }, allowanceLeft: 0, admittedFraction: 1 });
+    return ignore;
+  };
+
+  const start = (ticket: Ticket, envelope: CallEnvelope, reply: CallReply, canBeResent: boolean): CancelCall => {
+    if (calls.isStopping) {
+      const message = `node ${settings.host}, which issued this ticket, is stopping; get a new ticket at another node`;
+      return refuse(reply, createCallFailure('stopping', message));
+    }
+    if (calls.dispatched.size >= settings.maxCallsInFlight) {
+      const message = `node ${settings.host}, which issued this ticket, has too many calls in flight`;
+      return refuse(reply, createCallFailure('overloaded', message, { retry: 'later' }));
+    }
+    const run: HomeRun = { waiting: new Set([reply]), canBeResent, call: undefined };
+    calls.homeRuns.set(ticket.counter, run);
+    board.post('tickets', { type: 'started', counter: ticket.counter, fingerprint: envelope.fingerprint });
+    run.call = dispatcher.dispatch({
+      envelope,
+      account: { remaining: envelope.allowance },
+      parent: undefined,
+      reply: (result) => {
+        finish(ticket.counter, run, result);
+      },
+    });
+    return createLeave(ticket.counter, run, reply);
+  };
+  const finish = (counter: number, run: HomeRun, result: CallResult): void => {
+    calls.homeRuns.delete(counter);
+    const settled = settleResult(result);
+    board.post('tickets', { type: 'finished', counter, outcome: describeOutcome(settled) });
+    for (const reply of run.waiting) reply(settled);
+    run.waiting.clear();
+  };
+
+  const join = (counter: number, envelope: CallEnvelope, reply: CallReply): CancelCall => {
+    const run = calls.homeRuns.get(counter);
+    if (run === undefined) return ignore;
+    run.waiting.add(reply);
+    const leave = createLeave(counter, run, reply);
+    const cancelDeadline = deadlines.add(clock.now() + envelope.deadlineMs, () => {
+      if (!run.waiting.delete(reply)) return;
+      const message = `${envelope.service}/${envelope.operation} gave no answer in time`;
+      refuse(reply, createCallFailure('deadlineExceeded', message));
+    });
+    return () => {
+      cancelDeadline();
+      leave();
+    };
+  };
+  const createLeave = (counter: number, run: HomeRun, reply: CallReply): CancelCall => {
+    return () => {
+      if (!run.waiting.delete(reply) || run.waiting.size > 0 || run.canBeResent) return;
+      if (run.call === undefined || run.call.isFinished) return;
+      dispatcher.cancel(run.call);
+      calls.homeRuns.delete(counter);
+      const failure = createCallFailure('cancelled', 'the caller left before the answer');
+      board.post('tickets', { type: 'finished', counter, outcome: { type: 'failed', failure } });
+    };
+  };
+
+  return {
+    handle: (envelope, reply, { canBeResent }) => {
+      const ticket = parseTicket(envelope.ticket ?? '');
+      if (ticket === undefined) return refuse(reply, createInvalidTicketFailure('the idempotency-key is not a ticket'));
+      if (ticket.home !== settings.host) {
+        return refuse(reply, createCallFailure('ticketUnknown', `node ${settings.host} did not issue this ticket`));
+      }
+      const memory = board.read('tickets');
+      const decision = resolveTicket(memory, ticket, envelope.fingerprint, computeTicketMac);
+      if (decision.type === 'refuse') return refuse(reply, decision.failure);
+      if (decision.type === 'run') return start(ticket, envelope, reply, canBeResent);
+      if (decision.type === 'join') return join(ticket.counter, envelope, reply);
+      const { outcome } = decision;
+      if (outcome.type === 'failed') return refuse(reply, outcome.failure);
+      const { status, contentType, body } = outcome;
+      reply({ type: 'answer', status, contentType, body, allowanceLeft: 0, admittedFraction: 1 });
+      return ignore;
+    },
+  };
+}
+
+/** The result that the callers of a ticket get: a run that may have happened must not be tried under a new ticket. */
+function settleResult(result: CallResult): CallResult {
+  if (result.type === 'answer' || result.failure.ran === 'no') return result;
+  return { ...result, failure: { ...result.failure, retry: 'never' } };
+}
+
+function describeOutcome(result: CallResult): TicketOutcome {
+  if (result.type === 'refusal') {
+    return result.failure.ran === 'no' ? { type: 'notRun' } : { type: 'failed', failure: result.failure };
+  }
+  return { type: 'ran', status: result.status, contentType: result.contentType, body: result.body };
+}
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -13,8 +13,10 @@
   LimitState,
   RouteState,
   Sample,
+  TicketOutcome,
+  TicketRecord,
 } from '../schema/state.js';
-import type { CancelCall, DispatchedCall, RemoteAttempt, RunningCall } from './calls.js';
+import type { DispatchedCall, ForwardedCall, HomeRun, IncomingCall, RemoteAttempt, RunningCall } from './calls.js';
 
 const SAMPLES_KEPT = 4096;
 const EVENTS_KEPT = 8192;
@@ -34,8 +36,14 @@
     dispatched: Set<DispatchedCall>;
     remote: Map<string, RemoteAttempt>;
     running: Map<string, RunningCall>;
-    /** By sending host and call id: how to cancel a call that a peer sent. */
-    incoming: Map<string, CancelCall>;
+    /** By sending host and call id: calls that peers sent. */
+    incoming: Map<string, IncomingCall>;
+    /** Calls that this node sent to the home of their ticket. */
+    forwarded: Set<ForwardedCall>;
+    /** By ticket counter: executions that this node, as the home of their ticket, answers for. */
+    homeRuns: Map<number, HomeRun>;
+    /** Replies that matched no open call and were dropped. */
+    lateReplies: number;
     inFlight: number;
     isStopping: boolean;
   };
@@ -50,6 +58,18 @@
   };
   routes: { byHost: Map<string, RouteState> };
   budgets: { byService: Map<string, BudgetState> };
+  tickets: {
+    /** Random text of this process start. */
+    incarnation: string;
+    nextCounter: number;
+    /** Tickets below it that are not remembered may have run. */
+    lowWaterMark: number;
+    running: Map<number, { fingerprint: string }>;
+    /** In the order in which they finished. */
+    finished: Map<number, TicketRecord>;
+    /** Memory that the finished records take. */
+    bytes: number;
+  };
   events: { ring: RingBuffer<TimelineEvent> };
 }
 
@@ -68,6 +88,10 @@
   routes:
     { type: 'started' | 'finished' | 'linkClosed'; host: string } | { type: 'heard'; host: string; load: LoadHint };
   budgets: { type: 'attempt' | 'retry'; service: string };
+  tickets:
+    | { type: 'issue'; count: number; take: (tickets: string[]) => void }
+    | { type: 'started'; counter: number; fingerprint: string }
+    | { type: 'finished'; counter: number; outcome: TicketOutcome };
   events: EventPost;
 }
 
@@ -84,6 +108,9 @@
       remote: new Map(),
       running: new Map(),
       incoming: new Map(),
+      forwarded: new Set(),
+      homeRuns: new Map(),
+      lateReplies: 0,
       inFlight: 0,
       isStopping: false,
     },
@@ -93,6 +120,7 @@
     shedding: { local: new Map(), downstream: new Map() },
     routes: { byHost: new Map() },
     budgets: { byService: new Map() },
+    tickets: { incarnation: '', nextCounter: 0, lowWaterMark: 0, running: new Map(), finished: new Map(), bytes: 0 },
     events: { ring: createRingBuffer(EVENTS_KEPT) },
   };
 }
--- /dev/null
+++ b/src/control/ticketController.ts
@@ -0,0 +1,91 @@
+import { scheduleRepeated } from '../core/clock.js';
+import { formatTicket } from '../policy/ticket.js';
+import type { TicketOutcome, TicketRecord } from '../schema/state.js';
+import type { Controller, ControllerContext } from './context.js';
+
+/** Bounds of the memory, docs/design.md section 4.6. */
+export const ticketMemoryDefaults = { maxRecords: 65_536, maxBytes: 64 * 1024 * 1024, keptMs: 600_000 };
+
+/** A record without its answer: map entry, record object and short texts. */
+const RECORD_BYTES = 512;
+const EXPIRE_PERIOD_MS = 1000;
+
+/** Writes the memory of the tickets that this process issued. */
+export function createTicketController(
+  context: ControllerContext,
+  options: Partial<typeof ticketMemoryDefaults> = {},
+): Controller {
+  const { maxRecords, maxBytes, keptMs } = { ...ticketMemoryDefaults, ...options };
+  const { board, clock, computeTicketMac, settings } = context;
+  const tickets = board.claim('tickets', 'ticketController');
+  const { section } = tickets;
+  section.incarnation = context.generateToken();
+  /** Counters of the records that hold an answer, the oldest first. */
+  const answered = new Set<number>();
+  let stopTimer = (): void => undefined;
+
+  const issue = (): string => {
+    const counter = section.nextCounter++;
+    return formatTicket({ home: settings.host, incarnation: section.incarnation, counter }, computeTicketMac);
+  };
+  const record = (counter: number, outcome: TicketOutcome): void => {
+    const run = section.running.get(counter);
+    if (run === undefined) return;
+    section.running.delete(counter);
+    const bytes = RECORD_BYTES + (outcome.type === 'ran' ? outcome.body.length : 0);
+    section.finished.set(counter, { fingerprint: run.fingerprint, finishedAtMs: clock.now(), bytes, outcome });
+    section.bytes += bytes;
+    if (outcome.type === 'ran') answered.add(counter);
+    dropAnswers();
+    for (const [oldest, kept] of section.finished) {
+      if (section.finished.size <= maxRecords) break;
+      removeRecord(oldest, kept);
+    }
+  };
+  /** Drops whole answers and keeps that there was a run, so that unused tickets stay valid. */
+  const dropAnswers = (): void => {
+    for (const counter of answered) {
+      if (section.bytes <= maxBytes) return;
+      answered.delete(counter);
+      const kept = section.finished.get(counter);
+      if (kept === undefined) continue;
+      section.bytes -= kept.bytes - RECORD_BYTES;
+      kept.bytes = RECORD_BYTES;
+      kept.outcome = { type: 'forgotten' };
+    }
+  };
+  const removeRecord = (counter: number, kept: TicketRecord): void => {
+    section.finished.delete(counter);
+    answered.delete(counter);
+    section.bytes -= kept.bytes;
+    // Without its record a ticket looks unused, which is wrong unless its request did not run.
+    if (kept.outcome.type !== 'notRun') section.lowWaterMark = Math.max(section.lowWaterMark, counter + 1);
+  };
+  const expire = (): void => {
+    const keptSinceMs = clock.now() - keptMs;
+    for (const [counter, kept] of section.finished) {
+      if (kept.finishedAtMs > keptSinceMs) return;
+      removeRecord(counter, kept);
+    }
+  };
+  tickets.handlePosts((post) => {
+    if (post.type === 'issue') post.take(Array.from({ length: post.count }, issue));
+    else if (post.type === 'finished') record(post.counter, post.outcome);
+    else {
+      const earlier = section.finished.get(post.counter);
+      if (earlier !== undefined) {
+        section.finished.delete(post.counter);
+        section.bytes -= earlier.bytes;
+      }
+      section.running.set(post.counter, { fingerprint: post.fingerprint });
+    }
+  });
+  return {
+    start: () => {
+      stopTimer = scheduleRepeated(clock, EXPIRE_PERIOD_MS, expire);
+    },
+    stop: () => {
+      stopTimer();
+    },
+  };
+}
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,5 +1,5 @@
 import 'reflect-metadata';
-import { randomBytes, randomInt } from 'node:crypto';
+import { createHmac, randomBytes, randomInt } from 'node:crypto';
 import type { ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -34,6 +34,7 @@
 }
 
 const TOKEN_BYTES = 18;
+const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
 const MAX_SEED = 2 ** 31;
 
@@ -67,6 +68,7 @@
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
+    computeTicketMac: createTicketMac(),
     sendFrame: peerClient.sendFrame,
     callTarget: targetClient.callTarget,
     ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
@@ -76,6 +78,7 @@
     listen: settings.peerListen,
     credentials: credentials.server,
     receiveFrame: node.receiveFrame,
+    receiveStreamEnded: node.receiveStreamEnded,
     reportFailure: (message) => {
       logger.warn(message);
     },
@@ -125,6 +128,12 @@
   return { caller, local, operator };
 }
 
+/** The key never leaves the process, so a restarted node accepts no ticket of its predecessor. */
+function createTicketMac(): (text: string) => string {
+  const key = randomBytes(TICKET_KEY_BYTES);
+  return (text) => createHmac('sha256', key).update(text).digest('base64url');
+}
+
 function createLogReader(url: string): ReadLog {
   const log = createLogClient(url);
   return (fromOffset, done) => {
--- a/src/http/callerController.ts
+++ b/src/http/callerController.ts
@@ -2,9 +2,13 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { Node } from '../node/createNode.js';
 import { createCallFailure } from '../schema/failure.js';
+import type { TicketAnswer } from '../schema/ticket.js';
+import { ticketRequestValidator } from '../schema/ticket.js';
+import { formatFault } from '../schema/validate.js';
 import { parseCallerCall } from './callRequest.js';
 import { sendFailure, sendResult } from './callReply.js';
 import { SERVED } from './httpServer.js';
+import { parseJson } from './parseJson.js';
 
 const INTERNAL_HEADER = /^hemlock-/;
 
@@ -22,12 +26,17 @@
   ): void {
     const internal = Object.keys(request.headers).find((name) => INTERNAL_HEADER.test(name));
     if (internal !== undefined) {
-      sendFailure(reply, createCallFailure('internalField', `the header ${internal} is not accepted from callers`));
+      const hasKey = request.headers['idempotency-key'] !== undefined;
+      const options = hasKey ? ({ ran: 'unknown' } as const) : {};
+      const message = `the header ${internal} is not accepted from callers`;
+      sendFailure(reply, createCallFailure('internalField', message, options));
       return;
     }
     const parsed = parseCallerCall(service, operation, request);
     if (parsed.type === 'failed') {
-      sendFailure(reply, parsed.failure);
+      // With a ticket, an earlier send of the same request may have run.
+      const hasKey = request.headers['idempotency-key'] !== undefined;
+      sendFailure(reply, hasKey ? { ...parsed.failure, ran: 'unknown' } : parsed.failure);
       return;
     }
     const cancel = this.node.handleCallerCall(parsed.call, (result) => {
@@ -37,4 +46,21 @@
       if (!reply.raw.writableFinished) cancel();
     });
   }
+
+  @Post('tickets')
+  handleTicketRequest(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+    const value = parseJson(request.body);
+    if (!ticketRequestValidator.isValid(value)) {
+      const faults = ticketRequestValidator.listFaults(value).map(formatFault).join('; ');
+      sendFailure(reply, createCallFailure('requestMalformed', `cannot issue tickets: ${faults}`));
+      return;
+    }
+    const tickets = this.node.issueTickets(value.count);
+    if (tickets.length === 0) {
+      sendFailure(reply, createCallFailure('stopping', 'this node is stopping; get tickets at another one'));
+      return;
+    }
+    const answer: TicketAnswer = { tickets };
+    void reply.code(200).header('content-type', 'application/json').send(JSON.stringify(answer));
+  }
 }
--- a/src/http/localController.ts
+++ b/src/http/localController.ts
@@ -6,6 +6,7 @@
 import { getHeader, parseCallerCall } from './callRequest.js';
 import { sendFailure, sendResult } from './callReply.js';
 import { SERVED } from './httpServer.js';
+import { parseJson } from './parseJson.js';
 
 const announcementValidator = compileSchema(targetAnnouncementSchema);
 
@@ -47,12 +48,3 @@
     });
   }
 }
-
-function parseJson(body: unknown): unknown {
-  if (!(body instanceof Uint8Array)) return undefined;
-  try {
-    return JSON.parse(Buffer.from(body).toString('utf8'));
-  } catch {
-    return undefined;
-  }
-}
--- /dev/null
+++ b/src/http/parseJson.ts
@@ -0,0 +1,9 @@
+/** Parses the body of an HTTP request as JSON; undefined when it is not JSON. */
+export function parseJson(body: unknown): unknown {
+  if (!(body instanceof Uint8Array)) return undefined;
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'));
+  } catch {
+    return undefined;
+  }
+}
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -11,7 +11,9 @@
 import { createRoutingController } from '../control/routingController.js';
 import { createSheddingController } from '../control/sheddingController.js';
 import { createTargetController } from '../control/targetController.js';
+import { createTicketController } from '../control/ticketController.js';
 import { createBoard } from '../core/blackboard.js';
+import { hashText } from '../core/hash.js';
 import type { Clock } from '../core/clock.js';
 import { createDeadlineTimer } from '../core/deadlineTimer.js';
 import { createHybridClock } from '../core/hybridClock.js';
@@ -19,6 +21,7 @@
 import type { Random } from '../core/random.js';
 import { defaultPolicies } from '../policy/policies.js';
 import type { Policies } from '../policy/policies.js';
+import type { ComputeMac } from '../policy/ticket.js';
 import type { Frame, Lane } from '../schema/frame.js';
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { Settings } from '../schema/settings.js';
@@ -30,6 +33,8 @@
   random: Random;
   /** Creates an unguessable text; the default is only as good as `random`. */
   generateToken?: () => string;
+  /** Keyed hash with a key that only this process has, for its tickets; the default is for fake runs only. */
+  computeTicketMac?: ComputeMac;
   /** Decisions to use in place of the default ones. */
   policies?: Partial<Policies>;
 }
@@ -37,11 +42,15 @@
 /** A node as functions: everything that the process at one target host decides, without any I/O of its own. */
 export interface Node extends Pick<CallController, 'handleCallerCall' | 'handleOnwardCall'> {
   readonly board: NodeBoard;
+  /** Hands out tickets for non-idempotent requests; fewer than `count` when this node is stopping. */
+  issueTickets(count: number): string[];
   announceTarget(announcement: TargetAnnouncement): void;
   /** Takes a frame from a peer; `respond` writes on the connection that the frame came by. */
   receiveFrame(host: string, lane: Lane, frame: Frame, respond: (frame: Frame) => void): void;
   /** Tells that a connection to a peer ended: its open calls may or may not have run. */
   receiveLinkClosed(host: string, lane: Lane): void;
+  /** Tells that the stream behind `respond` ended: the calls that came by it are cancelled. */
+  receiveStreamEnded(respond: (frame: Frame) => void): void;
   start(): void;
   /** Stops gracefully: refuses new calls, lets those in flight end, then calls back. */
   stop(done: () => void): void;
@@ -67,6 +76,7 @@
     hybridClock: createHybridClock(clock.wallTime),
     random,
     generateToken: options.generateToken ?? (() => generateId(random, TOKEN_DIGITS)),
+    computeTicketMac: options.computeTicketMac ?? createInsecureMac(generateId(random, TOKEN_DIGITS)),
     policies: { ...defaultPolicies, ...options.policies },
     io: options,
   };
@@ -80,12 +90,19 @@
     createSheddingController(context),
     createRoutingController(context),
     createRetryController(context),
+    createTicketController(context),
     callController,
   ];
   return {
     board,
     handleCallerCall: callController.handleCallerCall,
     handleOnwardCall: callController.handleOnwardCall,
+    issueTickets: (count) => {
+      const issued: string[] = [];
+      if (board.read('calls').isStopping) return issued;
+      board.post('tickets', { type: 'issue', count, take: (tickets) => issued.push(...tickets) });
+      return issued;
+    },
     announceTarget: (announcement) => {
       board.post('target', { type: 'announce', announcement });
     },
@@ -96,6 +113,7 @@
       board.post('routes', { type: 'linkClosed', host });
       callController.receiveLinkClosed(host, lane);
     },
+    receiveStreamEnded: callController.receiveStreamEnded,
     start: () => {
       for (const controller of controllers) controller.start();
     },
@@ -110,6 +128,10 @@
   };
 }
 
+function createInsecureMac(key: string): ComputeMac {
+  return (text) => hashText(`${key}${text}`).toString(36);
+}
+
 function createSelf({ settings, clock, random }: NodeOptions): MemberRecord {
   const formatAddress = (listen: { host: string; port: number }): string => `${listen.host}:${listen.port}`;
   return {
--- /dev/null
+++ b/src/policy/ran.ts
@@ -0,0 +1,13 @@
+import type { Ran } from '../schema/failure.js';
+
+const CERTAINTY: Record<Ran, number> = { no: 0, unknown: 1, yes: 2 };
+
+/**
+ * Merges what two attempts of one call say about its work: the call did not run only if no attempt ran it.
+ *
+ * @example
+ * mergeRan('unknown', 'no'); // unknown
+ */
+export function mergeRan(left: Ran, right: Ran): Ran {
+  return CERTAINTY[left] >= CERTAINTY[right] ? left : right;
+}
--- a/src/schema/state.ts
+++ b/src/schema/state.ts
@@ -1,6 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
-import { ranSchema, retrySchema } from './failure.js';
+import { callFailureSchema, ranSchema, retrySchema } from './failure.js';
 import { loadHintSchema } from './frame.js';
 
 /** The adaptive concurrency limit of the local target. Times in ms. */
@@ -69,3 +69,29 @@
   heardAtMs: Type.Number(),
 });
 export type DownstreamFraction = Static<typeof downstreamFractionSchema>;
+
+/** How the one run of a ticket ended, as its home remembers it. */
+export const ticketOutcomeSchema = Type.Union([
+  Type.Object({
+    type: Type.Literal('ran'),
+    status: Type.Integer(),
+    contentType: Type.String(),
+    body: Type.Uint8Array(),
+  }),
+  /** It ran and failed, or whether it ran is unknown; both are final. */
+  Type.Object({ type: Type.Literal('failed'), failure: callFailureSchema }),
+  /** It certainly did not run, so a resend may run it. */
+  Type.Object({ type: Type.Literal('notRun') }),
+  /** It ran or may have run, and the answer had to make room. */
+  Type.Object({ type: Type.Literal('forgotten') }),
+]);
+export type TicketOutcome = Static<typeof ticketOutcomeSchema>;
+
+/** The memory of one used ticket. */
+export const ticketRecordSchema = Type.Object({
+  fingerprint: Type.String(),
+  finishedAtMs: Type.Number(),
+  bytes: Type.Integer({ minimum: 0 }),
+  outcome: ticketOutcomeSchema,
+});
+export type TicketRecord = Static<typeof ticketRecordSchema>;
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -12,6 +12,8 @@
   listen: ListenSettings;
   credentials: ServerCredentials;
   receiveFrame: FrameReceiver;
+  /** Called when a stream ended, with the function that responded on it. */
+  receiveStreamEnded?: (respond: (frame: Frame) => void) => void;
   /** Called with what went wrong on a stream; the stream is closed, the server goes on. */
   reportFailure?: (message: string) => void;
 }
@@ -64,9 +66,18 @@
   stream.on('error', (error: Error) => {
     options.reportFailure?.(`the stream from ${host} (${lane}) failed: ${error.message}`);
   });
+  let isEnded = false;
+  const end = (): void => {
+    if (isEnded) return;
+    isEnded = true;
+    options.receiveStreamEnded?.(respond);
+  };
   stream.on('end', () => {
     stream.end();
+    end();
   });
+  stream.on('cancelled', end);
+  stream.on('close', end);
 }
 
 function openServer(server: Server, address: string, credentials: ServerCredentials): Promise<number> {
