--- a/src/bench/fakes/orderFleet.ts
+++ b/src/bench/fakes/orderFleet.ts
@@ -1,5 +1,5 @@
-import type { CallerCall, CallResult } from '../../control/calls.js';
-import type { TargetRequest } from '../../control/context.js';
+import type { CallerCall, CallResult } from '../../schema/call.js';
+import type { TargetRequest } from '../../schema/call.js';
 import type { ServiceConfiguration } from '../../schema/serviceConfiguration.js';
 import { createFakeFleet } from './fakeFleet.js';
 import type { FakeFleet, FakeFleetOptions, FakeHostOptions } from './fakeFleet.js';
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -1,6 +1,7 @@
 import type { CallFrame, Frame, Lane, ReplyFrame } from '../schema/frame.js';
 import { createAdmission } from './admitCalls.js';
-import type { CallerCall, CallReply, CallResult, CancelCall, OnwardCall, RunningCall } from './calls.js';
+import type { CallReply, CancelCall, RunningCall } from './calls.js';
+import type { CallerCall, CallResult, OnwardCall } from '../schema/call.js';
 import type { Controller, ControllerContext } from './context.js';
 import { createDispatcher } from './dispatchCalls.js';
 import { createEntryCalls } from './entryCalls.js';
--- a/src/control/forwardCalls.ts
+++ b/src/control/forwardCalls.ts
@@ -1,7 +1,8 @@
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope } from '../schema/frame.js';
-import type { CallReply, CallResult, CancelCall, ForwardedCall } from './calls.js';
+import type { CallReply, CancelCall, ForwardedCall } from './calls.js';
+import type { CallResult } from '../schema/call.js';
 import type { ControllerContext } from './context.js';
 import type { Sections } from './sections.js';
 
--- a/tests/tickets/ticketedCalls.test.ts
+++ b/tests/tickets/ticketedCalls.test.ts
@@ -2,7 +2,8 @@
 import { expect } from 'earl';
 import type { FakeFleet } from '../../src/bench/fakes/fakeFleet.js';
 import { buildOrderCall, createOrderFleet, describeOrderResult } from '../../src/bench/fakes/orderFleet.js';
-import type { CallResult, CancelCall } from '../../src/control/calls.js';
+import type { CancelCall } from '../../src/control/calls.js';
+import type { CallResult } from '../../src/schema/call.js';
 
 interface Setup {
   fleet: FakeFleet;
