--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -1,6 +1,7 @@
 import type { CancelDeadline } from '../core/deadlineTimer.js';
 import type { CallResult } from '../schema/call.js';
-import type { CallEnvelope } from '../schema/frame.js';
+import type { Ran } from '../schema/failure.js';
+import type { CallEnvelope, Frame } from '../schema/frame.js';
 
 /** Receives the one result of a call. */
 export type CallReply = (result: CallResult) => void;
@@ -22,6 +23,8 @@
   readonly parent: RunningCall | undefined;
   readonly triedHosts: Set<string>;
   attempts: number;
+  /** What the attempts so far say about the work together. */
+  ran: Ran;
   /** Least fraction heard from attempts of this call. */
   admittedFraction: number;
   isFinished: boolean;
@@ -45,6 +48,27 @@
   settle(result: CallResult): void;
 }
 
+/** A call that a peer sent; its reply is written on the stream that it came by. */
+export interface IncomingCall {
+  readonly respond: (frame: Frame) => void;
+  readonly cancel: CancelCall;
+}
+
+/** A call that the home of its ticket answers. */
+export interface ForwardedCall {
+  readonly callId: string;
+  isFinished: boolean;
+}
+
+/** The one execution of a ticket, at the ticket's home. */
+export interface HomeRun {
+  /** Callers of this ticket that wait for the result. */
+  readonly waiting: Set<CallReply>;
+  /** False when no caller knows the ticket yet, so that none can ask for the result again. */
+  readonly canBeResent: boolean;
+  call: DispatchedCall | undefined;
+}
+
 /** A call that waits for or runs at the local target. */
 export interface RunningCall {
   readonly token: string;
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -14,6 +14,8 @@
   listen: ListenSettings;
   credentials: ServerCredentials;
   receiveFrame: FrameReceiver;
+  /** Called when a stream ended, with the function that responded on it. */
+  receiveStreamEnded?: (respond: (frame: Frame) => void) => void;
   /** Called with what went wrong on a stream; the stream is closed, the server goes on. */
   reportFailure?: (failure: SystemFailure) => void;
 }
@@ -91,9 +93,18 @@
     const message = `the stream from ${host} (${lane}) failed: ${error.message}`;
     options.reportFailure?.({ kind: 'nodeUnreachable', message, address: host });
   });
+  let isEnded = false;
+  const end = (): void => {
+    if (isEnded) return;
+    isEnded = true;
+    options.receiveStreamEnded?.(respond);
+  };
   stream.on('end', () => {
     stream.end();
+    end();
   });
+  stream.on('cancelled', end);
+  stream.on('close', end);
 }
 
 function openServer(server: Server, address: string, credentials: ServerCredentials): Promise<number> {
