--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -1,40 +1,7 @@
 import type { CancelDeadline } from '../core/deadlineTimer.js';
-import type { CallFailure } from '../schema/failure.js';
-import type { CallEnvelope } from '../schema/frame.js';
-
-/** A call as an outside caller makes it. */
-export interface CallerCall {
-  service: string;
-  operation: string;
-  /** Names the caller for fair shares. */
-  callerKey: string;
-  contentType: string;
-  body: Uint8Array;
-  /** Time that the caller allows (ms); capped by the operation's own deadline. */
-  deadlineMs?: number;
-  /** A ticket, for non-idempotent operations. */
-  idempotencyKey?: string;
-}
-
-/** A call that the local target makes; `token` names the running call that it belongs to. */
-export interface OnwardCall extends CallerCall {
-  token?: string;
-}
-
-interface ResultFields {
-  /** Extra attempts not spent out of those given with the call. */
-  allowanceLeft: number;
-  /** Least admitted fraction of the call's priority on its way. */
-  admittedFraction: number;
-  /** Set where the request entered. */
-  requestId?: string;
-  /** The ticket under which a non-idempotent call ran. */
-  ticket?: string;
-}
-
-export type CallAnswer = ResultFields & { type: 'answer'; status: number; contentType: string; body: Uint8Array };
-export type CallRefusal = ResultFields & { type: 'refusal'; failure: CallFailure };
-export type CallResult = CallAnswer | CallRefusal;
+import type { CallResult } from '../schema/call.js';
+import type { Ran } from '../schema/failure.js';
+import type { CallEnvelope, Frame } from '../schema/frame.js';
 
 /** Receives the one result of a call. */
 export type CallReply = (result: CallResult) => void;
@@ -56,6 +23,8 @@
   readonly parent: RunningCall | undefined;
   readonly triedHosts: Set<string>;
   attempts: number;
+  /** What the attempts so far say about the work together. */
+  ran: Ran;
   /** Least fraction heard from attempts of this call. */
   admittedFraction: number;
   isFinished: boolean;
@@ -79,6 +48,27 @@
   settle(result: CallResult): void;
 }
 
+/** A call that a peer sent; its reply is written on the stream that it came by. */
+export interface IncomingCall {
+  readonly respond: (frame: Frame) => void;
+  readonly cancel: CancelCall;
+}
+
+/** A call that the home of its ticket answers. */
+export interface ForwardedCall {
+  readonly callId: string;
+  isFinished: boolean;
+}
+
+/** The one execution of a ticket, at the ticket's home. */
+export interface HomeRun {
+  /** Callers of this ticket that wait for the result. */
+  readonly waiting: Set<CallReply>;
+  /** False when no caller knows the ticket yet, so that none can ask for the result again. */
+  readonly canBeResent: boolean;
+  call: DispatchedCall | undefined;
+}
+
 /** A call that waits for or runs at the local target. */
 export interface RunningCall {
   readonly token: string;
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -1,15 +1,20 @@
 import { generateId } from '../core/random.js';
 import { isAdmitted } from '../policy/shedding.js';
+import { mergeRan } from '../policy/ran.js';
 import type { RouteCandidate } from '../policy/routing.js';
+import type { CallResult } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, ReplyFrame } from '../schema/frame.js';
 import type { MemberRecord } from '../schema/member.js';
 import type { AdmitCall } from './admitCalls.js';
-import type { AllowanceAccount, Attempt, CallReply, CallResult, DispatchedCall, RunningCall } from './calls.js';
+import type { AllowanceAccount, Attempt, CallReply, DispatchedCall, RunningCall } from './calls.js';
 import type { ControllerContext } from './context.js';
 import type { Sections } from './sections.js';
 
+/** Refusals of a host that leaves; further calls to it would each use up a retry until its record arrives. */
+const LEAVING_KINDS = new Set(['stopping', 'targetDraining']);
+
 /** What a dispatch starts from. */
 export interface DispatchRequest {
   envelope: CallEnvelope;
@@ -59,7 +64,9 @@
     call.reply({ ...result, admittedFraction, allowanceLeft: call.account.remaining });
   };
   const fail = (call: DispatchedCall, failure: CallFailure): void => {
-    finish(call, { type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+    // An earlier attempt may have run even if the last one certainly did not.
+    const told = { ...failure, ran: mergeRan(call.ran, failure.ran) };
+    finish(call, { type: 'refusal', failure: told, allowanceLeft: 0, admittedFraction: 1 });
   };
 
   const startAttempt = (call: DispatchedCall, candidates: readonly RouteCandidate[]): void => {
@@ -129,10 +136,13 @@
     board.post('routes', { type: 'finished', host: attempt.host });
     recordAttempt(call, attempt, result);
     recordFraction(call, result);
+    if (result.type === 'refusal' && LEAVING_KINDS.has(result.failure.kind) && result.failure.host === attempt.host)
+      board.post('routes', { type: 'leaving', host: attempt.host });
     if (result.type === 'answer') {
       finish(call, result);
       return;
     }
+    call.ran = mergeRan(call.ran, result.failure.ran);
     retryOrFail(call, result.failure);
   };
 
@@ -223,6 +233,7 @@
         parent,
         triedHosts: new Set(),
         attempts: 0,
+        ran: 'no',
         admittedFraction: 1,
         isFinished: false,
         attempt: undefined,
@@ -258,7 +269,10 @@
     },
     receiveReply: (frame) => {
       const remote = calls.remote.get(frame.callId);
-      if (remote === undefined) return;
+      if (remote === undefined) {
+        calls.lateReplies++;
+        return;
+      }
       calls.remote.delete(frame.callId);
       if (frame.load !== undefined) board.post('routes', { type: 'heard', host: remote.host, load: frame.load });
       remote.settle(frame);
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,5 +1,5 @@
 import 'reflect-metadata';
-import { randomBytes, randomInt } from 'node:crypto';
+import { createHmac, randomBytes, randomInt } from 'node:crypto';
 import type { ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -37,6 +37,7 @@
 }
 
 const TOKEN_BYTES = 18;
+const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
 const MAX_SEED = 2 ** 31;
 
@@ -74,6 +75,7 @@
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
+    computeTicketMac: createTicketMac(),
     sendFrame: (peer, lane, frame) => {
       // Neighbours keep one connection for both directions.
       if (lane === 'control' && !peerClient.hasLink(peer, lane) && peerStreams.sendAccepted(peer, lane, frame))
@@ -89,8 +91,9 @@
     credentials: credentials.server,
     counters,
     receiveFrame: node.receiveFrame,
-    reportFailure: (message) => {
-      logger.warn(message);
+    receiveStreamEnded: node.receiveStreamEnded,
+    reportFailure: ({ message, ...fields }) => {
+      logger.warn(message, fields);
     },
   });
   peerStreams.sendAccepted = peerServer.sendAccepted;
@@ -108,6 +111,7 @@
     addresses,
     stop: async () => {
       logger.info('stopping');
+      servers.caller.announceStop();
       await stopNode(node, settings.stopGraceMs);
       await Promise.all(Object.values(servers).map((server) => server.stop()));
       peerClient.stop();
@@ -139,6 +143,12 @@
   return { caller, local, operator };
 }
 
+/** The key never leaves the process, so a restarted node accepts no ticket of its predecessor. */
+function createTicketMac(): (text: string) => string {
+  const key = randomBytes(TICKET_KEY_BYTES);
+  return (text) => createHmac('sha256', key).update(text).digest('base64url');
+}
+
 function createLogReader(url: string): ReadLog {
   const log = createLogClient(url);
   return (fromOffset, done) => {
--- a/tests/membership/leaving.test.ts
+++ b/tests/membership/leaving.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import { createMemberFleet } from '../../src/bench/fakes/memberFleet.js';
 import type { MemberFleet } from '../../src/bench/fakes/memberFleet.js';
-import type { CallResult } from '../../src/control/calls.js';
+import type { CallResult } from '../../src/schema/call.js';
 import { readSample } from '../fixtures/sampleFleet.js';
 
 /** I6 of the design: from then on no node sends work. */
