--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -113,6 +113,7 @@
       operatorListen: listen,
       peerListen: listen,
       seeds,
+      allowPlainText: true,
     });
     const node = createNode({
       ...options.node,
--- a/src/http/callRequest.ts
+++ b/src/http/callRequest.ts
@@ -37,6 +37,12 @@
   return { type: 'parsed', call };
 }
 
+/** True when the request may carry a ticket, under which an earlier send of it may have run. */
+export function hasTicket(request: FastifyRequest): boolean {
+  const key = getHeader(request.headers['idempotency-key']);
+  return key !== undefined && key.length <= MAX_TICKET_LENGTH;
+}
+
 /** Returns the first value of a header. */
 export function getHeader(value: string | string[] | undefined): string | undefined {
   return Array.isArray(value) ? value[0] : value;
--- a/src/http/callerController.ts
+++ b/src/http/callerController.ts
@@ -5,7 +5,7 @@
 import type { TicketAnswer } from '../schema/ticket.js';
 import { ticketRequestValidator } from '../schema/ticket.js';
 import { formatFault } from '../schema/validate.js';
-import { parseCallerCall } from './callRequest.js';
+import { hasTicket, parseCallerCall } from './callRequest.js';
 import { sendFailure, sendResult } from './callReply.js';
 import { SERVED } from './httpServer.js';
 import { parseJson } from './parseJson.js';
@@ -26,17 +26,14 @@
   ): void {
     const internal = Object.keys(request.headers).find((name) => INTERNAL_HEADER.test(name));
     if (internal !== undefined) {
-      const hasKey = request.headers['idempotency-key'] !== undefined;
-      const options = hasKey ? ({ ran: 'unknown' } as const) : {};
+      const options = hasTicket(request) ? ({ ran: 'unknown' } as const) : {};
       const message = `the header ${internal} is not accepted from callers`;
       sendFailure(reply, createCallFailure('internalField', message, options));
       return;
     }
     const parsed = parseCallerCall(service, operation, request);
     if (parsed.type === 'failed') {
-      // With a ticket, an earlier send of the same request may have run.
-      const hasKey = request.headers['idempotency-key'] !== undefined;
-      sendFailure(reply, hasKey ? { ...parsed.failure, ran: 'unknown' } : parsed.failure);
+      sendFailure(reply, hasTicket(request) ? { ...parsed.failure, ran: 'unknown' } : parsed.failure);
       return;
     }
     const cancel = this.node.handleCallerCall(parsed.call, (result) => {
