--- a/src/control/configurationController.ts
+++ b/src/control/configurationController.ts
@@ -1,59 +1,158 @@
-import { applyEntry, createFoldState } from '../policy/configurationFold.js';
+import { scheduleRepeated } from '../core/clock.js';
+import type { CancelScheduled } from '../core/clock.js';
+import { formatCanonical } from '../policy/canonicalJson.js';
+import { validateServiceDocument } from '../policy/configurationFold.js';
+import type { FoldedDocument, Verdict } from '../policy/configurationFold.js';
+import { listGateways } from '../policy/gatewayChoice.js';
+import { applyPage, createLogReader } from '../policy/logReader.js';
+import type { SnapshotVerdict } from '../policy/logReader.js';
 import type { AcceptedDocument, LogPage } from '../schema/logRecord.js';
-import { validateServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type { Controller, ControllerContext } from './context.js';
+import { createLogFollower } from './logFollower.js';
+import { createSnapshotWriter } from './snapshotWriter.js';
+import { createDocumentSpreader } from './spreadDocuments.js';
 
-const READ_PERIOD_MS = 500;
+const TICK_MS = 1000;
+/** A node that just started knows few members and would take itself for a gateway. */
+const SETTLE_MS = 2000;
+const DIGEST_PERIOD_MS = 10_000;
 
 /** Writes the documents in force, from the platform's log and from what peers send. */
 export function createConfigurationController(context: ControllerContext): Controller {
-  const { board, clock, io } = context;
+  const { board, clock, random, settings } = context;
   const configuration = board.claim('configuration', 'configurationController');
-  const { services } = configuration.section;
-  const fold = createFoldState();
-  let isStopped = false;
+  const { section } = configuration;
+  const { services } = section;
+  const spreader = createDocumentSpreader(context);
+  const reader = createLogReader();
+  let isReading = false;
+  let startedMs = 0;
+  let digestAtMs = 0;
+  let stopTimer: CancelScheduled = () => undefined;
 
-  const putInForce = (service: string, version: number, document: ServiceConfiguration): boolean => {
-    if ((services.get(service)?.version ?? 0) >= version) return false;
-    services.set(service, { version, document });
-    board.post('events', { kind: 'configurationApplied', service, data: { version } });
+  const putInForce = (service: string, folded: FoldedDocument, options: { isFromLog: boolean }): boolean => {
+    const current = services.get(service);
+    if ((current?.version ?? 0) > folded.version) return false;
+    // The log is right about its own version; a peer's copy of the same version is not looked at again.
+    const isSame = current?.version === folded.version;
+    if (isSame && (!options.isFromLog || formatCanonical(current.document) === formatCanonical(folded.document))) {
+      return false;
+    }
+    services.set(service, { ...folded });
+    board.post('events', { kind: 'configurationApplied', service, data: { version: folded.version } });
     return true;
   };
-  const applyDocuments = (documents: readonly AcceptedDocument[]): void => {
-    const valid = documents.filter(({ document }) => validateServiceConfiguration(document).length === 0);
-    const changed = valid.filter(({ service, version, document }) =>
-      putInForce(service, version, document as ServiceConfiguration),
-    );
-    if (changed.length > 0) configuration.publishChange();
+  /** True when the own fold covers the version of a peer's document and holds another one. */
+  const isContradicted = ({ service, version }: AcceptedDocument): boolean => {
+    if (!reader.isComplete || version > reader.fold.appliedOffset) return false;
+    return version > (reader.fold.documents.get(service)?.version ?? 0);
+  };
+  const applyDocuments = (documents: readonly AcceptedDocument[], from: string | undefined): void => {
+    const changed: string[] = [];
+    for (const accepted of documents) {
+      const { service, version, changeId, operator } = accepted;
+      if (version < (services.get(service)?.version ?? 1)) continue;
+      if (validateServiceDocument(service, accepted.document).length > 0 || isContradicted(accepted)) {
+        board.post('events', { kind: 'configurationRejected', service, data: { version, from: from ?? '' } });
+        continue;
+      }
+      const document = accepted.document as ServiceConfiguration;
+      if (putInForce(service, { version, changeId, operator, document }, { isFromLog: false })) changed.push(service);
+    }
+    if (changed.length === 0) return;
+    configuration.publishChange();
+    spreader.spreadDocuments(changed, from === undefined ? {} : { except: from });
   };
   configuration.handlePosts((post) => {
-    applyDocuments(post.documents);
+    if ('documents' in post) applyDocuments(post.documents, post.from);
+    else spreader.handleDigest(post.digest, post.respond);
   });
 
-  const applyPage = (page: LogPage): void => {
-    let isChanged = false;
-    for (const entry of page.entries) {
-      const verdict = applyEntry(fold, entry);
-      if (verdict.type !== 'accepted') continue;
-      const folded = fold.documents.get(verdict.change.service);
-      if (folded !== undefined)
-        isChanged = putInForce(verdict.change.service, folded.version, folded.document) || isChanged;
-    }
-    configuration.section.appliedOffset = fold.appliedOffset;
-    if (isChanged) configuration.publishChange();
-  };
-  const readNext = (): void => {
-    if (isStopped) return;
-    io.readLog?.(fold.appliedOffset + 1, (outcome) => {
-      if (outcome.type === 'page') applyPage(outcome.page);
-      clock.schedule(READ_PERIOD_MS, readNext);
+  const handlePage = (page: LogPage): string | undefined => {
+    const outcome = applyPage(reader, page, { knownVersions: services, self: settings.host });
+    if (outcome.type === 'restarted') return outcome.message;
+    reportVerdicts(outcome.verdicts, outcome.snapshots);
+    if (reader.isComplete) section.appliedOffset = reader.fold.appliedOffset;
+    const changed = listTouched(outcome).filter((service) => {
+      const folded = reader.fold.documents.get(service);
+      return folded !== undefined && putInForce(service, folded, { isFromLog: true });
     });
+    if (changed.length > 0) configuration.publishChange();
+    spreader.spreadDocuments(changed);
+    return undefined;
+  };
+  const listTouched = ({ verdicts, snapshots }: { verdicts: Verdict[]; snapshots: SnapshotVerdict[] }): string[] => {
+    if (!reader.isComplete) return [];
+    if (snapshots.some(({ type }) => type === 'adopted')) return [...reader.fold.documents.keys()];
+    return verdicts.flatMap((verdict) => (verdict.type === 'accepted' ? [verdict.change.service] : []));
+  };
+  const reportVerdicts = (verdicts: readonly Verdict[], snapshots: readonly SnapshotVerdict[]): void => {
+    for (const verdict of verdicts) {
+      if (verdict.type !== 'rejected') continue;
+      const { offset, change, reason } = verdict;
+      board.post('events', { kind: 'configurationRejected', service: change.service, data: { offset, reason } });
+    }
+    for (const { type, offset, author, fault = '' } of snapshots) {
+      if (type !== 'wrong') continue;
+      if (reader.isComplete) snapshotWriter.refute(offset);
+      board.post('events', { kind: 'configurationRejected', data: { snapshot: offset, author, reason: fault } });
+    }
+  };
+  const reportRead = (failure: string | undefined): void => {
+    const { log } = section;
+    const state = failure === undefined ? 'up' : 'down';
+    log.isComplete = reader.isComplete;
+    log.lastSnapshotOffset = reader.lastSnapshot?.offset ?? 0;
+    log.message = failure ?? '';
+    if (log.state === state) return;
+    log.state = state;
+    log.sinceMs = clock.wallTime();
+    board.post('events', { kind: 'logChanged', data: { state, message: log.message } });
+  };
+  const follower = createLogFollower(context, {
+    getNextOffset: () => reader.readUpTo + 1,
+    handlePage,
+    reportRead,
+  });
+  const snapshotWriter = createSnapshotWriter(context, reader, {
+    canWrite: () => isReading && section.log.state === 'up',
+  });
+
+  const updateRole = (): void => {
+    const isSettled = settings.seeds.length === 0 || clock.now() - startedMs >= SETTLE_MS;
+    const gateways = listGateways(board.read('members').byId.values(), settings.dataCenter);
+    const shouldRead = isSettled && context.io.readLog !== undefined && gateways.includes(settings.host);
+    if (shouldRead === isReading) return;
+    isReading = shouldRead;
+    if (shouldRead) {
+      follower.start();
+      return;
+    }
+    follower.stop();
+    Object.assign(section.log, { state: 'unread', sinceMs: clock.wallTime(), message: '' });
+  };
+  const runTick = (): void => {
+    updateRole();
+    snapshotWriter.update();
+    if (services.size > 0 && clock.now() < digestAtMs) return;
+    // The first comparison after the start is early, since peers may know more than the node has taken over.
+    digestAtMs = clock.now() + DIGEST_PERIOD_MS * (0.75 + 0.5 * random());
+    spreader.spreadDigest();
   };
   return {
-    start: readNext,
+    start: () => {
+      startedMs = clock.now();
+      section.log.retentionMs = settings.logRetentionMs;
+      section.log.sinceMs = clock.wallTime();
+      stopTimer = scheduleRepeated(clock, TICK_MS, runTick);
+      updateRole();
+      spreader.spreadDigest();
+    },
     stop: () => {
-      isStopped = true;
+      stopTimer();
+      follower.stop();
+      snapshotWriter.stop();
     },
   };
 }
--- /dev/null
+++ b/src/control/logFollower.ts
@@ -0,0 +1,68 @@
+import type { LogPage, LogReadOutcome } from '../schema/logRecord.js';
+import type { CancelScheduled } from '../core/clock.js';
+import type { ControllerContext } from './context.js';
+
+export interface LogFollowerOptions {
+  /** Offset to read from next. */
+  getNextOffset: () => number;
+  /** Takes a page; a text says why the page cannot be used. */
+  handlePage: (page: LogPage) => string | undefined;
+  /** Tells after each read whether the log answered. */
+  reportRead: (failure: string | undefined) => void;
+}
+
+/** Reads the log again and again while started. */
+export interface LogFollower {
+  start(): void;
+  stop(): void;
+}
+
+/** An empty answer faster than this means that the log did not wait for a record. */
+const SHORT_WAIT_MS = 500;
+const NEXT_READ_MS = 10;
+const MIN_BACKOFF_MS = 200;
+/** Stays far below the 7 s in which a change must be in force after an outage. */
+const MAX_BACKOFF_MS = 2000;
+/** A read without an answer for this long is given up: longer than the client's own limits. */
+const READ_LIMIT_MS = 15_000;
+
+/** Creates the reading loop: long polls, backs off with jitter while the log is down. */
+export function createLogFollower(context: ControllerContext, options: LogFollowerOptions): LogFollower {
+  const { clock, io, random } = context;
+  let generation = 0;
+  let failures = 0;
+  let cancelNext: CancelScheduled = () => undefined;
+
+  const readNext = (): void => {
+    const { readLog } = io;
+    if (readLog === undefined) return;
+    const current = ++generation;
+    const startedMs = clock.now();
+    const cancelLimit = clock.schedule(READ_LIMIT_MS, () => {
+      handleOutcome({ type: 'unavailable', message: `the log gave no answer within ${READ_LIMIT_MS} ms` });
+    });
+    const handleOutcome = (outcome: LogReadOutcome): void => {
+      if (current !== generation) return;
+      generation++;
+      cancelLimit();
+      const failure = outcome.type === 'page' ? options.handlePage(outcome.page) : outcome.message;
+      failures = failure === undefined ? 0 : failures + 1;
+      options.reportRead(failure);
+      const isEmpty = outcome.type === 'page' && outcome.page.entries.length === 0;
+      const isShort = isEmpty && clock.now() - startedMs < SHORT_WAIT_MS;
+      cancelNext = clock.schedule(failures > 0 ? computeBackoff() : isShort ? SHORT_WAIT_MS : NEXT_READ_MS, readNext);
+    };
+    readLog(options.getNextOffset(), handleOutcome);
+  };
+  const computeBackoff = (): number => {
+    const limitMs = Math.min(MAX_BACKOFF_MS, MIN_BACKOFF_MS * 2 ** Math.min(failures, 10));
+    return limitMs * (0.5 + 0.5 * random());
+  };
+  return {
+    start: readNext,
+    stop: () => {
+      generation++;
+      cancelNext();
+    },
+  };
+}
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -2,8 +2,8 @@
 import { createRingBuffer } from '../core/ringBuffer.js';
 import type { RingBuffer } from '../core/ringBuffer.js';
 import type { TimelineEvent } from '../schema/event.js';
-import type { LoadHint } from '../schema/frame.js';
-import type { AcceptedDocument } from '../schema/logRecord.js';
+import type { ConfigurationDigestFrame, Frame, LoadHint } from '../schema/frame.js';
+import type { AcceptedDocument, LogState } from '../schema/logRecord.js';
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type {
@@ -22,12 +22,19 @@
 /** A document in force with its version, the log offset of its change. */
 export interface ConfigurationEntry {
   version: number;
+  changeId: string;
+  operator: string;
   document: ServiceConfiguration;
 }
 
+/** What a peer sends about the configuration. */
+export type ConfigurationPost =
+  | { documents: readonly AcceptedDocument[]; from?: string }
+  | { digest: ConfigurationDigestFrame; respond: (frame: Frame) => void };
+
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
 export interface Sections {
-  configuration: { services: Map<string, ConfigurationEntry>; appliedOffset: number };
+  configuration: { services: Map<string, ConfigurationEntry>; appliedOffset: number; log: LogState };
   members: { self: MemberRecord; byId: Map<string, MemberRecord>; byService: Map<string, MemberRecord[]> };
   target: { announcement: TargetAnnouncement | undefined; leaseUntilMs: number; isDraining: boolean };
   calls: {
@@ -57,7 +64,7 @@
 
 /** What controllers may ask of the writer of a section. */
 export interface Posts extends Record<keyof Sections, unknown> {
-  configuration: { documents: readonly AcceptedDocument[] };
+  configuration: ConfigurationPost;
   members: { type: 'merge'; records: MemberRecord[] } | { type: 'setSelf'; change: Partial<MemberRecord> };
   target: { type: 'announce'; announcement: TargetAnnouncement };
   calls: never;
@@ -76,7 +83,7 @@
 /** Creates the sections of a node that just started. */
 export function createSections(self: MemberRecord): Sections {
   return {
-    configuration: { services: new Map(), appliedOffset: 0 },
+    configuration: { services: new Map(), appliedOffset: 0, log: createLogState() },
     members: { self, byId: new Map([[self.id, self]]), byService: new Map() },
     target: { announcement: undefined, leaseUntilMs: 0, isDraining: false },
     calls: {
@@ -96,3 +103,7 @@
     events: { ring: createRingBuffer(EVENTS_KEPT) },
   };
 }
+
+function createLogState(): LogState {
+  return { state: 'unread', sinceMs: 0, message: '', isComplete: false, retentionMs: 0, lastSnapshotOffset: 0 };
+}
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,6 +1,6 @@
 import 'reflect-metadata';
 import { randomBytes, randomInt } from 'node:crypto';
-import type { ReadLog } from '../control/context.js';
+import type { AppendLog, ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
 import { CallerController } from '../http/callerController.js';
@@ -69,7 +69,7 @@
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
     sendFrame: peerClient.sendFrame,
     callTarget: targetClient.callTarget,
-    ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
+    ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
   const servers = await startServers(settings, node);
   const peerServer = await startPeerServer({
@@ -125,10 +125,15 @@
   return { caller, local, operator };
 }
 
-function createLogReader(url: string): ReadLog {
+function createLogFunctions(url: string): { readLog: ReadLog; appendLog: AppendLog } {
   const log = createLogClient(url);
-  return (fromOffset, done) => {
-    void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+  return {
+    readLog: (fromOffset, done) => {
+      void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+    },
+    appendLog: (record, done) => {
+      void log.append(record).then(done);
+    },
   };
 }
 
--- a/src/http/operatorController.ts
+++ b/src/http/operatorController.ts
@@ -31,13 +31,14 @@
   @Get('status')
   getStatus(): NodeStatus {
     const { board } = this.served.node;
-    const { services, appliedOffset } = board.read('configuration');
+    const { services, appliedOffset, log } = board.read('configuration');
     const limits = board.read('limits');
     const calls = board.read('calls');
     return {
       host: board.read('members').self.id,
       members: [...board.read('members').byId.values()],
       appliedOffset,
+      log: { ...log },
       versions: Object.fromEntries([...services].map(([service, entry]) => [service, entry.version])),
       limits: { ...limits },
       inFlight: calls.inFlight,
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -1,7 +1,6 @@
 import type { CallController } from '../control/callController.js';
 import type { NodeBoard } from '../control/sections.js';
 import type { Frame } from '../schema/frame.js';
-import type { AcceptedDocument } from '../schema/logRecord.js';
 
 export interface FrameDelivery {
   board: NodeBoard;
@@ -27,17 +26,15 @@
     case 'hello':
       board.post('members', { type: 'merge', records: [frame.member] });
       respond({ type: 'members', records: [...board.read('members').byId.values()] });
-      respond({
-        type: 'configuration',
-        appliedOffset: board.read('configuration').appliedOffset,
-        documents: listDocuments(board),
-      });
       return;
     case 'members':
       board.post('members', { type: 'merge', records: frame.records });
       return;
     case 'configuration':
-      board.post('configuration', { documents: frame.documents });
+      board.post('configuration', { documents: frame.documents, from: host });
+      return;
+    case 'configurationDigest':
+      board.post('configuration', { digest: frame, respond });
       return;
     case 'heartbeat':
     case 'crashReport':
@@ -46,14 +43,3 @@
       return;
   }
 }
-
-function listDocuments(board: NodeBoard): AcceptedDocument[] {
-  const { services } = board.read('configuration');
-  return [...services].map(([service, { version, document }]) => ({
-    service,
-    version,
-    changeId: '',
-    operator: '',
-    document,
-  }));
-}
--- a/src/policy/configurationFold.ts
+++ b/src/policy/configurationFold.ts
@@ -2,8 +2,18 @@
 import type { ChangeRecord, LogEntry } from '../schema/logRecord.js';
 import { validateServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
+import type { Fault } from '../schema/failure.js';
 import { compileSchema, formatFault } from '../schema/validate.js';
 
+/**
+ * A change id is remembered for this many offsets. Forgetting it cannot change what is in force: a repeated change
+ * carries a base version that the service has left for good. It only turns the verdict `repeated` into `rejected`.
+ * At 1,700 changes a day, 4,096 offsets are two days.
+ */
+export const DECIDED_OFFSETS = 4096;
+/** Bounds the memory of every node; the size in two years is 200 services. */
+export const MAX_SERVICES = 1024;
+
 /** An accepted document and where it came from. */
 export interface FoldedDocument {
   version: number;
@@ -12,25 +22,41 @@
   document: ServiceConfiguration;
 }
 
+/** How a change id was decided first. */
+export interface Decision {
+  offset: number;
+  isAccepted: boolean;
+}
+
+/** A version that was in force until another replaced it. */
+export interface ReplacedVersion {
+  service: string;
+  version: number;
+  changeId: string;
+  replacedAt: number;
+}
+
 /** The state of the configuration after a prefix of the log. */
 export interface FoldState {
   appliedOffset: number;
   documents: Map<string, FoldedDocument>;
-  /** Change ids already decided, with the offset that decided them. */
-  decided: Map<string, number>;
+  /** Change ids decided within the last `DECIDED_OFFSETS` offsets, in the order of the log. */
+  decided: Map<string, Decision>;
+  /** Versions replaced within the same offsets, to verify snapshots of an earlier state. */
+  replaced: ReplacedVersion[];
 }
 
 export type Verdict =
   | { type: 'accepted'; offset: number; change: ChangeRecord }
   | { type: 'rejected'; offset: number; change: ChangeRecord; reason: string; winner?: FoldedDocument }
-  | { type: 'repeated'; offset: number; change: ChangeRecord; decidedAt: number }
+  | { type: 'repeated'; offset: number; change: ChangeRecord; first: Decision }
   | { type: 'ignored'; offset: number };
 
 const changeValidator = compileSchema(changeRecordSchema);
 
 /** Creates the state before the first record. */
 export function createFoldState(): FoldState {
-  return { appliedOffset: 0, documents: new Map(), decided: new Map() };
+  return { appliedOffset: 0, documents: new Map(), decided: new Map(), replaced: [] };
 }
 
 /**
@@ -41,31 +67,67 @@
  * if (verdict.type === 'accepted') publishDocument(verdict.change.service);
  */
 export function applyEntry(state: FoldState, entry: LogEntry): Verdict {
-  if (entry.offset <= state.appliedOffset) return { type: 'ignored', offset: entry.offset };
-  state.appliedOffset = entry.offset;
-  if (!changeValidator.isValid(entry.value)) return { type: 'ignored', offset: entry.offset };
-  return applyChange(state, entry.offset, entry.value);
+  const { offset, value } = entry;
+  if (offset <= state.appliedOffset) return { type: 'ignored', offset };
+  state.appliedOffset = offset;
+  dropForgotten(state);
+  // No operator can have read a version that the log had not reached. Deciding such a record would let its repetition
+  // be accepted later, at readers that have forgotten the change id.
+  if (!changeValidator.isValid(value) || value.baseVersion >= offset) return { type: 'ignored', offset };
+  return applyChange(state, offset, value);
 }
 
 function applyChange(state: FoldState, offset: number, change: ChangeRecord): Verdict {
-  const decidedAt = state.decided.get(change.changeId);
-  if (decidedAt !== undefined) return { type: 'repeated', offset, change, decidedAt };
-  state.decided.set(change.changeId, offset);
+  const first = state.decided.get(change.changeId);
+  if (first !== undefined) return { type: 'repeated', offset, change, first };
   const current = state.documents.get(change.service);
-  const currentVersion = current?.version ?? 0;
-  if (change.baseVersion !== currentVersion) {
-    const reason = `version ${change.baseVersion} was edited, but version ${currentVersion} is in force`;
+  const reason = findVersionConflict(change, current) ?? findFault(state, change);
+  state.decided.set(change.changeId, { offset, isAccepted: reason === undefined });
+  if (reason !== undefined) {
     return { type: 'rejected', offset, change, reason, ...(current === undefined ? {} : { winner: current }) };
   }
-  const faults = validateServiceConfiguration(change.document);
-  const document = change.document as ServiceConfiguration;
-  if (faults.length === 0 && document.service !== change.service) {
-    faults.push({ path: 'service', found: `"${document.service}"`, allowed: `"${change.service}"` });
-  }
-  if (faults.length > 0) {
-    return { type: 'rejected', offset, change, reason: faults.map(formatFault).join('; ') };
+  if (current !== undefined) {
+    const { version, changeId } = current;
+    state.replaced.push({ service: change.service, version, changeId, replacedAt: offset });
   }
   const { changeId, operator } = change;
+  const document = change.document as ServiceConfiguration;
   state.documents.set(change.service, { version: offset, changeId, operator, document });
   return { type: 'accepted', offset, change };
 }
+
+function findVersionConflict(change: ChangeRecord, current: FoldedDocument | undefined): string | undefined {
+  if (change.baseVersion === (current?.version ?? 0)) return undefined;
+  if (current === undefined) return `version ${change.baseVersion} was edited, but the service has none`;
+  const { version, changeId, operator } = current;
+  return `version ${change.baseVersion} was edited, but version ${version} (change ${changeId} by ${operator}) is in force`;
+}
+
+function findFault(state: FoldState, change: ChangeRecord): string | undefined {
+  const faults = validateServiceDocument(change.service, change.document);
+  if (faults.length > 0) return faults.map(formatFault).join('; ');
+  if (state.documents.has(change.service) || state.documents.size < MAX_SERVICES) return undefined;
+  return `the service is new, and ${MAX_SERVICES} services are configured already`;
+}
+
+/**
+ * Lists what is wrong with a document that is meant for a service.
+ *
+ * @example
+ * const faults = validateServiceDocument('contracts', document);
+ */
+export function validateServiceDocument(service: string, document: unknown): Fault[] {
+  const faults = validateServiceConfiguration(document);
+  if (faults.length > 0) return faults;
+  const named = (document as ServiceConfiguration).service;
+  return named === service ? [] : [{ path: 'service', found: `"${named}"`, allowed: `"${service}"` }];
+}
+
+function dropForgotten(state: FoldState): void {
+  const keptFrom = state.appliedOffset - DECIDED_OFFSETS;
+  for (const [changeId, { offset }] of state.decided) {
+    if (offset > keptFrom) break;
+    state.decided.delete(changeId);
+  }
+  while ((state.replaced[0]?.replacedAt ?? Infinity) <= keptFrom) state.replaced.shift();
+}
--- /dev/null
+++ b/src/policy/snapshot.ts
@@ -0,0 +1,117 @@
+import { createHash } from 'node:crypto';
+import { snapshotRecordSchema } from '../schema/logRecord.js';
+import type { LogEntry, SnapshotRecord } from '../schema/logRecord.js';
+import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
+import { compileSchema } from '../schema/validate.js';
+import { formatCanonical } from './canonicalJson.js';
+import { createFoldState, validateServiceDocument } from './configurationFold.js';
+import type { FoldState } from './configurationFold.js';
+
+const snapshotValidator = compileSchema(snapshotRecordSchema);
+
+/**
+ * Builds the record that lets a reader start without the records before it.
+ *
+ * @example
+ * appendLog(buildSnapshot(reader.fold, { author: settings.host }), done);
+ */
+export function buildSnapshot(
+  fold: FoldState,
+  options: { author: string; refutes?: readonly number[] },
+): SnapshotRecord {
+  const documents = [...fold.documents]
+    .sort(([left], [right]) => (left < right ? -1 : 1))
+    .map(([service, folded]) => ({ service, ...folded }));
+  const recentChangeIds = [...fold.decided].map(([changeId, { offset, isAccepted }]): [string, number, boolean] => [
+    changeId,
+    offset,
+    isAccepted,
+  ]);
+  const content = { upTo: fold.appliedOffset, documents, recentChangeIds };
+  const { author, refutes = [] } = options;
+  return { kind: 'snapshot', ...content, author, refutes: [...refutes], digest: computeDigest(content) };
+}
+
+/**
+ * Finds the snapshot in a log record; undefined when it is none, or contradicts itself: wrong digest, invalid
+ * document, a version beyond its own end.
+ */
+export function findSnapshot(entry: LogEntry): SnapshotRecord | undefined {
+  const { offset, value } = entry;
+  if (!snapshotValidator.isValid(value) || value.upTo >= offset) return undefined;
+  if (value.digest !== computeDigest(value)) return undefined;
+  const services = new Set(value.documents.map(({ service }) => service));
+  const isSound =
+    services.size === value.documents.length &&
+    value.documents.every(({ version }) => version <= value.upTo) &&
+    value.recentChangeIds.every(([, decidedAt]) => decidedAt <= value.upTo) &&
+    value.documents.every(({ service, document }) => validateServiceDocument(service, document).length === 0);
+  return isSound ? value : undefined;
+}
+
+/** Creates the state that a snapshot describes. */
+export function createFoldFromSnapshot(snapshot: SnapshotRecord): FoldState {
+  const fold = createFoldState();
+  fold.appliedOffset = snapshot.upTo;
+  for (const { service, version, changeId, operator, document } of snapshot.documents) {
+    fold.documents.set(service, { version, changeId, operator, document: document as ServiceConfiguration });
+  }
+  for (const [changeId, offset, isAccepted] of snapshot.recentChangeIds) {
+    fold.decided.set(changeId, { offset, isAccepted });
+  }
+  return fold;
+}
+
+/**
+ * Compares a snapshot with the state of a reader that folded at least up to its end.
+ *
+ * @returns what differs, for people; undefined when the snapshot is right.
+ */
+export function findSnapshotFault(fold: FoldState, snapshot: SnapshotRecord): string | undefined {
+  const expected = listVersionsAt(fold, snapshot.upTo);
+  const found = new Map(snapshot.documents.map((document) => [document.service, document]));
+  for (const [service, { version, changeId }] of expected) {
+    const other = found.get(service);
+    if (other?.version !== version || other.changeId !== changeId) {
+      return `it gives ${service} version ${other?.version ?? 'none'}, but version ${version} was in force`;
+    }
+    const own = fold.documents.get(service);
+    if (own?.version === version && formatCanonical(own.document) !== formatCanonical(other.document)) {
+      return `its document of ${service} differs from version ${version}`;
+    }
+  }
+  for (const service of found.keys()) {
+    if (!expected.has(service)) return `it holds ${service}, which was never accepted`;
+  }
+  return findDecisionFault(fold, snapshot);
+}
+
+function listVersionsAt(fold: FoldState, upTo: number): Map<string, { version: number; changeId: string }> {
+  const versions = new Map<string, { version: number; changeId: string }>();
+  for (const replaced of fold.replaced) {
+    if (replaced.version <= upTo) versions.set(replaced.service, replaced);
+  }
+  for (const [service, folded] of fold.documents) {
+    if (folded.version <= upTo) versions.set(service, folded);
+  }
+  return versions;
+}
+
+function findDecisionFault(fold: FoldState, snapshot: SnapshotRecord): string | undefined {
+  for (const [changeId, offset, isAccepted] of snapshot.recentChangeIds) {
+    const own = fold.decided.get(changeId);
+    if (own !== undefined && (own.offset !== offset || own.isAccepted !== isAccepted)) {
+      return `it decides change ${changeId} otherwise`;
+    }
+  }
+  return undefined;
+}
+
+function computeDigest({
+  upTo,
+  documents,
+  recentChangeIds,
+}: Pick<SnapshotRecord, 'upTo' | 'documents' | 'recentChangeIds'>): string {
+  const text = formatCanonical([upTo, documents, recentChangeIds]);
+  return createHash('sha256').update(text).digest('hex');
+}
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -92,6 +92,15 @@
   appliedOffset: Type.Integer({ minimum: 0 }),
   documents: Type.Array(acceptedDocumentSchema),
 });
+/** Compares the versions in force at two nodes; `versions` are sent once the digests differ. */
+export const configurationDigestFrameSchema = Type.Object({
+  type: Type.Literal('configurationDigest'),
+  digest: Type.String({ maxLength: 64 }),
+  versions: Type.Optional(Type.Record(Type.String(), Type.Integer({ minimum: 1 }))),
+  /** True when the receiver sends what it has newer and asks for nothing more. */
+  isLast: Type.Boolean(),
+});
+export type ConfigurationDigestFrame = Static<typeof configurationDigestFrameSchema>;
 export const crashReportFrameSchema = Type.Object({
   type: Type.Literal('crashReport'),
   reportId: Type.String({ maxLength: 64 }),
@@ -119,6 +128,7 @@
   heartbeatFrameSchema,
   membersFrameSchema,
   configurationFrameSchema,
+  configurationDigestFrameSchema,
   crashReportFrameSchema,
   digestFrameSchema,
   pullFrameSchema,
--- a/src/schema/logRecord.ts
+++ b/src/schema/logRecord.ts
@@ -29,8 +29,14 @@
   kind: Type.Literal('snapshot'),
   upTo: Type.Integer({ minimum: 0 }),
   documents: Type.Array(acceptedDocumentSchema),
-  recentChangeIds: Type.Array(Type.Tuple([Type.String(), Type.Integer()])),
-  digest: Type.String(),
+  /** Change ids decided lately, in the order of the log: id, offset that decided it, whether it was accepted. */
+  recentChangeIds: Type.Array(Type.Tuple([Type.String(), Type.Integer(), Type.Boolean()])),
+  /** Host that wrote it. */
+  author: Type.String({ maxLength: 255 }),
+  /** Offsets of earlier snapshots that the writer found wrong by its own fold. */
+  refutes: Type.Array(Type.Integer({ minimum: 1 }), { maxItems: 64 }),
+  /** SHA-256 of `upTo`, `documents` and `recentChangeIds` in canonical JSON. */
+  digest: Type.String({ maxLength: 64 }),
 });
 export type SnapshotRecord = Static<typeof snapshotRecordSchema>;
 
@@ -69,3 +75,18 @@
   Type.Object({ type: Type.Literal('unknown'), message: Type.String() }),
 ]);
 export type LogAppendOutcome = Static<typeof logAppendOutcomeSchema>;
+
+/** What a node knows of the platform's log. Only gateways read it; the others stay `unread`. */
+export const logStateSchema = Type.Object({
+  state: Type.Union([Type.Literal('unread'), Type.Literal('up'), Type.Literal('down')]),
+  /** Wall time (ms) of the last change of `state`. */
+  sinceMs: Type.Number(),
+  message: Type.String(),
+  /** False while records that the state depends on are missing and no snapshot covers them. */
+  isComplete: Type.Boolean(),
+  /** Retention that snapshots are timed by (ms), from the settings. */
+  retentionMs: Type.Number(),
+  /** Offset of the newest sound snapshot that was read; 0 when there was none. */
+  lastSnapshotOffset: Type.Integer({ minimum: 0 }),
+});
+export type LogState = Static<typeof logStateSchema>;
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -45,6 +45,12 @@
       },
     ),
     logUrl: Type.Optional(Type.String({ pattern: '^https?://', description: "the URL of the platform's log" })),
+    logRetentionMs: Type.Integer({
+      minimum: 60_000,
+      maximum: 31_536_000_000,
+      default: 3_600_000,
+      description: "an integer from 60000 to 31536000000 (ms): how long the platform's log keeps a record",
+    }),
     tls: Type.Optional(tlsSchema),
     allowPlainText: Type.Boolean({ default: false, description: 'true or false' }),
     maxCallerConnections: Type.Integer({
--- a/src/schema/status.ts
+++ b/src/schema/status.ts
@@ -1,6 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 import { eventSchema } from './event.js';
+import { logStateSchema } from './logRecord.js';
 import { memberRecordSchema } from './member.js';
 import { limitStateSchema } from './state.js';
 
@@ -9,6 +10,7 @@
   host: Type.String(),
   members: Type.Array(memberRecordSchema),
   appliedOffset: Type.Integer(),
+  log: logStateSchema,
   versions: Type.Record(Type.String(), Type.Integer()),
   limits: limitStateSchema,
   inFlight: Type.Integer(),
