Add hemlockctl with publish, diff, drain, wait and the read commands

Cause: operators had no tool. Change: one file per command over sade; publish decides by the same fold as the nodes and retries a lost answer under the same change id. Conclusion: run by hand against a closed port, wrong usage and samples; tests follow.

--- /dev/null
+++ b/src/cli/commandResult.ts
@@ -0,0 +1,47 @@
+import { FailureError } from '../schema/failure.js';
+import type { Failure } from '../schema/failure.js';
+import { formatFault } from '../schema/validate.js';
+
+export const EXIT_DONE = 0;
+export const EXIT_REJECTED = 1;
+export const EXIT_INVALID = 2;
+export const EXIT_UNKNOWN = 3;
+export const EXIT_UNREACHABLE = 4;
+
+/** What a command came to, for people and for programs. */
+export interface CommandResult {
+  exitCode: number;
+  lines: string[];
+  /** What `--json` prints. */
+  value: unknown;
+}
+
+/** Turns what a command threw into its result. */
+export function buildFailureResult(error: unknown): CommandResult {
+  if (!(error instanceof FailureError)) {
+    const message = `hemlockctl failed: ${error instanceof Error ? (error.stack ?? error.message) : String(error)}`;
+    return { exitCode: EXIT_REJECTED, lines: [message], value: { failure: { kind: 'internal', message } } };
+  }
+  const { failure } = error;
+  const lines = [
+    failure.message,
+    ...('faults' in failure ? failure.faults.map((fault) => `  ${formatFault(fault)}`) : []),
+  ];
+  return { exitCode: getExitCode(failure), lines, value: { failure } };
+}
+
+function getExitCode({ kind }: Failure): number {
+  switch (kind) {
+    case 'documentInvalid':
+    case 'fileUnreadable':
+    case 'usage':
+      return EXIT_INVALID;
+    case 'logIncomplete':
+      return EXIT_UNKNOWN;
+    case 'logUnavailable':
+    case 'nodeUnreachable':
+      return EXIT_UNREACHABLE;
+    default:
+      return EXIT_REJECTED;
+  }
+}
--- /dev/null
+++ b/src/cli/commands/drain.ts
@@ -0,0 +1,63 @@
+import type { Sade } from 'sade';
+import type { PublishOutcome } from '../../schema/commandReport.js';
+import { getRequiredOption, getSeconds, runCommand } from '../commandContext.js';
+import type { CommandContext } from '../commandContext.js';
+import { EXIT_DONE } from '../commandResult.js';
+import type { CommandResult } from '../commandResult.js';
+import { formatOutcome, getPublishExitCode } from '../formatOutcome.js';
+import { publishChange } from '../publishChange.js';
+import { getDocumentInForce, readLogToEnd } from '../readLog.js';
+
+/** A drain that loses against another change is built anew on the winner this many times. */
+const MAX_ATTEMPTS = 5;
+
+/** Adds `drain HOST --service S`. */
+export function addDrainCommand(cli: Sade): void {
+  cli
+    .command('drain <host>')
+    .describe('Takes a host out of a service by publishing it in drainedHosts. --undo takes it in again.')
+    .option('--service', 'Service that the host serves')
+    .option('--undo', 'Remove the host from drainedHosts', false)
+    .option('--log', "URL of the platform's log (or HEMLOCK_LOG)")
+    .option('--operator', 'Name that is kept with the change', '')
+    .option('--timeout', 'Time to try for (s)', 15)
+    .example('drain d1-contracts --service contracts --log http://127.0.0.1:7500')
+    .example('drain d1-contracts --service contracts --undo --log http://127.0.0.1:7500')
+    .action((host: string, options: Record<string, unknown>) =>
+      runCommand(options, (context) => drainHost(context, host, options)),
+    );
+}
+
+async function drainHost(
+  context: CommandContext,
+  host: string,
+  options: Record<string, unknown>,
+): Promise<CommandResult> {
+  const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
+  const service = getRequiredOption(options, 'service', 'HEMLOCK_SERVICE');
+  const timeoutMs = getSeconds(options, 'timeout') * 1000;
+  const log = context.createLog(url);
+  const { operator } = options;
+  const shouldDrain = options['undo'] !== true;
+  let outcome: PublishOutcome | undefined;
+  for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
+    const { document, version } = getDocumentInForce(await readLogToEnd(context, log, { url, timeoutMs }), service);
+    const others = (document.drainedHosts ?? []).filter((drained) => drained !== host);
+    const isDrained = others.length < (document.drainedHosts ?? []).length;
+    if (isDrained === shouldDrain) {
+      const line = `${service}: ${host} is ${shouldDrain ? 'drained' : 'not drained'} already in version ${version}`;
+      return { exitCode: EXIT_DONE, lines: [line], value: { type: 'unchanged', service, host, version } };
+    }
+    outcome = await publishChange(context, log, {
+      document: { ...document, drainedHosts: shouldDrain ? [...others, host] : others },
+      url,
+      timeoutMs,
+      operator: typeof operator === 'string' && operator !== '' ? operator : context.operator,
+      changeId: context.createChangeId(),
+      baseVersion: version,
+    });
+    if (outcome.type !== 'rejected' || outcome.winner === undefined) break;
+  }
+  if (outcome === undefined) return { exitCode: EXIT_DONE, lines: [], value: {} };
+  return { exitCode: getPublishExitCode(outcome), lines: [formatOutcome(outcome, url)], value: { host, outcome } };
+}
--- /dev/null
+++ b/src/cli/commands/history.ts
@@ -0,0 +1,53 @@
+import type { Sade } from 'sade';
+import type { Verdict } from '../../policy/configurationFold.js';
+import { getRequiredOption, getSeconds, runCommand } from '../commandContext.js';
+import type { CommandContext } from '../commandContext.js';
+import { EXIT_DONE } from '../commandResult.js';
+import type { CommandResult } from '../commandResult.js';
+import { readLogToEnd } from '../readLog.js';
+
+/** Adds `history SERVICE`. */
+export function addHistoryCommand(cli: Sade): void {
+  cli
+    .command('history <service>')
+    .describe('Lists the changes of a service that the log still keeps, oldest first, with their verdicts.')
+    .option('--log', "URL of the platform's log (or HEMLOCK_LOG)")
+    .option('--timeout', 'Time to try for (s)', 15)
+    .example('history contracts --log http://127.0.0.1:7500')
+    .action((service: string, options: Record<string, unknown>) =>
+      runCommand(options, (context) => listHistory(context, service, options)),
+    );
+}
+
+async function listHistory(
+  context: CommandContext,
+  service: string,
+  options: Record<string, unknown>,
+): Promise<CommandResult> {
+  const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
+  const timeoutMs = getSeconds(options, 'timeout') * 1000;
+  const view = await readLogToEnd(context, context.createLog(url), { url, timeoutMs });
+  const changes = view.verdicts.flatMap((verdict) =>
+    verdict.type !== 'ignored' && verdict.change.service === service ? [buildChange(verdict)] : [],
+  );
+  const current = view.reader.fold.documents.get(service);
+  const lines = changes.map(
+    ({ offset, verdict, operator, changeId, reason }) =>
+      `${offset}  ${verdict}  ${operator}  ${changeId}${reason === '' ? '' : `  ${reason}`}`,
+  );
+  const end = current === undefined ? 'no version is in force' : `version ${current.version} is in force`;
+  lines.push(`${service}: ${changes.length} changes kept in the log, ${end}`);
+  return { exitCode: EXIT_DONE, lines, value: { service, version: current?.version ?? 0, changes } };
+}
+
+function buildChange(verdict: Exclude<Verdict, { type: 'ignored' }>) {
+  const { type, offset, change } = verdict;
+  const { changeId, operator, baseVersion } = change;
+  const reason =
+    verdict.type === 'rejected'
+      ? verdict.reason
+      : verdict.type === 'repeated'
+        ? `decided at offset ${verdict.first.offset}`
+        : '';
+  return { offset, verdict: type, changeId, operator, baseVersion, reason };
+}
--- /dev/null
+++ b/src/cli/commands/show.ts
@@ -0,0 +1,33 @@
+import type { Sade } from 'sade';
+import { getRequiredOption, getSeconds, runCommand } from '../commandContext.js';
+import type { CommandContext } from '../commandContext.js';
+import { EXIT_DONE } from '../commandResult.js';
+import type { CommandResult } from '../commandResult.js';
+import { getDocumentInForce, readLogToEnd } from '../readLog.js';
+
+/** Adds `show SERVICE`. */
+export function addShowCommand(cli: Sade): void {
+  cli
+    .command('show <service>')
+    .describe('Prints the document in force, as the log decides it.')
+    .option('--log', "URL of the platform's log (or HEMLOCK_LOG)")
+    .option('--timeout', 'Time to try for (s)', 15)
+    .example('show contracts --log http://127.0.0.1:7500 > contracts.json')
+    .action((service: string, options: Record<string, unknown>) =>
+      runCommand(options, (context) => printDocument(context, service, options)),
+    );
+}
+
+async function printDocument(
+  context: CommandContext,
+  service: string,
+  options: Record<string, unknown>,
+): Promise<CommandResult> {
+  const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
+  const timeoutMs = getSeconds(options, 'timeout') * 1000;
+  const view = await readLogToEnd(context, context.createLog(url), { url, timeoutMs });
+  const folded = getDocumentInForce(view, service);
+  const { version, operator, changeId, document } = folded;
+  process.stderr.write(`${service}: version ${version} by ${operator} (change ${changeId})\n`);
+  return { exitCode: EXIT_DONE, lines: [JSON.stringify(document, null, 2)], value: { service, ...folded } };
+}
--- /dev/null
+++ b/src/cli/fetchStatus.ts
@@ -0,0 +1,34 @@
+import { request } from 'undici';
+import { FailureError } from '../schema/failure.js';
+import { nodeStatusSchema } from '../schema/status.js';
+import type { NodeStatus } from '../schema/status.js';
+import { compileSchema } from '../schema/validate.js';
+
+const ANSWER_TIMEOUT_MS = 2000;
+const validator = compileSchema(nodeStatusSchema);
+
+/**
+ * Fetches what a node tells about itself from its operator address.
+ *
+ * @throws FailureError `nodeUnreachable`.
+ * @example
+ * const status = await fetchStatus('127.0.0.1:7403');
+ */
+export async function fetchStatus(address: string): Promise<NodeStatus> {
+  const url = `${address.startsWith('http') ? address : `http://${address}`}/status`;
+  const limits = { headersTimeout: ANSWER_TIMEOUT_MS, bodyTimeout: ANSWER_TIMEOUT_MS };
+  try {
+    const response = await request(url, { ...limits, signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS) });
+    const status: unknown = await response.body.json();
+    if (response.statusCode === 200 && validator.isValid(status)) return status;
+    throw createUnreachable(address, `it answered ${response.statusCode}, which is no status of a node`);
+  } catch (error) {
+    if (error instanceof FailureError) throw error;
+    throw createUnreachable(address, String(error));
+  }
+}
+
+function createUnreachable(address: string, reason: string): FailureError {
+  const message = `cannot ask the node at ${address} for its status: ${reason}; give the operator address of a running node`;
+  return new FailureError({ kind: 'nodeUnreachable', message, address });
+}
--- /dev/null
+++ b/src/cli/formatOutcome.ts
@@ -0,0 +1,29 @@
+import type { PublishOutcome } from '../schema/commandReport.js';
+import { EXIT_DONE, EXIT_REJECTED, EXIT_UNKNOWN, EXIT_UNREACHABLE } from './commandResult.js';
+
+const exitCodes: Record<PublishOutcome['type'], number> = {
+  accepted: EXIT_DONE,
+  rejected: EXIT_REJECTED,
+  unknown: EXIT_UNKNOWN,
+  unreachable: EXIT_UNREACHABLE,
+};
+
+/** Formats the outcome as one line that says what to do next. */
+export function formatOutcome(outcome: PublishOutcome, url: string): string {
+  const { service, changeId } = outcome;
+  switch (outcome.type) {
+    case 'accepted':
+      return `${service}: accepted as version ${outcome.version} (change ${changeId}, in place of version ${outcome.baseVersion})`;
+    case 'rejected':
+      return `${service}: rejected: ${outcome.reason}; compare with hemlockctl diff, then publish again`;
+    case 'unknown':
+      return `${service}: unknown: ${outcome.reason}; the change may be written; run the same command with --change-id ${changeId}, which counts it once`;
+    case 'unreachable':
+      return `${service}: unreachable: ${outcome.reason}; nothing was written to ${url}; publish again when the log is back`;
+  }
+}
+
+/** The exit code of one outcome. */
+export function getPublishExitCode({ type }: PublishOutcome): number {
+  return exitCodes[type];
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,33 @@
+#!/usr/bin/env node
+import sade from 'sade';
+import type { LazyOutput } from 'sade';
+import { addDiffCommand } from './commands/diff.js';
+import { addDrainCommand } from './commands/drain.js';
+import { addHistoryCommand } from './commands/history.js';
+import { addPublishCommand } from './commands/publish.js';
+import { addShowCommand } from './commands/show.js';
+import { addStatusCommand } from './commands/status.js';
+import { addValidateCommand } from './commands/validate.js';
+import { addWaitCommand } from './commands/wait.js';
+import { EXIT_INVALID } from './commandResult.js';
+
+const cli = sade('hemlockctl').version('0.1.0').option('--json', 'Print the result as JSON', false);
+addValidateCommand(cli);
+addPublishCommand(cli);
+addDiffCommand(cli);
+addShowCommand(cli);
+addHistoryCommand(cli);
+addStatusCommand(cli);
+addDrainCommand(cli);
+addWaitCommand(cli);
+
+// sade ends the process with 1 on wrong usage, but 1 stands for a rejection here.
+const putUsageExitCode = (code: number): void => {
+  if (code !== 0) process.exitCode = EXIT_INVALID;
+};
+process.on('exit', putUsageExitCode);
+// Help and version are printed by sade, which then returns nothing.
+const parsed = cli.parse(process.argv, { lazy: true, unknown: (flag) => `Unknown option: ${flag}` }) as
+  LazyOutput | undefined;
+process.off('exit', putUsageExitCode);
+if (parsed !== undefined) await Reflect.apply(parsed.handler, undefined, parsed.args);
--- /dev/null
+++ b/src/cli/publishChange.ts
@@ -0,0 +1,102 @@
+import type { LogClient } from '../platform/logClient.js';
+import type { Verdict } from '../policy/configurationFold.js';
+import type { PublishOutcome } from '../schema/commandReport.js';
+import { FailureError } from '../schema/failure.js';
+import type { ChangeRecord } from '../schema/logRecord.js';
+import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
+import type { CommandContext } from './commandContext.js';
+import { readLogToEnd } from './readLog.js';
+import type { LogView } from './readLog.js';
+
+export interface PublishRequest {
+  document: ServiceConfiguration;
+  operator: string;
+  url: string;
+  /** How long to try (ms). */
+  timeoutMs: number;
+  /** Names the change; the same id is counted once, however often it is appended. */
+  changeId: string;
+  /** Version that was edited. Default: the version in force when the log is read. */
+  baseVersion?: number;
+}
+
+const RETRY_PAUSE_MS = 250;
+
+/**
+ * Appends a change and reads the log up to the record that decides it. A lost answer is retried under the same id.
+ *
+ * @example
+ * const outcome = await publishChange(context, log, request);
+ */
+export async function publishChange(
+  context: CommandContext,
+  log: LogClient,
+  request: PublishRequest,
+): Promise<PublishOutcome> {
+  const { url, timeoutMs, changeId, document, operator } = request;
+  const { service } = document;
+  const endMs = context.now() + timeoutMs;
+  const view = await readLogToEnd(context, log, { url, timeoutMs });
+  const baseVersion = request.baseVersion ?? view.reader.fold.documents.get(service)?.version ?? 0;
+  const change: ChangeRecord = { kind: 'change', changeId, service, baseVersion, operator, document };
+  let mayBeWritten = false;
+  let reason = '';
+  while (context.now() < endMs || reason === '') {
+    const known = findOutcome(view, change);
+    if (known !== undefined) return known;
+    const appended = await log.append(change);
+    mayBeWritten ||= appended.type !== 'unavailable';
+    if (appended.type !== 'appended') {
+      reason = appended.message;
+      context.printProgress(`publishing ${service} to ${url}: ${reason}; trying again under the same change id`);
+      await context.wait(RETRY_PAUSE_MS);
+    }
+    const isRead = await readAgain(context, log, { url, timeoutMs: Math.max(1, endMs - context.now()), view });
+    if (!isRead) reason = 'the log was not readable up to the record';
+  }
+  const known = findOutcome(view, change);
+  if (known !== undefined) return known;
+  return { type: mayBeWritten ? 'unknown' : 'unreachable', service, changeId, reason };
+}
+
+async function readAgain(
+  context: CommandContext,
+  log: LogClient,
+  options: { url: string; timeoutMs: number; view: LogView },
+): Promise<boolean> {
+  try {
+    await readLogToEnd(context, log, options);
+    return true;
+  } catch (error) {
+    if (error instanceof FailureError && error.failure.kind === 'logUnavailable') return false;
+    throw error;
+  }
+}
+
+function findOutcome({ reader, verdicts }: LogView, change: ChangeRecord): PublishOutcome | undefined {
+  const { changeId, service, baseVersion } = change;
+  const first = reader.fold.decided.get(changeId);
+  if (first === undefined) return undefined;
+  const verdict = verdicts.find(({ offset }) => offset === first.offset);
+  if (verdict !== undefined && 'change' in verdict && !isSameChange(verdict.change, change)) {
+    const reason = `change id ${changeId} was used for another change at offset ${first.offset}`;
+    return { type: 'rejected', service, changeId, reason };
+  }
+  if (first.isAccepted) return { type: 'accepted', service, changeId, version: first.offset, baseVersion };
+  return buildRejection(verdict, change, first.offset);
+}
+
+function buildRejection(verdict: Verdict | undefined, change: ChangeRecord, offset: number): PublishOutcome {
+  const { changeId, service } = change;
+  if (verdict?.type !== 'rejected') {
+    return { type: 'rejected', service, changeId, reason: `it was rejected at offset ${offset}` };
+  }
+  const { reason, winner } = verdict;
+  if (winner === undefined) return { type: 'rejected', service, changeId, reason };
+  const { version, operator } = winner;
+  return { type: 'rejected', service, changeId, reason, winner: { version, operator, changeId: winner.changeId } };
+}
+
+function isSameChange(left: ChangeRecord, right: ChangeRecord): boolean {
+  return left.service === right.service && JSON.stringify(left.document) === JSON.stringify(right.document);
+}
--- /dev/null
+++ b/src/cli/readLog.ts
@@ -0,0 +1,73 @@
+import type { LogClient } from '../platform/logClient.js';
+import type { FoldedDocument, Verdict } from '../policy/configurationFold.js';
+import { applyPage, createLogReader } from '../policy/logReader.js';
+import type { LogReader } from '../policy/logReader.js';
+import { FailureError } from '../schema/failure.js';
+import type { CommandContext } from './commandContext.js';
+
+/** The log as far as it was read, with the verdicts on the records that are still kept. */
+export interface LogView {
+  reader: LogReader;
+  verdicts: Verdict[];
+}
+
+const RETRY_PAUSE_MS = 250;
+
+/** Creates a view that nothing was read into. */
+export function createLogView(): LogView {
+  return { reader: createLogReader(), verdicts: [] };
+}
+
+/**
+ * Reads the log to its end.
+ *
+ * @throws FailureError `logUnavailable` after `timeoutMs` without an answer, or `logIncomplete` when records that the
+ * state depends on have expired and no snapshot covers them.
+ */
+export async function readLogToEnd(
+  context: CommandContext,
+  log: LogClient,
+  options: { url: string; timeoutMs: number; view?: LogView },
+): Promise<LogView> {
+  const { url, timeoutMs, view = createLogView() } = options;
+  const endMs = context.now() + timeoutMs;
+  for (;;) {
+    const outcome = await log.read(view.reader.readUpTo + 1);
+    if (outcome.type === 'unavailable') {
+      if (context.now() > endMs) throw createUnavailable(url, outcome.message);
+      context.printProgress(`reading ${url}: ${outcome.message}; trying again`);
+      await context.wait(RETRY_PAUSE_MS);
+      continue;
+    }
+    const applied = applyPage(view.reader, outcome.page);
+    if (applied.type === 'restarted') throw createIncomplete(url, applied.message);
+    view.verdicts.push(...applied.verdicts);
+    context.printProgress(`reading ${url}: ${view.reader.readUpTo} of ${outcome.page.nextOffset - 1} records`);
+    if (view.reader.readUpTo + 1 >= outcome.page.nextOffset) break;
+  }
+  if (!view.reader.isComplete) throw createIncomplete(url, 'records have expired and no snapshot covers them');
+  return view;
+}
+
+/**
+ * Returns the document in force.
+ *
+ * @throws FailureError `documentMissing`.
+ */
+export function getDocumentInForce({ reader }: LogView, service: string): FoldedDocument {
+  const folded = reader.fold.documents.get(service);
+  if (folded !== undefined) return folded;
+  const known = [...reader.fold.documents.keys()].sort().join(', ') || 'none';
+  const message = `the log holds no accepted document of ${service}; published services: ${known}`;
+  throw new FailureError({ kind: 'documentMissing', message });
+}
+
+function createUnavailable(url: string, reason: string): FailureError {
+  const message = `cannot read the log at ${url}: ${reason}; nothing was written; check the address, or wait until the log is back`;
+  return new FailureError({ kind: 'logUnavailable', message });
+}
+
+function createIncomplete(url: string, reason: string): FailureError {
+  const message = `cannot tell from the log at ${url} what is in force: ${reason}; ask a node with status --node, and wait for a gateway to write a snapshot`;
+  return new FailureError({ kind: 'logIncomplete', message });
+}
--- a/src/schema/failure.ts
+++ b/src/schema/failure.ts
@@ -73,6 +73,8 @@
   Type.Object({ kind: Type.Literal('usage'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('logUnavailable'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('logAnswerMalformed'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('logIncomplete'), message: Type.String() }),
+  Type.Object({ kind: Type.Literal('documentMissing'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('frameMalformed'), message: Type.String(), faults: Type.Array(faultSchema) }),
   Type.Object({ kind: Type.Literal('nodeUnreachable'), message: Type.String(), address: Type.String() }),
   Type.Object({ kind: Type.Literal('listenFailed'), message: Type.String(), address: Type.String() }),
