Add the control fuzz suite; carry complete states through peers

Cause: a log whose records expired unread, or a fleet whose gateways were all replaced during an outage, would have kept the configuration frozen. Change: digests of versions carry the offset up to which a state is known to be complete; a reader without cover for half of the retention writes what is in force as the state. A read without an answer is repeated after 3.5 s, and versions are compared every 5 s, since 10 s exceeds the bound.

--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -19,7 +19,7 @@
     .option('--service', 'Service that the host serves')
     .option('--undo', 'Remove the host from drainedHosts', false)
     .option('--log', "URL of the platform's log (or HEMLOCK_LOG)")
-    .option('--operator', 'Name that is kept with the change', '')
+    .option('--operator', 'Name that is kept with the change; default: the user name')
     .option('--timeout', 'Time to try for (s)', 15)
     .example('drain d1-contracts --service contracts --log http://127.0.0.1:7500')
     .example('drain d1-contracts --service contracts --undo --log http://127.0.0.1:7500')
--- a/src/cli/commands/publish.ts
+++ b/src/cli/commands/publish.ts
@@ -18,7 +18,7 @@
       'Publishes service configurations, one after the other. Reports each as accepted, rejected, unknown or unreachable.',
     )
     .option('--log', "URL of the platform's log (or HEMLOCK_LOG)")
-    .option('--operator', 'Name that is kept with the change', '')
+    .option('--operator', 'Name that is kept with the change; default: the user name')
     .option('--base', 'Version that was edited; default: the version in force')
     .option('--change-id', 'Id of an earlier attempt whose outcome is unknown')
     .option('--timeout', 'Time to try for (s)', 15)
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -11,6 +11,9 @@
 import { addWaitCommand } from './commands/wait.js';
 import { EXIT_INVALID } from './commandResult.js';
 
+/** Options whose values stay texts even where they look like numbers. */
+const TEXT_OPTIONS = ['log', 'node', 'operator', 'service', 'change-id'];
+
 const cli = sade('hemlockctl').version('0.1.0').option('--json', 'Print the result as JSON', false);
 addValidateCommand(cli);
 addPublishCommand(cli);
@@ -27,7 +30,10 @@
 };
 process.on('exit', putUsageExitCode);
 // Help and version are printed by sade, which then returns nothing.
-const parsed = cli.parse(process.argv, { lazy: true, unknown: (flag) => `Unknown option: ${flag}` }) as
-  LazyOutput | undefined;
+const parsed = cli.parse(process.argv, {
+  lazy: true,
+  string: TEXT_OPTIONS,
+  unknown: (flag) => `Unknown option: ${flag}`,
+}) as LazyOutput | undefined;
 process.off('exit', putUsageExitCode);
 if (parsed !== undefined) await Reflect.apply(parsed.handler, undefined, parsed.args);
--- a/src/control/configurationController.ts
+++ b/src/control/configurationController.ts
@@ -4,8 +4,9 @@
 import { validateServiceDocument } from '../policy/configurationFold.js';
 import type { FoldedDocument, Verdict } from '../policy/configurationFold.js';
 import { listGateways } from '../policy/gatewayChoice.js';
-import { applyPage, createLogReader } from '../policy/logReader.js';
+import { applyPage, applyPeerState, createLogReader } from '../policy/logReader.js';
 import type { SnapshotVerdict } from '../policy/logReader.js';
+import { computeVersionsDigest } from '../policy/versionsDigest.js';
 import type { AcceptedDocument, LogPage } from '../schema/logRecord.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type { Controller, ControllerContext } from './context.js';
@@ -16,7 +17,8 @@
 const TICK_MS = 1000;
 /** A node that just started knows few members and would take itself for a gateway. */
 const SETTLE_MS = 2000;
-const DIGEST_PERIOD_MS = 10_000;
+/** With its jitter below the 7 s in which a change must be in force, also where the push of it was lost. */
+const DIGEST_PERIOD_MS = 5000;
 
 /** Writes the documents in force, from the platform's log and from what peers send. */
 export function createConfigurationController(context: ControllerContext): Controller {
@@ -52,7 +54,7 @@
     const changed: string[] = [];
     for (const accepted of documents) {
       const { service, version, changeId, operator } = accepted;
-      if (version < (services.get(service)?.version ?? 1)) continue;
+      if (version <= (services.get(service)?.version ?? 0)) continue;
       if (validateServiceDocument(service, accepted.document).length > 0 || isContradicted(accepted)) {
         board.post('events', { kind: 'configurationRejected', service, data: { version, from: from ?? '' } });
         continue;
@@ -64,28 +66,55 @@
     configuration.publishChange();
     spreader.spreadDocuments(changed, from === undefined ? {} : { except: from });
   };
+  /** Notes the offset at which exactly the versions in force here were in force by the log. */
+  const recordComplete = (digest: string, upTo: number): void => {
+    const { complete } = section;
+    if (upTo === 0 || digest !== computeVersionsDigest(services)) return;
+    if (complete.digest === digest && complete.upTo >= upTo) return;
+    Object.assign(complete, { digest, upTo });
+    takePeerState();
+  };
   configuration.handlePosts((post) => {
     if ('documents' in post) applyDocuments(post.documents, post.from);
-    else spreader.handleDigest(post.digest, post.respond);
+    else {
+      recordComplete(post.digest.digest, post.digest.completeUpTo);
+      spreader.handleDigest(post.digest, post.respond);
+    }
   });
 
   const handlePage = (page: LogPage): string | undefined => {
     const outcome = applyPage(reader, page, { knownVersions: services, self: settings.host });
     if (outcome.type === 'restarted') return outcome.message;
-    reportVerdicts(outcome.verdicts, outcome.snapshots);
-    if (reader.isComplete) section.appliedOffset = reader.fold.appliedOffset;
-    const changed = listTouched(outcome).filter((service) => {
+    applyOutcome(outcome.verdicts, outcome.snapshots);
+    if (!reader.isComplete) takePeerState();
+    return undefined;
+  };
+  const takePeerState = (): void => {
+    const { digest, upTo } = section.complete;
+    if (digest !== computeVersionsDigest(services)) return;
+    const verdicts = applyPeerState(reader, services, upTo);
+    if (verdicts !== undefined) applyOutcome(verdicts, []);
+  };
+  const applyOutcome = (verdicts: Verdict[], snapshots: SnapshotVerdict[]): void => {
+    reportVerdicts(verdicts, snapshots);
+    section.log.isComplete = reader.isComplete;
+    if (!reader.isComplete) return;
+    section.appliedOffset = reader.fold.appliedOffset;
+    const changed = listTouched(verdicts, snapshots).filter((service) => {
       const folded = reader.fold.documents.get(service);
       return folded !== undefined && putInForce(service, folded, { isFromLog: true });
     });
     if (changed.length > 0) configuration.publishChange();
     spreader.spreadDocuments(changed);
-    return undefined;
+    const digest = computeVersionsDigest(services);
+    if (digest === computeVersionsDigest(reader.fold.documents)) {
+      Object.assign(section.complete, { digest, upTo: reader.fold.appliedOffset });
+    }
   };
-  const listTouched = ({ verdicts, snapshots }: { verdicts: Verdict[]; snapshots: SnapshotVerdict[] }): string[] => {
-    if (!reader.isComplete) return [];
+  const listTouched = (verdicts: readonly Verdict[], snapshots: readonly SnapshotVerdict[]): string[] => {
     if (snapshots.some(({ type }) => type === 'adopted')) return [...reader.fold.documents.keys()];
-    return verdicts.flatMap((verdict) => (verdict.type === 'accepted' ? [verdict.change.service] : []));
+    const accepted = verdicts.flatMap((verdict) => (verdict.type === 'accepted' ? [verdict.change.service] : []));
+    return [...new Set(accepted)];
   };
   const reportVerdicts = (verdicts: readonly Verdict[], snapshots: readonly SnapshotVerdict[]): void => {
     for (const verdict of verdicts) {
@@ -117,6 +146,7 @@
   });
   const snapshotWriter = createSnapshotWriter(context, reader, {
     canWrite: () => isReading && section.log.state === 'up',
+    documents: services,
   });
 
   const updateRole = (): void => {
--- a/src/control/logFollower.ts
+++ b/src/control/logFollower.ts
@@ -23,14 +23,21 @@
 const MIN_BACKOFF_MS = 200;
 /** Stays far below the 7 s in which a change must be in force after an outage. */
 const MAX_BACKOFF_MS = 2000;
-/** A read without an answer for this long is given up: longer than the client's own limits. */
-const READ_LIMIT_MS = 15_000;
+/**
+ * A read without an answer for this long is repeated, so that a silently broken link costs less than the 7 s in which a
+ * change must be in force. It is longer than the 2 s for which the log holds a read open.
+ */
+const READ_LIMIT_MS = 3500;
+/** The limit doubles up to this while the log is slow; a late page is used all the same. */
+const MAX_READ_LIMIT_MS = 30_000;
 
 /** Creates the reading loop: long polls, backs off with jitter while the log is down. */
 export function createLogFollower(context: ControllerContext, options: LogFollowerOptions): LogFollower {
   const { clock, io, random } = context;
   let generation = 0;
   let failures = 0;
+  let isStarted = false;
+  let readLimitMs = READ_LIMIT_MS;
   let cancelNext: CancelScheduled = () => undefined;
 
   const readNext = (): void => {
@@ -38,15 +45,21 @@
     if (readLog === undefined) return;
     const current = ++generation;
     const startedMs = clock.now();
-    const cancelLimit = clock.schedule(READ_LIMIT_MS, () => {
-      handleOutcome({ type: 'unavailable', message: `the log gave no answer within ${READ_LIMIT_MS} ms` });
+    const cancelLimit = clock.schedule(readLimitMs, () => {
+      const message = `the log gave no answer within ${readLimitMs} ms`;
+      readLimitMs = Math.min(MAX_READ_LIMIT_MS, 2 * readLimitMs);
+      handleOutcome({ type: 'unavailable', message });
     });
     const handleOutcome = (outcome: LogReadOutcome): void => {
-      if (current !== generation) return;
+      if (current !== generation) {
+        if (isStarted && outcome.type === 'page') options.handlePage(outcome.page);
+        return;
+      }
       generation++;
       cancelLimit();
       const failure = outcome.type === 'page' ? options.handlePage(outcome.page) : outcome.message;
       failures = failure === undefined ? 0 : failures + 1;
+      if (outcome.type === 'page') readLimitMs = READ_LIMIT_MS;
       options.reportRead(failure);
       const isEmpty = outcome.type === 'page' && outcome.page.entries.length === 0;
       const isShort = isEmpty && clock.now() - startedMs < SHORT_WAIT_MS;
@@ -59,8 +72,12 @@
     return limitMs * (0.5 + 0.5 * random());
   };
   return {
-    start: readNext,
+    start: () => {
+      isStarted = true;
+      readNext();
+    },
     stop: () => {
+      isStarted = false;
       generation++;
       cancelNext();
     },
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -34,7 +34,13 @@
 
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
 export interface Sections {
-  configuration: { services: Map<string, ConfigurationEntry>; appliedOffset: number; log: LogState };
+  configuration: {
+    services: Map<string, ConfigurationEntry>;
+    appliedOffset: number;
+    log: LogState;
+    /** The log offset at which exactly the versions of `digest` were in force, as gateways tell. */
+    complete: { digest: string; upTo: number };
+  };
   members: { self: MemberRecord; byId: Map<string, MemberRecord>; byService: Map<string, MemberRecord[]> };
   target: { announcement: TargetAnnouncement | undefined; leaseUntilMs: number; isDraining: boolean };
   calls: {
@@ -83,7 +89,12 @@
 /** Creates the sections of a node that just started. */
 export function createSections(self: MemberRecord): Sections {
   return {
-    configuration: { services: new Map(), appliedOffset: 0, log: createLogState() },
+    configuration: {
+      services: new Map(),
+      appliedOffset: 0,
+      log: createLogState(),
+      complete: { digest: '', upTo: 0 },
+    },
     members: { self, byId: new Map([[self.id, self]]), byService: new Map() },
     target: { announcement: undefined, leaseUntilMs: 0, isDraining: false },
     calls: {
--- a/src/control/snapshotWriter.ts
+++ b/src/control/snapshotWriter.ts
@@ -1,4 +1,6 @@
 import type { CancelScheduled } from '../core/clock.js';
+import { createFoldState } from '../policy/configurationFold.js';
+import type { FoldedDocument, FoldState } from '../policy/configurationFold.js';
 import type { LogReader } from '../policy/logReader.js';
 import { buildSnapshot } from '../policy/snapshot.js';
 import type { ControllerContext } from './context.js';
@@ -17,6 +19,11 @@
 const UNCONFIRMED_DUE_SHARE = 1 / 2;
 /** Writers that find a snapshot due at once spread over this share of the retention; the first one satisfies all. */
 const DELAY_SHARE = 1 / 32;
+/**
+ * When expired records leave the log without a complete state for this share of the retention, no complete reader is
+ * left: it would have written a snapshot twice by then. What is in force becomes the state.
+ */
+const RECOVERY_SHARE = 1 / 2;
 const MAX_REFUTED = 64;
 /** A wrong snapshot is contradicted soon: a reader that starts meanwhile may take it over. */
 const REFUTE_DELAY_MS = 2000;
@@ -25,7 +32,11 @@
 export function createSnapshotWriter(
   context: ControllerContext,
   reader: LogReader,
-  options: { canWrite: () => boolean },
+  options: {
+    canWrite: () => boolean;
+    /** What is in force at this node, from whatever source. */
+    documents: ReadonlyMap<string, FoldedDocument>;
+  },
 ): SnapshotWriter {
   const { board, clock, io, random, settings } = context;
   const retentionMs = settings.logRetentionMs;
@@ -34,8 +45,20 @@
   let cancelPending: CancelScheduled | undefined;
 
   const listRefuted = (): number[] => [...refuted].filter((offset) => !reader.refuted.has(offset)).slice(-MAX_REFUTED);
+  let completeAtMs = clock.now();
+  const chooseFold = (): FoldState => {
+    if (reader.isComplete) return reader.fold;
+    const versions = [...options.documents.values()].map(({ version }) => version);
+    return {
+      ...createFoldState(),
+      appliedOffset: Math.max(reader.heldAfter, ...versions),
+      documents: new Map(options.documents),
+    };
+  };
   const isDue = (): boolean => {
-    if (!options.canWrite() || !reader.isComplete || reader.fold.documents.size === 0) return false;
+    if (!options.canWrite()) return false;
+    if (!reader.isComplete) return clock.now() - completeAtMs >= retentionMs * RECOVERY_SHARE;
+    if (reader.fold.appliedOffset === 0) return false;
     const last = reader.lastSnapshot;
     if (listRefuted().length > 0) return true;
     const dueMs = retentionMs * (reader.isConfirmed ? DUE_SHARE : UNCONFIRMED_DUE_SHARE);
@@ -44,7 +67,7 @@
   const writeSnapshot = (): void => {
     cancelPending = undefined;
     if (!isDue() || io.appendLog === undefined) return;
-    const snapshot = buildSnapshot(reader.fold, { author: settings.host, refutes: listRefuted() });
+    const snapshot = buildSnapshot(chooseFold(), { author: settings.host, refutes: listRefuted() });
     // The next update writes again when the append failed; two snapshots after a lost answer do no harm.
     io.appendLog(snapshot, (outcome) => {
       if (outcome.type !== 'appended') return;
@@ -53,6 +76,7 @@
   };
   return {
     update: () => {
+      if (reader.isComplete || !options.canWrite()) completeAtMs = clock.now();
       if (cancelPending !== undefined || !isDue()) return;
       const delayMs = listRefuted().length > 0 ? REFUTE_DELAY_MS : retentionMs * DELAY_SHARE;
       cancelPending = clock.schedule(random() * delayMs, writeSnapshot);
--- a/src/control/spreadDocuments.ts
+++ b/src/control/spreadDocuments.ts
@@ -1,4 +1,4 @@
-import { hashText } from '../core/hash.js';
+import { computeVersionsDigest } from '../policy/versionsDigest.js';
 import { listGateways } from '../policy/gatewayChoice.js';
 import type { ConfigurationDigestFrame, Frame } from '../schema/frame.js';
 import type { AcceptedDocument } from '../schema/logRecord.js';
@@ -9,7 +9,7 @@
 export interface DocumentSpreader {
   /** Pushes news to the own data centre and to one gateway of each other one. */
   spreadDocuments(services: readonly string[], options?: { except?: string }): void;
-  /** Compares versions with one random peer; a node that has nothing yet also asks a seed. */
+  /** Compares versions with a gateway and a random peer; a node that has nothing yet also asks a seed. */
   spreadDigest(): void;
   /** Answers a digest with what the sender lacks, or with the own versions. */
   handleDigest(frame: ConfigurationDigestFrame, respond: (frame: Frame) => void): void;
@@ -43,10 +43,16 @@
       send({ type: 'configuration', appliedOffset, documents });
     }
   };
-  const computeDigest = (): string => {
-    const text = [...services].map(([service, { version }]) => `${service}:${version}`).sort();
-    return `${hashText(text.join(' '))}-${hashText(text.join(' '), 1)}`;
+  const getCompleteUpTo = (): number => {
+    const { complete } = board.read('configuration');
+    return complete.digest === computeVersionsDigest(services) ? complete.upTo : 0;
   };
+  const buildDigest = (options: Pick<ConfigurationDigestFrame, 'isLast' | 'versions'>): ConfigurationDigestFrame => ({
+    type: 'configurationDigest',
+    digest: computeVersionsDigest(services),
+    completeUpTo: getCompleteUpTo(),
+    ...options,
+  });
   const listVersions = (): Record<string, number> =>
     Object.fromEntries([...services].map(([service, { version }]) => [service, version]));
 
@@ -64,22 +70,24 @@
     },
     spreadDigest: () => {
       const { local, remoteGateways } = listPeers();
-      const peers = isGateway() ? [choose(local), choose(remoteGateways.flat())] : [choose(local)];
+      const gateways = isGateway()
+        ? remoteGateways.flat()
+        : listGateways(members.byId.values(), settings.dataCenter).filter((id) => id !== settings.host);
+      // A random peer repairs what the gateways cannot, for example while both are paused.
+      const peers = [choose(gateways), choose(local)];
       if (services.size === 0) peers.push(choose(settings.seeds));
       for (const peer of peers) {
         if (peer === undefined) continue;
-        io.sendFrame(peer, 'control', { type: 'configurationDigest', digest: computeDigest(), isLast: false });
+        io.sendFrame(peer, 'control', buildDigest({ isLast: false }));
       }
     },
     handleDigest: (frame, respond) => {
       const { versions, isLast } = frame;
-      if (frame.digest === computeDigest()) return;
-      const mine: Frame = {
-        type: 'configurationDigest',
-        digest: computeDigest(),
-        versions: listVersions(),
-        isLast: versions !== undefined,
-      };
+      if (frame.digest === computeVersionsDigest(services)) {
+        if (!isLast && getCompleteUpTo() > frame.completeUpTo) respond(buildDigest({ isLast: true }));
+        return;
+      }
+      const mine = buildDigest({ isLast: versions !== undefined, versions: listVersions() });
       if (versions === undefined) {
         respond(mine);
         return;
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -35,6 +35,8 @@
 
 const TOKEN_BYTES = 18;
 const LOG_WAIT_MS = 2000;
+/** Longer than the reading loop waits, so that the late answer of a slow log is still used. */
+const LOG_TIMEOUT_MS = 30_000;
 const MAX_SEED = 2 ** 31;
 
 /**
@@ -126,7 +128,7 @@
 }
 
 function createLogFunctions(url: string): { readLog: ReadLog; appendLog: AppendLog } {
-  const log = createLogClient(url);
+  const log = createLogClient(url, { timeoutMs: LOG_TIMEOUT_MS });
   return {
     readLog: (fromOffset, done) => {
       void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
--- /dev/null
+++ b/src/fuzz/controlFleet.ts
@@ -0,0 +1,153 @@
+import { createFakeNetwork } from '../bench/fakes/fakeNetwork.js';
+import type { FakeNetwork } from '../bench/fakes/fakeNetwork.js';
+import { createProcessClock } from '../bench/fakes/fakeProcess.js';
+import type { ProcessClock } from '../bench/fakes/fakeProcess.js';
+import { createFakeClock } from '../core/fakeClock.js';
+import type { FakeClock } from '../core/fakeClock.js';
+import { createRandom } from '../core/random.js';
+import { createNode } from '../node/createNode.js';
+import type { Node } from '../node/createNode.js';
+import type { MemberRecord } from '../schema/member.js';
+import { parseSettings } from '../schema/settings.js';
+import { createLogStore } from '../standins/logStore.js';
+import { createControlLog } from './controlLog.js';
+import type { ControlLog } from './controlLog.js';
+
+export interface ControlHost {
+  readonly host: string;
+  readonly dataCenter: string;
+  readonly node: Node;
+  readonly process: ProcessClock;
+  /** Grows with every start of the host. */
+  readonly start: number;
+}
+
+/** Nodes without targets over a fake log: the real controllers, for the configuration alone. */
+export interface ControlFleet {
+  readonly clock: FakeClock;
+  readonly log: ControlLog;
+  readonly network: FakeNetwork;
+  readonly hosts: Map<string, ControlHost>;
+  startHost(host: string): ControlHost;
+  killHost(host: string): void;
+  pauseHost(host: string): void;
+  resumeHost(host: string): void;
+  /** The version of a service in force at a host; 0 when there is none. */
+  getVersion(host: string, service: string): number;
+}
+
+export interface ControlFleetOptions {
+  seed: number;
+  dataCenters: readonly string[];
+  hostsPerDataCenter: number;
+  retentionMs?: number;
+  /** Hosts to start at once; the default is all. */
+  started?: readonly string[];
+}
+
+/** Membership marks a silent node as down in 3 to 6 s. */
+const DETECTION_MS = 4500;
+const SEEDS_USED = 3;
+
+/**
+ * Creates the fleet. Hosts are named `d1-0`, `d1-1`, `d2-0` and so on.
+ *
+ * @example
+ * const fleet = createControlFleet({ seed: 1, dataCenters: ['d1', 'd2'], hostsPerDataCenter: 3 });
+ * fleet.log.append(change);
+ * fleet.clock.advance(5000);
+ */
+export function createControlFleet(options: ControlFleetOptions): ControlFleet {
+  const { retentionMs = 3_600_000 } = options;
+  const clock = createFakeClock();
+  const random = createRandom(options.seed);
+  const network = createFakeNetwork({ clock });
+  const log = createControlLog(clock, createLogStore(clock, { retentionMs }));
+  const hosts = new Map<string, ControlHost>();
+  const names = options.dataCenters.flatMap((dataCenter) =>
+    Array.from({ length: options.hostsPerDataCenter }, (_, index) => `${dataCenter}-${index}`),
+  );
+  let starts = 0;
+
+  const startHost = (host: string): ControlHost => {
+    const dataCenter = host.slice(0, host.lastIndexOf('-'));
+    const process = createProcessClock(clock);
+    const listen = { host: '127.0.0.1', port: 0 };
+    const settings = parseSettings({
+      host,
+      dataCenter,
+      region: 'r1',
+      callerListen: listen,
+      localListen: listen,
+      operatorListen: listen,
+      peerListen: listen,
+      logRetentionMs: retentionMs,
+      seeds: names
+        .filter((name) => name !== host && name.endsWith('-0'))
+        .slice(0, SEEDS_USED)
+        .map(computeAddress),
+    });
+    const node = createNode({
+      settings,
+      clock: process,
+      random: createRandom(Math.floor(random() * 2 ** 31)),
+      sendFrame: network.createSender(host),
+      callTarget: () => () => undefined,
+      ...log.createFunctions(host, dataCenter, process),
+    });
+    network.attach({ host, address: computeAddress(host), dataCenter, node, process });
+    const entry: ControlHost = { host, dataCenter, node, process, start: ++starts };
+    hosts.set(host, entry);
+    node.board.post('members', { type: 'setSelf', change: { peerAddress: computeAddress(host) } });
+    node.start();
+    return entry;
+  };
+  const markDownLater = (entry: ControlHost, isSilent: () => boolean): void => {
+    const { self } = entry.node.board.read('members');
+    clock.schedule(DETECTION_MS, () => {
+      if (!isSilent()) return;
+      const record: MemberRecord = { ...self, version: self.version + 1, nodeState: 'down' };
+      for (const other of hosts.values()) {
+        if (other === entry) continue;
+        other.process.runWhenAwake(() => {
+          other.node.board.post('members', { type: 'merge', records: [record] });
+        });
+      }
+    });
+  };
+  for (const host of options.started ?? names) startHost(host);
+  return {
+    clock,
+    log,
+    network,
+    hosts,
+    startHost,
+    killHost: (host) => {
+      const entry = hosts.get(host);
+      if (entry === undefined) return;
+      entry.process.kill();
+      network.detach(host);
+      hosts.delete(host);
+      markDownLater(entry, () => !hosts.has(host));
+    },
+    pauseHost: (host) => {
+      const entry = hosts.get(host);
+      if (entry === undefined || entry.process.isPaused) return;
+      entry.process.pause();
+      markDownLater(entry, () => entry.process.isPaused);
+    },
+    resumeHost: (host) => {
+      const entry = hosts.get(host);
+      if (entry?.process.isPaused !== true) return;
+      entry.process.resume();
+      // As the membership rules ask: a node that learns that it counts as down raises its version.
+      for (let count = 0; count < 2; count++) entry.node.board.post('members', { type: 'setSelf', change: {} });
+    },
+    getVersion: (host, service) =>
+      hosts.get(host)?.node.board.read('configuration').services.get(service)?.version ?? 0,
+  };
+}
+
+function computeAddress(host: string): string {
+  return `${host}:7000`;
+}
--- a/src/policy/logReader.ts
+++ b/src/policy/logReader.ts
@@ -1,6 +1,6 @@
 import type { LogEntry, LogPage, SnapshotRecord } from '../schema/logRecord.js';
 import { applyEntry, createFoldState, DECIDED_OFFSETS } from './configurationFold.js';
-import type { FoldState, Verdict } from './configurationFold.js';
+import type { FoldedDocument, FoldState, Verdict } from './configurationFold.js';
 import { createFoldFromSnapshot, findSnapshot, findSnapshotFault } from './snapshot.js';
 
 /** What one reader of the log holds. */
@@ -15,7 +15,7 @@
   held: LogEntry[];
   /** Offset after which all records are held. */
   heldAfter: number;
-  /** The snapshot that the state comes from, and who wrote it; undefined when folded from the first record. */
+  /** The snapshot that the state comes from (offset 0: from peers); undefined when folded from the first record. */
   adopted: { offset: number; upTo: number; author: string } | undefined;
   /** True when folded from the first record, or when a second writer's snapshot agreed with the state. */
   isConfirmed: boolean;
@@ -101,6 +101,24 @@
   return { type: 'applied', verdicts, snapshots };
 }
 
+/**
+ * Goes on from the documents that a peer vouches for, when they cover the records that expired unread. Which change ids
+ * were decided is not known then; that turns `repeated` verdicts into `rejected` ones and changes nothing else.
+ *
+ * @returns the verdicts on the records that were held back; undefined when the state does not reach far enough.
+ */
+export function applyPeerState(
+  reader: LogReader,
+  documents: ReadonlyMap<string, FoldedDocument>,
+  upTo: number,
+): Verdict[] | undefined {
+  if (reader.isComplete || upTo < reader.heldAfter || upTo < reader.fold.appliedOffset) return undefined;
+  const fold = createFoldState();
+  fold.appliedOffset = upTo;
+  for (const [service, folded] of documents) fold.documents.set(service, folded);
+  return takeOver(reader, fold, { offset: 0, upTo, author: '' });
+}
+
 function openGap(reader: LogReader, oldestOffset: number): void {
   reader.isComplete = false;
   reader.held = [];
@@ -133,10 +151,16 @@
 }
 
 function applySnapshot(reader: LogReader, offset: number, snapshot: SnapshotRecord): Verdict[] {
-  reader.fold = createFoldFromSnapshot(snapshot);
+  const { upTo, author } = snapshot;
+  return takeOver(reader, createFoldFromSnapshot(snapshot), { offset, upTo, author });
+}
+
+function takeOver(reader: LogReader, fold: FoldState, adopted: NonNullable<LogReader['adopted']>): Verdict[] {
+  reader.fold = fold;
   reader.isComplete = true;
   reader.isConfirmed = false;
-  reader.adopted = { offset, upTo: snapshot.upTo, author: snapshot.author };
+  reader.adopted = adopted;
+  reader.readUpTo = Math.max(reader.readUpTo, adopted.upTo);
   const { held } = reader;
   reader.held = [];
   return held.map((entry) => applyEntry(reader.fold, entry));
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -97,6 +97,8 @@
   type: Type.Literal('configurationDigest'),
   digest: Type.String({ maxLength: 64 }),
   versions: Type.Optional(Type.Record(Type.String(), Type.Integer({ minimum: 1 }))),
+  /** Log offset at which exactly the versions of the digest were in force; 0 when the sender cannot tell. */
+  completeUpTo: Type.Integer({ minimum: 0 }),
   /** True when the receiver sends what it has newer and asks for nothing more. */
   isLast: Type.Boolean(),
 });
--- a/src/standins/logServer.ts
+++ b/src/standins/logServer.ts
@@ -33,6 +33,17 @@
 const MAX_WAIT_MS = 30_000;
 const changeValidator = compileSchema(Type.Partial(logFaultsSchema));
 
+export interface LogServerOptions {
+  host?: string;
+  port?: number;
+  /** Records older than this are dropped. Default: none. */
+  retentionMs?: number;
+  /** The records of an earlier server, which a restarted log still has. Default: an empty store. */
+  store?: LogStore;
+  /** Most records in one answer. Default: 500. */
+  maxPageEntries?: number;
+}
+
 /**
  * Starts a stand-in for the platform's log over HTTP: `POST /records`, `GET /records?from=&waitMs=`, and `POST /faults`
  * and `POST /expire?before=` to bring failures about.
@@ -41,14 +52,12 @@
  * const log = await startLogServer({ port: 0 });
  * log.faults.isDown = true;
  */
-export async function startLogServer(
-  options: { host?: string; port?: number; retentionMs?: number } = {},
-): Promise<LogServer> {
-  const store = createLogStore(createSystemClock(), options);
+export async function startLogServer(options: LogServerOptions = {}): Promise<LogServer> {
+  const store = options.store ?? createLogStore(createSystemClock(), options);
   const faults: LogFaults = { isDown: false, delayMs: 0, loseAnswers: 0, appendsPerSecond: DEFAULT_APPENDS_PER_SECOND };
   const server = Fastify({ forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024 });
   addFaultHooks(server, faults);
-  addRecordRoutes(server, store, faults);
+  addRecordRoutes(server, store, faults, options.maxPageEntries ?? MAX_PAGE_ENTRIES);
   addControlRoutes(server, store, faults);
   const url = await server.listen({ host: options.host ?? '127.0.0.1', port: options.port ?? 0 });
   return { url, store, faults, stop: () => server.close() };
@@ -66,7 +75,7 @@
   });
 }
 
-function addRecordRoutes(server: FastifyInstance, store: LogStore, faults: LogFaults): void {
+function addRecordRoutes(server: FastifyInstance, store: LogStore, faults: LogFaults, maxPageEntries: number): void {
   let tokens = faults.appendsPerSecond;
   let refilledAtMs = Date.now();
   const takeToken = (): boolean => {
@@ -96,7 +105,13 @@
         store.waitForAppend(waitMs, resolve);
       });
     }
-    return reply.send(store.readFrom(from, MAX_PAGE_ENTRIES));
+    // A log that went down meanwhile answers nobody who waited.
+    if (faults.isDown) {
+      reply.hijack();
+      request.raw.destroy();
+      return reply;
+    }
+    return reply.send(store.readFrom(from, maxPageEntries));
   });
 }
 
