--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -4,8 +4,8 @@
 import { createRingBuffer } from '../core/ringBuffer.js';
 import type { RingBuffer } from '../core/ringBuffer.js';
 import type { TimelineEvent } from '../schema/event.js';
-import type { Frame, HeartbeatFrame, LoadHint, MembershipFrame } from '../schema/frame.js';
-import type { AcceptedDocument } from '../schema/logRecord.js';
+import type { ConfigurationDigestFrame, Frame, HeartbeatFrame, LoadHint, MembershipFrame } from '../schema/frame.js';
+import type { AcceptedDocument, LogState } from '../schema/logRecord.js';
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import type {
@@ -26,9 +26,16 @@
 /** A document in force with its version, the log offset of its change. */
 export interface ConfigurationEntry {
   version: number;
+  changeId: string;
+  operator: string;
   document: ServiceConfiguration;
 }
 
+/** What a peer sends about the configuration. */
+export type ConfigurationPost =
+  | { documents: readonly AcceptedDocument[]; from?: string }
+  | { digest: ConfigurationDigestFrame; respond: (frame: Frame) => void };
+
 /** One control link. Times are monotonic (ms). */
 export interface LinkState {
   lastHeardMs: number;
@@ -40,7 +47,13 @@
 
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
 export interface Sections {
-  configuration: { services: Map<string, ConfigurationEntry>; appliedOffset: number };
+  configuration: {
+    services: Map<string, ConfigurationEntry>;
+    appliedOffset: number;
+    log: LogState;
+    /** The log offset at which exactly the versions of `digest` were in force, as gateways tell. */
+    complete: { digest: string; upTo: number };
+  };
   members: MemberTable & {
     self: MemberRecord;
     /** Data centres that no gateway of the own data centre hears of: not routed to. */
@@ -103,7 +116,7 @@
 
 /** What controllers may ask of the writer of a section. */
 export interface Posts extends Record<keyof Sections, unknown> {
-  configuration: { documents: readonly AcceptedDocument[] };
+  configuration: ConfigurationPost;
   members:
     | { type: 'receive'; host: string; frame: MembershipFrame; respond: (frame: Frame) => void }
     | { type: 'setSelf'; change: Partial<MemberRecord> };
@@ -141,7 +154,12 @@
   const table = createMemberTable();
   putMember(table, self);
   return {
-    configuration: { services: new Map(), appliedOffset: 0 },
+    configuration: {
+      services: new Map(),
+      appliedOffset: 0,
+      log: createLogState(),
+      complete: { digest: '', upTo: 0 },
+    },
     members: { ...table, self, silentDataCenters: new Set() },
     links: { neighbours: new Map(), watched: new Set(), isGateway: false, heardDataCenters: new Map(), lateMs: 0 },
     target: { announcement: undefined, leaseUntilMs: 0, isDraining: false },
@@ -166,3 +184,7 @@
     events: { ring: createRingBuffer(EVENTS_KEPT) },
   };
 }
+
+function createLogState(): LogState {
+  return { state: 'unread', sinceMs: 0, message: '', isComplete: false, retentionMs: 0, lastSnapshotOffset: 0 };
+}
