--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -115,6 +115,7 @@
       operatorListen: listen,
       peerListen: listen,
       seeds,
+      allowPlainText: true,
     });
     const node = createNode({
       ...options.node,
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,6 +1,6 @@
 import 'reflect-metadata';
 import { createHmac, randomBytes, randomInt } from 'node:crypto';
-import type { ReadLog } from '../control/context.js';
+import type { AppendLog, ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
 import { CallerController } from '../http/callerController.js';
@@ -39,6 +39,8 @@
 const TOKEN_BYTES = 18;
 const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
+/** Longer than the reading loop waits, so that the late answer of a slow log is still used. */
+const LOG_TIMEOUT_MS = 30_000;
 const MAX_SEED = 2 ** 31;
 
 /**
@@ -83,7 +85,7 @@
       return peerClient.sendFrame(peer, lane, frame);
     },
     callTarget: targetClient.callTarget,
-    ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
+    ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
   const servers = await startServers(settings, node, counters);
   const peerServer = await startPeerServer({
@@ -149,10 +151,15 @@
   return (text) => createHmac('sha256', key).update(text).digest('base64url');
 }
 
-function createLogReader(url: string): ReadLog {
-  const log = createLogClient(url);
-  return (fromOffset, done) => {
-    void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+function createLogFunctions(url: string): { readLog: ReadLog; appendLog: AppendLog } {
+  const log = createLogClient(url, { timeoutMs: LOG_TIMEOUT_MS });
+  return {
+    readLog: (fromOffset, done) => {
+      void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+    },
+    appendLog: (record, done) => {
+      void log.append(record).then(done);
+    },
   };
 }
 
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -1,7 +1,6 @@
 import type { CallController } from '../control/callController.js';
 import type { NodeBoard } from '../control/sections.js';
 import type { Frame } from '../schema/frame.js';
-import type { AcceptedDocument } from '../schema/logRecord.js';
 
 export interface FrameDelivery {
   board: NodeBoard;
@@ -27,14 +26,12 @@
       return;
     case 'hello':
       board.post('members', { type: 'receive', host, frame, respond });
-      respond({
-        type: 'configuration',
-        appliedOffset: board.read('configuration').appliedOffset,
-        documents: listDocuments(board),
-      });
       return;
     case 'configuration':
-      board.post('configuration', { documents: frame.documents });
+      board.post('configuration', { documents: frame.documents, from: host });
+      return;
+    case 'configurationDigest':
+      board.post('configuration', { digest: frame, respond });
       return;
     case 'heartbeat':
       board.post('links', { type: 'heartbeat', host, frame, respond });
@@ -52,14 +49,3 @@
       return;
   }
 }
-
-function listDocuments(board: NodeBoard): AcceptedDocument[] {
-  const { services } = board.read('configuration');
-  return [...services].map(([service, { version, document }]) => ({
-    service,
-    version,
-    changeId: '',
-    operator: '',
-    document,
-  }));
-}
