--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -3,17 +3,21 @@
 import { FailureError } from '../schema/failure.js';
 import type { SystemFailure } from '../schema/failure.js';
 import { laneSchema } from '../schema/frame.js';
-import type { Frame } from '../schema/frame.js';
+import type { Frame, Lane } from '../schema/frame.js';
 import type { ListenSettings } from '../schema/settings.js';
 import { compileSchema } from '../schema/validate.js';
-import { decodeFrame } from './frameCodec.js';
-import { HOST_HEADER, LANE_HEADER, MAX_FRAME_BYTES, peerService } from './peerService.js';
+import { createFrameWriter } from './frameWriter.js';
+import type { WriteFrame } from './frameWriter.js';
+import { createPeerService, HOST_HEADER, LANE_HEADER, MAX_FRAME_BYTES } from './peerService.js';
 import type { FrameReceiver } from './peerService.js';
+import { createTrafficCounters } from './trafficCounters.js';
+import type { TrafficCounters } from './trafficCounters.js';
 
 export interface PeerServerOptions {
   listen: ListenSettings;
   credentials: ServerCredentials;
   receiveFrame: FrameReceiver;
+  counters?: TrafficCounters;
   /** Called when a stream ended, with the function that responded on it. */
   receiveStreamEnded?: (respond: (frame: Frame) => void) => void;
   /** Called with what went wrong on a stream; the stream is closed, the server goes on. */
@@ -23,9 +27,16 @@
 export interface PeerServer {
   /** The address at which peers reach it, with the port that was bound. */
   readonly address: string;
+  /** Writes on a stream that a peer opened; false when there is none or the frame was not written. */
+  sendAccepted(host: string, lane: Lane, frame: Frame): boolean;
   stop(): Promise<void>;
 }
 
+type AcceptedStreams = Map<string, WriteFrame>;
+
+/** Longer than on the other end: this one only frees what a vanished peer left. */
+const SERVER_KEEPALIVE_OPTIONS = { 'grpc.keepalive_time_ms': 10_000, 'grpc.keepalive_timeout_ms': 3000 };
+
 const HOST_NAME = /^[a-zA-Z0-9][a-zA-Z0-9._-]{0,254}$/;
 /** A peer that has not closed its side by then does not read. */
 const FLUSH_TIMEOUT_MS = 1000;
@@ -37,19 +48,22 @@
  * @throws FailureError `listenFailed` when the address cannot be bound.
  */
 export async function startPeerServer(options: PeerServerOptions): Promise<PeerServer> {
+  const accepted: AcceptedStreams = new Map();
   const server = new Server({
+    ...SERVER_KEEPALIVE_OPTIONS,
     'grpc.max_receive_message_length': MAX_FRAME_BYTES,
     'grpc.max_send_message_length': MAX_FRAME_BYTES,
   });
   const streams = new Set<ServerDuplexStream<Frame, Frame>>();
-  const exchange = { ...peerService.exchange, requestDeserialize: createDecoder(options) };
+  const service = createPeerService(options.counters ?? createTrafficCounters());
+  const requestDeserialize = createDecoder(service.exchange.requestDeserialize, options);
   server.addService(
-    { exchange },
+    { exchange: { ...service.exchange, requestDeserialize } },
     {
       exchange: (stream: ServerDuplexStream<Frame, Frame>) => {
         streams.add(stream);
         stream.once('close', () => streams.delete(stream));
-        acceptStream(stream, options);
+        acceptStream(stream, options, accepted);
       },
     },
   );
@@ -57,12 +71,16 @@
   const boundPort = await openServer(server, `${host}:${port}`, options.credentials);
   return {
     address: `${host}:${boundPort}`,
+    sendAccepted: (peer, lane, frame) => accepted.get(`${lane} ${peer}`)?.(frame) ?? false,
     stop: () => stopServer(server, streams),
   };
 }
 
 /** Decoding errors end the stream inside grpc-js, so they are reported where they arise. */
-function createDecoder({ reportFailure }: PeerServerOptions): (bytes: Buffer) => Frame {
+function createDecoder(
+  decodeFrame: (bytes: Buffer) => Frame,
+  { reportFailure }: PeerServerOptions,
+): (bytes: Buffer) => Frame {
   return (bytes) => {
     try {
       return decodeFrame(bytes);
@@ -73,7 +91,11 @@
   };
 }
 
-function acceptStream(stream: ServerDuplexStream<Frame, Frame>, options: PeerServerOptions): void {
+function acceptStream(
+  stream: ServerDuplexStream<Frame, Frame>,
+  options: PeerServerOptions,
+  accepted: AcceptedStreams,
+): void {
   const host = String(stream.metadata.get(HOST_HEADER)[0] ?? '');
   const lane: unknown = stream.metadata.get(LANE_HEADER)[0];
   if (!HOST_NAME.test(host) || !laneValidator.isValid(lane)) {
@@ -83,13 +105,21 @@
     return;
   }
   stream.sendMetadata(new Metadata());
-  const respond = (frame: Frame): void => {
-    if (stream.writable) stream.write(frame);
+  const key = `${lane} ${host}`;
+  const writeFrame = createFrameWriter(stream, () => {
+    stream.emit('error', { code: status.RESOURCE_EXHAUSTED, details: 'the peer reads too slowly' });
+  });
+  accepted.set(key, writeFrame);
+  const removeAccepted = (): void => {
+    if (accepted.get(key) === writeFrame) accepted.delete(key);
   };
+  stream.on('cancelled', removeAccepted);
+  stream.on('close', removeAccepted);
   stream.on('data', (frame: Frame) => {
-    options.receiveFrame(host, lane, frame, respond);
+    options.receiveFrame(host, lane, frame, writeFrame);
   });
   stream.on('error', (error: Error) => {
+    removeAccepted();
     const message = `the stream from ${host} (${lane}) failed: ${error.message}`;
     options.reportFailure?.({ kind: 'nodeUnreachable', message, address: host });
   });
@@ -97,9 +127,10 @@
   const end = (): void => {
     if (isEnded) return;
     isEnded = true;
-    options.receiveStreamEnded?.(respond);
+    options.receiveStreamEnded?.(writeFrame);
   };
   stream.on('end', () => {
+    removeAccepted();
     stream.end();
     end();
   });
