Add the load tool, the time line and the demonstration fleet

Cause: nothing showed what the system does to a newcomer, and events of several processes could not be read together. Change: frames carry the sender's hybrid time as a pair (stamped and read in src/node/stampFrames.ts); src/timeline merges, filters and renders events as text, JSON and one HTML page with a canvas; hemlockctl timeline is exported as addTimelineCommand; an open-loop load tool with retries, mix, surge shapes and a report schema; src/demo runs the same surge with and without the system.

--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -23,6 +23,7 @@
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { Settings } from '../schema/settings.js';
 import { dispatchFrame } from './dispatchFrame.js';
+import { createFrameStamps } from './stampFrames.js';
 
 export interface NodeOptions extends NodeIo {
   settings: Settings;
@@ -64,16 +65,18 @@
 export function createNode(options: NodeOptions): Node {
   const { settings, clock, random } = options;
   const board = createBoard<Sections, Posts>(createSections(createSelf(options)));
+  const hybridClock = createHybridClock(clock.wallTime);
+  const stamps = createFrameStamps(hybridClock, options.sendFrame);
   const context: ControllerContext = {
     settings,
     board,
     clock,
     deadlines: createDeadlineTimer(clock),
-    hybridClock: createHybridClock(clock.wallTime),
+    hybridClock,
     random,
     generateToken: options.generateToken ?? (() => generateId(random, TOKEN_DIGITS)),
     policies: { ...defaultPolicies, ...options.policies },
-    io: options,
+    io: { ...options, sendFrame: stamps.sendFrame },
   };
   const callController = createCallController(context);
   const controllers: Controller[] = [
@@ -95,7 +98,8 @@
       board.post('target', { type: 'announce', announcement });
     },
     receiveFrame: (host, _lane, frame, respond) => {
-      dispatchFrame({ board, calls: callController, host, frame, respond });
+      stamps.receiveStamp(frame);
+      dispatchFrame({ board, calls: callController, host, frame, respond: stamps.buildRespond(respond) });
     },
     receiveLinkClosed: (host, lane) => {
       board.post('routes', { type: 'linkClosed', host });
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -109,8 +109,8 @@
   configuration: Type.Boolean(),
 });
 
-/** Every message between two nodes. */
-export const frameSchema = Type.Union([
+/** Every message between two nodes, without what all of them carry. */
+const messageSchema = Type.Union([
   callFrameSchema,
   answerFrameSchema,
   refusalFrameSchema,
@@ -123,6 +123,9 @@
   digestFrameSchema,
   pullFrameSchema,
 ]);
+/** Hybrid time of the sender as wall ms and counter: a pair, since an object would add its key names to every frame. */
+const sentAtSchema = Type.Tuple([Type.Number(), Type.Integer({ minimum: 0 })]);
+export const frameSchema = Type.Intersect([messageSchema, Type.Object({ sentAt: Type.Optional(sentAtSchema) })]);
 export type Frame = Static<typeof frameSchema>;
 export type CallFrame = Static<typeof callFrameSchema>;
 export type AnswerFrame = Static<typeof answerFrameSchema>;
--- /dev/null
+++ b/src/standins/loadRecorder.ts
@@ -0,0 +1,113 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+import type { LoadGroup, LoadInterval, LoadOperation, LoadReport } from './loadSettings.js';
+
+export type RequestResult = 'completed' | 'refused' | 'failed';
+
+/** Counts what requests came to. */
+export interface LoadRecorder {
+  /** Notes the result of a request that was offered at a time and settled at another (ms after the start). */
+  record(request: SettledRequest): void;
+  readonly settled: number;
+  buildReport(seed: number, durationS: number): LoadReport;
+}
+
+export interface SettledRequest {
+  operation: LoadOperation;
+  offeredAtMs: number;
+  settledAtMs: number;
+  resends: number;
+  result: RequestResult;
+}
+
+interface Group {
+  service: string;
+  priority: string;
+  counts: Counts;
+  resends: number;
+  histogram: Histogram;
+}
+
+type Counts = Record<'offered' | RequestResult, number>;
+
+const INTERVAL_MS = 500;
+const HIGHEST_MS = 120_000;
+/** The histogram counts whole units, so times are kept in tenths of a ms. */
+const UNITS_PER_MS = 10;
+
+/** Creates the recorder of one run. */
+export function createLoadRecorder(): LoadRecorder {
+  const groups = new Map<string, Group>();
+  const intervals: { counts: Counts; answers: number }[] = [];
+  let settled = 0;
+
+  const getGroup = ({ service, priority }: LoadOperation): Group => {
+    const key = `${service} ${priority}`;
+    let group = groups.get(key);
+    if (group === undefined) {
+      const histogram = build({ highestTrackableValue: HIGHEST_MS * UNITS_PER_MS, numberOfSignificantValueDigits: 3 });
+      group = { service, priority, counts: createCounts(), resends: 0, histogram };
+      groups.set(key, group);
+    }
+    return group;
+  };
+  const getInterval = (atMs: number): { counts: Counts; answers: number } => {
+    const index = Math.floor(atMs / INTERVAL_MS);
+    while (intervals.length <= index) intervals.push({ counts: createCounts(), answers: 0 });
+    return intervals[index] as { counts: Counts; answers: number };
+  };
+  return {
+    get settled() {
+      return settled;
+    },
+    record: ({ operation, offeredAtMs, settledAtMs, resends, result }) => {
+      settled++;
+      const group = getGroup(operation);
+      const offeredIn = getInterval(offeredAtMs);
+      for (const counts of [group.counts, offeredIn.counts]) {
+        counts.offered++;
+        counts[result]++;
+      }
+      group.resends += resends;
+      if (result !== 'completed') return;
+      getInterval(settledAtMs).answers++;
+      const durationMs = Math.min(HIGHEST_MS, settledAtMs - offeredAtMs);
+      group.histogram.recordValue(Math.max(1, Math.round(durationMs * UNITS_PER_MS)));
+    },
+    buildReport: (seed, durationS) => {
+      const all = [...groups.values()];
+      const total = createCounts();
+      for (const { counts } of all) {
+        for (const name of Object.keys(total) as (keyof Counts)[]) total[name] += counts[name];
+      }
+      const resends = all.reduce((sum, group) => sum + group.resends, 0);
+      return {
+        seed,
+        durationS,
+        total,
+        resendsPerRequest: resends / Math.max(1, total.offered),
+        groups: all.map(buildGroup),
+        intervals: intervals.map(buildInterval),
+      };
+    },
+  };
+}
+
+function buildGroup({ service, priority, counts, resends, histogram }: Group): LoadGroup {
+  return {
+    service,
+    priority,
+    ...counts,
+    p50Ms: histogram.getValueAtPercentile(50) / UNITS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / UNITS_PER_MS,
+    resendsPerRequest: resends / Math.max(1, counts.offered),
+  };
+}
+
+function buildInterval({ counts, answers }: { counts: Counts; answers: number }, index: number): LoadInterval {
+  return { atS: (index * INTERVAL_MS) / 1000, goodputPerSecond: (answers * 1000) / INTERVAL_MS, ...counts };
+}
+
+function createCounts(): Counts {
+  return { offered: 0, completed: 0, refused: 0, failed: 0 };
+}
--- /dev/null
+++ b/src/timeline/renderPage.ts
@@ -0,0 +1,60 @@
+import type { TimelineEvent } from '../schema/event.js';
+import { pageScript } from './pageScript.js';
+import { pageStyle } from './pageStyle.js';
+
+/** A process on the page: one lane. */
+export interface Lane {
+  host: string;
+  dataCenter: string;
+}
+
+/**
+ * Renders a self-contained HTML page: a lane per process, grouped by data centre, with filters and zoom in the page.
+ *
+ * @example
+ * writeFileSync('timeline.html', renderPage(lanes, events));
+ */
+export function renderPage(lanes: readonly Lane[], events: readonly TimelineEvent[]): string {
+  const sorted = [...lanes].sort(compareLanes);
+  const data = encodeJson({ lanes: sorted, events: events.map(buildCompactEvent) });
+  return `<!doctype html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>hemlockstack time line</title>
+<style>${pageStyle}</style>
+</head>
+<body>
+<header>
+  <h1>Time line</h1>
+  <label>Request <input id="request" size="18" placeholder="all"></label>
+  <label>Service <select id="service"><option value="">all</option></select></label>
+  <label>Host <select id="host"><option value="">all</option></select></label>
+  <button id="reset" type="button">Show all</button>
+  <span id="count"></span>
+</header>
+<div id="kinds"></div>
+<p id="help">Wheel: zoom at the pointer. Drag: move. Click an event: follow its request.</p>
+<canvas id="chart"></canvas>
+<pre id="detail">Point at an event for its details.</pre>
+<script id="data" type="application/json">${data}</script>
+<script>${pageScript}</script>
+</body>
+</html>
+`;
+}
+
+function compareLanes(left: Lane, right: Lane): number {
+  return left.dataCenter.localeCompare(right.dataCenter) || left.host.localeCompare(right.host);
+}
+
+/** Arrays in place of objects keep a page with thousands of events small. */
+function buildCompactEvent(event: TimelineEvent): unknown[] {
+  const { time, host, kind, requestId = '', service = '', operation = '', priority = '', data = {} } = event;
+  return [time.wallMs, time.counter, host, kind, requestId, service, operation, priority, data];
+}
+
+/** Texts come from the fleet: a closing tag in one must not end the script element. */
+function encodeJson(value: unknown): string {
+  return JSON.stringify(value).replaceAll('<', '\\u003c');
+}
--- a/tests/trust/mutualTls.test.ts
+++ b/tests/trust/mutualTls.test.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici';
 import type { StartedProcess } from '../../src/standins/processes.js';
 import { buildSettings, runDaemon, startDaemonProcess } from '../fixtures/daemonProcess.js';
-import { packValue, sendRawFrame } from '../fixtures/rawPeer.js';
+import { encodeValue, sendRawFrame } from '../fixtures/rawPeer.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
 interface Keys {
@@ -55,7 +55,7 @@
   let foreign: Keys;
   let first: StartedProcess;
   let second: StartedProcess;
-  const hello = packValue({ type: 'pull', dataCenters: [], configuration: false });
+  const hello = encodeValue({ type: 'pull', dataCenters: [], configuration: false });
 
   const listMembers = async (node: StartedProcess): Promise<string[]> => {
     const response = await request(`http://${node.addresses['operator'] ?? ''}/status`);
--- a/tests/trust/peerFrames.test.ts
+++ b/tests/trust/peerFrames.test.ts
@@ -4,7 +4,7 @@
 import { request } from 'undici';
 import type { StartedProcess } from '../../src/standins/processes.js';
 import { buildSettings, startDaemonProcess } from '../fixtures/daemonProcess.js';
-import { packValue, sendRawFrame } from '../fixtures/rawPeer.js';
+import { encodeValue, sendRawFrame } from '../fixtures/rawPeer.js';
 import type { RawPeerOutcome } from '../fixtures/rawPeer.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
@@ -42,16 +42,16 @@
   const cases = [
     { name: 'bytes that are not msgpack', bytes: Buffer.from([0xc1, 0xff, 0x00]) },
     { name: 'no bytes', bytes: Buffer.alloc(0) },
-    { name: 'a value that is no object', bytes: packValue(7) },
-    { name: 'an unknown type', bytes: packValue({ type: 'order' }) },
-    { name: 'a call without an envelope', bytes: packValue(call) },
+    { name: 'a value that is no object', bytes: encodeValue(7) },
+    { name: 'an unknown type', bytes: encodeValue({ type: 'order' }) },
+    { name: 'a call without an envelope', bytes: encodeValue(call) },
     {
       name: 'a member record with an unknown state',
-      bytes: packValue({ type: 'hello', member: { ...member, nodeState: 'odd' } }),
+      bytes: encodeValue({ type: 'hello', member: { ...member, nodeState: 'odd' } }),
     },
     {
       name: 'an answer with a status outside of HTTP',
-      bytes: packValue({
+      bytes: encodeValue({
         type: 'answer',
         callId: 'c',
         allowanceLeft: 0,
@@ -63,7 +63,7 @@
     },
     {
       name: 'an allowance above the limit',
-      bytes: packValue({ type: 'refusal', callId: 'c', allowanceLeft: 1e9, admittedFraction: 1, failure: {} }),
+      bytes: encodeValue({ type: 'refusal', callId: 'c', allowanceLeft: 1e9, admittedFraction: 1, failure: {} }),
     },
   ];
   for (const { name, bytes } of cases) {
@@ -85,7 +85,7 @@
 
   for (const headers of [{}, { 'hemlock-host': 'a b' }, { 'hemlock-host': 'ok', 'hemlock-lane': 'fast' }]) {
     it(`should refuse a stream with the headers ${JSON.stringify(headers)}`, async () => {
-      const outcome = await send(packValue({ type: 'hello', member }), headers as Record<string, string>);
+      const outcome = await send(encodeValue({ type: 'hello', member }), headers as Record<string, string>);
       expect(outcome).toEqual(expect.subset({ type: 'ended', code: status.INVALID_ARGUMENT }));
     });
   }
@@ -95,14 +95,14 @@
       { service: 'bad', version: 9, changeId: 'c', operator: 'o', document: { service: 'bad', priorities: 'none' } },
       { service: 'worse', version: 9, changeId: 'c', operator: 'o', document: null },
     ];
-    await send(packValue({ type: 'configuration', appliedOffset: 1, documents }));
+    await send(encodeValue({ type: 'configuration', appliedOffset: 1, documents }));
     const response = await request(`http://${node.addresses['operator'] ?? ''}/status`);
     const { versions } = (await response.body.json()) as { versions: Record<string, number> };
     expect(versions).toEqual({});
   });
 
   it('should still answer a well-formed greeting after all of these', async () => {
-    const outcome = await send(packValue({ type: 'hello', member }));
+    const outcome = await send(encodeValue({ type: 'hello', member }));
     expect(outcome).toEqual(expect.subset({ type: 'answered' }));
     expect(node.child.exitCode).toEqual(null);
   });
