--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -1,5 +1,6 @@
 import { generateId } from '../core/random.js';
 import { isAdmitted } from '../policy/shedding.js';
+import { mergeRan } from '../policy/ran.js';
 import type { RouteCandidate } from '../policy/routing.js';
 import type { CallResult } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
@@ -44,8 +45,10 @@
   const listCandidates = (call: DispatchedCall): RouteCandidate[] => {
     const routes = board.read('routes').byHost;
     const candidates: RouteCandidate[] = [];
+    const { silentDataCenters } = board.read('members');
     for (const member of board.read('members').byService.get(call.envelope.service) ?? []) {
       if (member.targetState !== 'ready' || member.nodeState !== 'alive' || call.triedHosts.has(member.id)) continue;
+      if (silentDataCenters.has(member.dataCenter)) continue;
       const isLocalDataCenter = member.dataCenter === settings.dataCenter;
       candidates.push({ member, state: routes.get(member.id), isLocalDataCenter });
     }
@@ -61,7 +64,9 @@
     call.reply({ ...result, admittedFraction, allowanceLeft: call.account.remaining });
   };
   const fail = (call: DispatchedCall, failure: CallFailure): void => {
-    finish(call, { type: 'refusal', failure, allowanceLeft: 0, admittedFraction: 1 });
+    // An earlier attempt may have run even if the last one certainly did not.
+    const told = { ...failure, ran: mergeRan(call.ran, failure.ran) };
+    finish(call, { type: 'refusal', failure: told, allowanceLeft: 0, admittedFraction: 1 });
   };
 
   const startAttempt = (call: DispatchedCall, candidates: readonly RouteCandidate[]): void => {
@@ -137,6 +142,7 @@
       finish(call, result);
       return;
     }
+    call.ran = mergeRan(call.ran, result.failure.ran);
     retryOrFail(call, result.failure);
   };
 
@@ -227,6 +233,7 @@
         parent,
         triedHosts: new Set(),
         attempts: 0,
+        ran: 'no',
         admittedFraction: 1,
         isFinished: false,
         attempt: undefined,
@@ -262,7 +269,10 @@
     },
     receiveReply: (frame) => {
       const remote = calls.remote.get(frame.callId);
-      if (remote === undefined) return;
+      if (remote === undefined) {
+        calls.lateReplies++;
+        return;
+      }
       calls.remote.delete(frame.callId);
       if (frame.load !== undefined) board.post('routes', { type: 'heard', host: remote.host, load: frame.load });
       remote.settle(frame);
