--- a/src/demo/runDemo.ts
+++ b/src/demo/runDemo.ts
@@ -32,7 +32,12 @@
   await publishDocuments(files, log.url);
   const hosts = buildHosts();
   printStep(`starting ${hosts.length} hosts in 2 data centres, each with a node and a target`);
-  const fleet = await startFleet(hosts, { logUrl: log.url });
+  // Both sets of targets start at once, since the start of a process costs more than an idle process.
+  const [fleet, targets] = await Promise.all([
+    startFleet(hosts, { logUrl: log.url }),
+    isKept ? undefined : startDirectTargets(hosts, SERVICES),
+  ]);
+  printStep('processes are listening');
   await waitUntilReady(fleet);
   const settings = buildLoad(seed);
   const surgeRate = (settings.ratePerSecond * SURGE.factor).toFixed(0);
@@ -42,13 +47,14 @@
   );
   const withStack = await runWithProgress('with hemlockstack', { ...settings, nodes: listCallerPorts(fleet) });
   await writePage(fleet);
-  if (isKept) {
+  if (targets === undefined) {
     printAddresses(fleet, log.url);
     return;
   }
   printStep('stopping the fleet; the same load against the same targets without it');
-  const [, targets] = await Promise.all([fleet.stop(), startDirectTargets(hosts, SERVICES)]);
+  await fleet.stop();
   await log.stop();
+  printStep('stopped');
   const without = await runWithProgress('without', { ...settings, direct: targets.addresses });
   await targets.stop();
   console.log(`\n${formatTable({ 'with hemlockstack': withStack, without: without }, SURGE)}`);
--- a/src/http/httpServer.ts
+++ b/src/http/httpServer.ts
@@ -116,7 +116,11 @@
       NetServer.prototype.close.call(fastify.server);
       if (open.size === 0) return Promise.resolve();
       return new Promise((resolve) => {
-        const timer = setTimeout(resolve, KEEP_ALIVE_MS);
+        const timer = setTimeout(() => {
+          // No call is open by now. A connection that never carried a request would keep the server open for minutes.
+          for (const socket of open) socket.destroy();
+          resolve();
+        }, KEEP_ALIVE_MS);
         finishDrain = () => {
           clearTimeout(timer);
           resolve();
--- a/src/standins/load.ts
+++ b/src/standins/load.ts
@@ -28,7 +28,7 @@
 ): Promise<LoadReport> {
   const agent = new Agent({ connections: CONNECTIONS_PER_ADDRESS, pipelining: 1 });
   const random = createRandom(settings.seed);
-  const recorder = createLoadRecorder();
+  const recorder = createLoadRecorder(settings.mix);
   const send = createLoadSender(settings, agent);
   const open = new Set<Promise<void>>();
   const startedAtMs = performance.now();
--- a/src/standins/loadRecorder.ts
+++ b/src/standins/loadRecorder.ts
@@ -35,8 +35,8 @@
 /** The histogram counts whole units, so times are kept in tenths of a ms. */
 const UNITS_PER_MS = 10;
 
-/** Creates the recorder of one run. */
-export function createLoadRecorder(): LoadRecorder {
+/** Creates the recorder of one run; the report lists groups in the order of the mix. */
+export function createLoadRecorder(mix: readonly LoadOperation[]): LoadRecorder {
   const groups = new Map<string, Group>();
   const intervals: { counts: Counts; answers: number }[] = [];
   let settled = 0;
@@ -56,6 +56,7 @@
     while (intervals.length <= index) intervals.push({ counts: createCounts(), answers: 0 });
     return intervals[index] as { counts: Counts; answers: number };
   };
+  for (const operation of mix) getGroup(operation);
   return {
     get settled() {
       return settled;
--- a/src/standins/target.ts
+++ b/src/standins/target.ts
@@ -181,7 +181,7 @@
   runOperation: (operation: string, request: FastifyRequest, reply: FastifyReply) => Promise<void>,
   getLoad: () => TargetLoad,
 ): FastifyInstance {
-  const server = Fastify({ forceCloseConnections: 'idle' });
+  const server = Fastify({ forceCloseConnections: true });
   server.removeAllContentTypeParsers();
   server.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
     done(null, body);
--- a/src/timeline/pageScript.ts
+++ b/src/timeline/pageScript.ts
@@ -11,7 +11,9 @@
     configurationRejected: '#ad1457', logChanged: '#5d4037', snapshotWritten: '#0097a7', quarantineChanged: '#6a1b9a',
     ticketDecided: '#afb42b', nodeStarted: '#212121', nodeStopping: '#757575', pauseDetected: '#ff1744',
   };
-  const LANE = 22, GROUP = 20, AXIS = 26, LABEL = 190, MARK = 3, RIGHT = 10;
+  // Answers above and refusals below the middle, so that neither covers the other where events are dense.
+  const offsets = { callAnswered: -6, callAccepted: -6, callStarted: -6, callRefused: 6, callCancelled: 6 };
+  const LANE = 26, GROUP = 20, AXIS = 26, LABEL = 190, MARK = 3, RIGHT = 10;
   const canvas = document.getElementById('chart');
   const context = canvas.getContext('2d');
   const byId = (id) => document.getElementById(id);
@@ -95,12 +97,16 @@
         context.stroke();
       }
       previous = { x, y: middle };
-      const half = event[KIND].startsWith('call') ? 5 : 9;
+      const isCall = event[KIND].startsWith('call');
+      const half = isCall ? 4 : 9;
+      const top = middle - half + (offsets[event[KIND]] ?? 0);
+      context.globalAlpha = isCall && event !== selected ? 0.55 : 1;
       context.fillStyle = colours[event[KIND]] ?? '#000';
-      context.fillRect(x - MARK / 2, middle - half, MARK, half * 2);
+      context.fillRect(x - MARK / 2, top, MARK, half * 2);
+      context.globalAlpha = 1;
       if (event === selected) {
         context.strokeStyle = '#000';
-        context.strokeRect(x - MARK / 2 - 2, middle - half - 2, MARK + 4, half * 2 + 4);
+        context.strokeRect(x - MARK / 2 - 2, top - 2, MARK + 4, half * 2 + 4);
       }
       drawn.push({ x, y: middle, event });
     }
