--- a/src/bench/fakes/orderFleet.ts
+++ b/src/bench/fakes/orderFleet.ts
@@ -13,6 +13,7 @@
   retryAllowance?: number;
   quarantineMs?: number;
   meanMs?: number;
+  distribution?: 'constant' | 'exponential';
   node?: FakeFleetOptions['node'];
   /** Called when an operation starts to run at a host. */
   onRun?: (host: string, request: TargetRequest) => void;
@@ -49,7 +50,7 @@
 
 /** A fleet of two services on a fake clock, for what concerns single requests. */
 export function createOrderFleet(options: OrderFleetOptions): FakeFleet {
-  const { dataCenters, hostsPerService = 2, slots = 4, meanMs = 5 } = options;
+  const { dataCenters, hostsPerService = 2, slots = 4, meanMs = 5, distribution = 'exponential' } = options;
   const createHost = (dataCenter: string, service: string, index: number): FakeHostOptions => {
     const host = `${dataCenter}-${service}${index}`;
     const buildOnward = (operation: string) => (service === 'shop' ? [[{ service: 'stock', operation }]] : []);
@@ -61,8 +62,8 @@
       target: {
         slots,
         operations: {
-          [write]: { meanMs, onward: buildOnward('reserve') },
-          [read]: { meanMs, onward: buildOnward('look') },
+          [write]: { meanMs, distribution, onward: buildOnward('reserve') },
+          [read]: { meanMs, distribution, onward: buildOnward('look') },
         },
         onRun: (request) => options.onRun?.(host, request),
         onRelease: (request, heldMs) => options.onRelease?.(host, request, heldMs),
--- /dev/null
+++ b/tests/cancellation/streamEnd.test.ts
@@ -0,0 +1,38 @@
+import { describe, it } from 'node:test';
+import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
+import { expect } from 'earl';
+import { createSystemClock } from '../../src/core/clock.js';
+import type { Frame } from '../../src/schema/frame.js';
+import { createPeerClient } from '../../src/transport/peerClient.js';
+import { startPeerServer } from '../../src/transport/peerServer.js';
+import { waitUntil } from '../fixtures/sampleFleet.js';
+
+describe('end of a stream between nodes', () => {
+  it('should tell the receiver on which stream no answer can be written any more', async () => {
+    const received: { peer: string; respond: (frame: Frame) => void }[] = [];
+    const ended: ((frame: Frame) => void)[] = [];
+    const server = await startPeerServer({
+      listen: { host: '127.0.0.1', port: 0 },
+      credentials: ServerCredentials.createInsecure(),
+      receiveFrame: (peer, _lane, _frame, respond) => received.push({ peer, respond }),
+      receiveStreamEnded: (respond) => ended.push(respond),
+    });
+    const createClient = (host: string) =>
+      createPeerClient({
+        host,
+        credentials: ChannelCredentials.createInsecure(),
+        clock: createSystemClock(),
+        resolveAddress: () => server.address,
+        receiveFrame: () => undefined,
+        receiveLinkClosed: () => undefined,
+      });
+    const clients = [createClient('h1'), createClient('h2')];
+    for (const client of clients) client.sendFrame('server', 'routine', { type: 'cancel', callId: 'c1' });
+    await waitUntil('both frames arrived', () => received.length === 2);
+    clients[0]?.stop();
+    await waitUntil('the end of a stream was told', () => ended.length > 0);
+    expect(ended).toEqual(received.filter(({ peer }) => peer === 'h1').map(({ respond }) => respond));
+    clients[1]?.stop();
+    await server.stop();
+  });
+});
