--- a/src/bench/fakes/fakeTarget.ts
+++ b/src/bench/fakes/fakeTarget.ts
@@ -108,7 +108,9 @@
     }
     let pending = step.length;
     for (const { service, operation } of step) {
+      if (call.isEnded) return;
       let isReplied = false;
+      let cancel: CancelCall = () => undefined;
       const onward = {
         service,
         operation,
@@ -117,7 +119,7 @@
         body: request.body,
         token: request.token,
       };
-      const cancel = options.callOnward(onward, (result) => {
+      cancel = options.callOnward(onward, (result) => {
         isReplied = true;
         call.openOnward.delete(cancel);
         pending--;
--- /dev/null
+++ b/src/bench/scenarios/atMostOnce.ts
@@ -0,0 +1,204 @@
+import { createRandom } from '../../core/random.js';
+import type { Random } from '../../core/random.js';
+import type { CallResult } from '../../schema/call.js';
+import { startDisturbances } from '../fakes/disturbances.js';
+import type { FakeFleet, FakeHost } from '../fakes/fakeFleet.js';
+import { buildOrderCall, createOrderFleet } from '../fakes/orderFleet.js';
+import { createFigure } from '../scenario.js';
+import type { Scenario } from '../scenario.js';
+
+export interface AtMostOnceOptions {
+  seed: number;
+  requests: number;
+  /** False for the baseline: callers resend without a ticket. */
+  hasTickets: boolean;
+}
+
+export interface AtMostOnceMeasure {
+  answered: number;
+  /** Requests that a target ran more than once, at any depth. */
+  doubled: number;
+  /** Requests of which a refusal said that they did not run although they did. */
+  falseRefusals: number;
+  /** Requests whose caller never learned whether they ran. */
+  unknown: number;
+  refused: number;
+}
+
+interface Request {
+  body: string;
+  ticket: string | undefined;
+  sends: number;
+  /** Sends without a result that the caller still waits for. */
+  open: number;
+  outcome: 'open' | 'answered' | 'refused' | 'unknown';
+  isEverUnknown: boolean;
+  /** A failure said that the request ran. */
+  isRunReported: boolean;
+}
+
+const WARM_UP_MS = 4000;
+const SETTLE_MS = 20_000;
+const REQUEST_PERIOD_MS = 10;
+const DISTURBANCE_PERIOD_MS = 250;
+const MAX_SENDS = 5;
+const CALLER_PATIENCE_MS = 400;
+const RESEND_PAUSE_MS = 200;
+/** Share of requests that are sent twice at once, as an impatient caller or a proxy does. */
+const TWIN_SHARE = 0.1;
+
+/** Runs non-idempotent requests under resends, kills, pauses, lost frames and partitions, and counts runs per request. */
+export function measureAtMostOnce({ seed, requests, hasTickets }: AtMostOnceOptions): AtMostOnceMeasure {
+  /** By operation and body: when it started to run (ms). */
+  const runs = new Map<string, number[]>();
+  const fleet = createOrderFleet({
+    seed,
+    dataCenters: ['d1', 'd2', 'd3', 'd4'],
+    onRun: (_host, { operation, body }) => {
+      const key = `${operation} ${new TextDecoder().decode(body)}`;
+      runs.set(key, [...(runs.get(key) ?? []), fleet.clock.now()]);
+    },
+  });
+  const random = createRandom(seed + 1);
+  const falselyRefused = new Set<string>();
+  const listRuns = (body: string): number[] =>
+    ['order', 'reserve'].flatMap((name) => runs.get(`${name} ${body}`) ?? []);
+  const isDoubled = (body: string): boolean =>
+    ['order', 'reserve'].some((name) => (runs.get(`${name} ${body}`)?.length ?? 0) > 1);
+
+  const startRequest = (index: number): Request => {
+    const body = `order ${index}`;
+    const request: Request = {
+      body,
+      ticket: undefined,
+      sends: 0,
+      open: 0,
+      outcome: 'open',
+      isEverUnknown: false,
+      isRunReported: false,
+    };
+    if (hasTickets) request.ticket = takeTicket(fleet, random);
+    send(request);
+    if (random() < TWIN_SHARE && request.ticket !== undefined) send(request);
+    return request;
+  };
+  const send = (request: Request): void => {
+    request.sends++;
+    request.open++;
+    const host = chooseHost(fleet, random);
+    const call = buildOrderCall(
+      'order',
+      request.body,
+      request.ticket === undefined ? {} : { idempotencyKey: request.ticket },
+    );
+    const sentAtMs = fleet.clock.now();
+    let isOver = false;
+    let cancel = (): void => undefined;
+    const receive = (result: CallResult): void => {
+      if (result.type === 'refusal' && result.failure.ran === 'no' && isFalse(request, sentAtMs))
+        falselyRefused.add(request.body);
+      if (isOver) return;
+      isOver = true;
+      request.open--;
+      receiveResult(request, result);
+    };
+    host?.process.runWhenAwake(() => {
+      cancel = host.node.handleCallerCall(call, receive);
+    });
+    fleet.clock.schedule(CALLER_PATIENCE_MS, () => {
+      if (isOver) return;
+      isOver = true;
+      request.open--;
+      host?.process.runWhenAwake(() => {
+        cancel();
+      });
+      request.isEverUnknown = true;
+      sendAgain(request);
+    });
+  };
+  /** A refusal may not deny a run from before its send, nor any run when it was the only send. */
+  const isFalse = (request: Request, sentAtMs: number): boolean => {
+    const isOnlySend = request.sends === 1;
+    if (request.ticket === undefined && !isOnlySend) return false;
+    return listRuns(request.body).some((atMs) => isOnlySend || atMs < sentAtMs);
+  };
+  const receiveResult = (request: Request, result: CallResult): void => {
+    if (request.outcome !== 'open') return;
+    if (result.type === 'answer') {
+      request.outcome = 'answered';
+      return;
+    }
+    const { ran, retry } = result.failure;
+    // A refusal with ran no does not settle an earlier send that is still under way, so that one stays unknown.
+    if (ran === 'unknown') request.isEverUnknown = true;
+    if (ran === 'yes') request.isRunReported = true;
+    if (ran !== 'no' && retry === 'never' && hasTickets) request.outcome = ran === 'yes' ? 'refused' : 'unknown';
+    else sendAgain(request);
+  };
+  const sendAgain = (request: Request): void => {
+    if (request.outcome !== 'open') return;
+    if (request.sends >= MAX_SENDS && request.open > 0) return;
+    if (request.sends >= MAX_SENDS) request.outcome = request.isEverUnknown ? 'unknown' : 'refused';
+    else
+      fleet.clock.schedule(random() * RESEND_PAUSE_MS, () => {
+        if (request.outcome === 'open') send(request);
+      });
+  };
+
+  fleet.clock.advance(WARM_UP_MS);
+  const untilMs = WARM_UP_MS + requests * REQUEST_PERIOD_MS;
+  startDisturbances({ fleet, random: createRandom(seed + 2), periodMs: DISTURBANCE_PERIOD_MS, untilMs });
+  const all: Request[] = [];
+  for (let index = 0; index < requests; index++) {
+    all.push(startRequest(index));
+    fleet.clock.advance(REQUEST_PERIOD_MS);
+  }
+  fleet.clock.advance(SETTLE_MS);
+  for (const { body, outcome, isRunReported } of all) {
+    if (outcome === 'refused' && !isRunReported && listRuns(body).length > 0) falselyRefused.add(body);
+  }
+  const computeOutcomes = (outcome: Request['outcome']): number =>
+    all.filter((request) => request.outcome === outcome).length;
+  return {
+    answered: computeOutcomes('answered'),
+    doubled: all.filter(({ body }) => isDoubled(body)).length,
+    falseRefusals: falselyRefused.size,
+    unknown: computeOutcomes('unknown'),
+    refused: computeOutcomes('refused'),
+  };
+}
+
+function chooseHost(fleet: FakeFleet, random: Random): FakeHost | undefined {
+  const hosts = [...fleet.hosts.values()];
+  return hosts[Math.floor(random() * hosts.length)];
+}
+
+function takeTicket(fleet: FakeFleet, random: Random): string {
+  return chooseHost(fleet, random)?.node.issueTickets(1)[0] ?? '';
+}
+
+const REQUESTS = 10_000;
+
+/** The bench `at-most-once`. */
+export const atMostOnce: Scenario = {
+  name: 'at-most-once',
+  situation: '10,000 non-idempotent requests under resends, kills, pauses, lost frames and partitions',
+  kind: 'fakeClock',
+  run: ({ seed, printProgress }) => {
+    printProgress('with tickets');
+    const measured = measureAtMostOnce({ seed, requests: REQUESTS, hasTickets: true });
+    printProgress('plain retries');
+    const plain = measureAtMostOnce({ seed, requests: REQUESTS, hasTickets: false });
+    const createCount = (name: keyof AtMostOnceMeasure, bound: { atMost?: number } = {}) =>
+      createFigure(name, measured[name], 'requests', { ...bound, baselines: { 'plain retries': plain[name] } });
+    return Promise.resolve([
+      createCount('doubled', { atMost: 0 }),
+      createCount('falseRefusals', { atMost: 0 }),
+      createFigure('unknown', measured.unknown / REQUESTS, 'share of requests', {
+        baselines: { 'plain retries': plain.unknown / REQUESTS },
+      }),
+      createCount('answered'),
+      createCount('refused'),
+    ]);
+  },
+};
