--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -78,6 +78,10 @@
       });
   };
 
+  calls.handlePosts(() => {
+    admission.refuseWaiting();
+  });
+
   return {
     handleCallerCall: entryCalls.accept,
     handleOnwardCall: (call, reply) =>
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -12,6 +12,9 @@
 import type { ControllerContext } from './context.js';
 import type { Sections } from './sections.js';
 
+/** Refusals of a host that leaves; further calls to it would each use up a retry until its record arrives. */
+const LEAVING_KINDS = new Set(['stopping', 'targetDraining']);
+
 /** What a dispatch starts from. */
 export interface DispatchRequest {
   envelope: CallEnvelope;
@@ -42,8 +45,10 @@
   const listCandidates = (call: DispatchedCall): RouteCandidate[] => {
     const routes = board.read('routes').byHost;
     const candidates: RouteCandidate[] = [];
+    const { silentDataCenters } = board.read('members');
     for (const member of board.read('members').byService.get(call.envelope.service) ?? []) {
       if (member.targetState !== 'ready' || member.nodeState !== 'alive' || call.triedHosts.has(member.id)) continue;
+      if (silentDataCenters.has(member.dataCenter)) continue;
       const isLocalDataCenter = member.dataCenter === settings.dataCenter;
       candidates.push({ member, state: routes.get(member.id), isLocalDataCenter });
     }
@@ -131,6 +136,8 @@
     board.post('routes', { type: 'finished', host: attempt.host });
     recordAttempt(call, attempt, result);
     recordFraction(call, result);
+    if (result.type === 'refusal' && LEAVING_KINDS.has(result.failure.kind) && result.failure.host === attempt.host)
+      board.post('routes', { type: 'leaving', host: attempt.host });
     if (result.type === 'answer') {
       finish(call, result);
       return;
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -79,8 +79,8 @@
     credentials: credentials.server,
     receiveFrame: node.receiveFrame,
     receiveStreamEnded: node.receiveStreamEnded,
-    reportFailure: (message) => {
-      logger.warn(message);
+    reportFailure: ({ message, ...fields }) => {
+      logger.warn(message, fields);
     },
   });
   const addresses: DaemonAddresses = {
@@ -97,6 +97,7 @@
     addresses,
     stop: async () => {
       logger.info('stopping');
+      servers.caller.announceStop();
       await stopNode(node, settings.stopGraceMs);
       await Promise.all(Object.values(servers).map((server) => server.stop()));
       peerClient.stop();
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -6,6 +6,7 @@
 import type { Controller, ControllerContext, NodeIo } from '../control/context.js';
 import { createEventController } from '../control/eventController.js';
 import { createLimitController } from '../control/limitController.js';
+import { createLinkController } from '../control/linkController.js';
 import { createMembershipController } from '../control/membershipController.js';
 import { createRetryController } from '../control/retryController.js';
 import { createRoutingController } from '../control/routingController.js';
@@ -57,6 +58,11 @@
 }
 
 const TOKEN_DIGITS = 24;
+/**
+ * A stopping node goes on to refuse calls for this long, since one that meets a closed connection would count as
+ * `unknown`. By design all nodes know within 2 s that it is leaving.
+ */
+const STOP_LINGER_MS = 2000;
 
 /**
  * Creates a node over functions for its effects, so that the daemon, the benches and the fuzzers run the same code.
@@ -84,6 +90,7 @@
   const controllers: Controller[] = [
     createEventController(context),
     createConfigurationController(context),
+    createLinkController(context),
     createMembershipController(context),
     createTargetController(context),
     createLimitController(context),
@@ -120,9 +127,12 @@
     stop: (done) => {
       board.post('events', { kind: 'nodeStopping' });
       board.post('members', { type: 'setSelf', change: { nodeState: 'leaving' } });
+      const lingerUntilMs = clock.now() + STOP_LINGER_MS;
       callController.stopAccepting(() => {
-        for (const controller of controllers) controller.stop();
-        done();
+        clock.schedule(Math.max(0, lingerUntilMs - clock.now()), () => {
+          for (const controller of controllers) controller.stop();
+          done();
+        });
       });
     },
   };
