Name a stream by one wrapped responder, so that its end cancels its calls

Cause: each frame got a new wrapped responder, and the end of a stream cancels the calls that came by the same responder; no call matched after the merge of stamps and tickets. Change: one wrapper per stream. Figures: the cancellation test of a lost entry node failed before, passes now.

--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -124,7 +124,9 @@
       board.post('routes', { type: 'linkClosed', host });
       callController.receiveLinkClosed(host, lane);
     },
-    receiveStreamEnded: callController.receiveStreamEnded,
+    receiveStreamEnded: (respond) => {
+      callController.receiveStreamEnded(stamps.buildRespond(respond));
+    },
     start: () => {
       for (const controller of controllers) controller.start();
     },
