--- a/src/cli/commandContext.ts
+++ b/src/cli/commandContext.ts
@@ -43,12 +43,20 @@
 
 /** Runs a command, prints its result, and sets the exit code. */
 export async function runCommand(options: { json?: unknown }, handler: CommandHandler): Promise<void> {
-  const result = await handler(createCommandContext()).catch(buildFailureResult);
+  const result = await runHandler(handler);
   if (options.json === true) process.stdout.write(`${JSON.stringify(result.value, null, 2)}\n`);
   else if (result.lines.length > 0) process.stdout.write(`${result.lines.join('\n')}\n`);
   process.exitCode = result.exitCode;
 }
 
+async function runHandler(handler: CommandHandler): Promise<CommandResult> {
+  try {
+    return await handler(createCommandContext());
+  } catch (error) {
+    return buildFailureResult(error);
+  }
+}
+
 /**
  * Reads an option that a command cannot do without; its environment variable is taken when it is not given.
  *
--- a/src/fuzz/controlLog.ts
+++ b/src/fuzz/controlLog.ts
@@ -9,6 +9,8 @@
   readonly store: LogStore;
   /** Every record ever appended, also after it expired: what the oracle reads. */
   readonly records: { offset: number; value: unknown }[];
+  /** Reads that reached the log, also while it was down. */
+  reads: number;
   isDown: boolean;
   delayMs: number;
   /** Number of further appends that are written but whose answer is lost. */
@@ -28,6 +30,7 @@
   const log: ControlLog = {
     store,
     records: [],
+    reads: 0,
     isDown: false,
     delayMs: 5,
     loseAnswers: 0,
@@ -53,6 +56,7 @@
             });
           };
           if (isCutOff()) return;
+          log.reads++;
           if (log.isDown || store.readFrom(fromOffset, 1).entries.length > 0) respond();
           else store.waitForAppend(WAIT_MS, respond);
         },
--- a/src/standins/logServer.ts
+++ b/src/standins/logServer.ts
@@ -25,6 +25,8 @@
   readonly store: LogStore;
   /** The faults in force; change its fields to show others. */
   readonly faults: LogFaults;
+  /** Reads that were asked for so far. */
+  readonly reads: number;
   stop(): Promise<void>;
 }
 
@@ -55,12 +57,25 @@
 export async function startLogServer(options: LogServerOptions = {}): Promise<LogServer> {
   const store = options.store ?? createLogStore(createSystemClock(), options);
   const faults: LogFaults = { isDown: false, delayMs: 0, loseAnswers: 0, appendsPerSecond: DEFAULT_APPENDS_PER_SECOND };
+  let reads = 0;
   const server = Fastify({ forceCloseConnections: true, bodyLimit: 16 * 1024 * 1024 });
   addFaultHooks(server, faults);
+  server.addHook('onRequest', (request, _reply, done) => {
+    if (request.method === 'GET') reads++;
+    done();
+  });
   addRecordRoutes(server, store, faults, options.maxPageEntries ?? MAX_PAGE_ENTRIES);
   addControlRoutes(server, store, faults);
   const url = await server.listen({ host: options.host ?? '127.0.0.1', port: options.port ?? 0 });
-  return { url, store, faults, stop: () => server.close() };
+  return {
+    url,
+    store,
+    faults,
+    get reads() {
+      return reads;
+    },
+    stop: () => server.close(),
+  };
 }
 
 function addFaultHooks(server: FastifyInstance, faults: LogFaults): void {
--- /dev/null
+++ b/tests/configuration/controlFuzz.test.ts
@@ -0,0 +1,42 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { runControlModel } from '../../src/fuzz/controlModel.js';
+import { listAccepted } from '../../src/fuzz/controlOracle.js';
+import { runControlSuite } from '../../src/fuzz/controlSuite.js';
+import { createChange } from '../fixtures/changes.js';
+
+const RUNS_IN_CI = 40;
+
+describe('fuzzing of the configuration', () => {
+  it('should find no revert, split decision or lost acceptance', () => {
+    expect(runControlSuite({ seed: 20_261_204, runs: RUNS_IN_CI })).toEqual({ runs: RUNS_IN_CI, failure: undefined });
+  });
+
+  it('should go on after an outage in which invalid records expired unread', () => {
+    const broken = {
+      type: 'publish',
+      operator: 0,
+      service: 0,
+      isBroken: true,
+      isRepeated: true,
+      baseOffset: 0,
+    } as const;
+    runControlModel({
+      seed: 0,
+      actions: [
+        broken,
+        { type: 'outage', isDown: true },
+        { type: 'advance', durationMs: 70_000 },
+        { type: 'wrongSnapshot', form: 0, host: 'd1-0' },
+        { type: 'outage', isDown: false },
+        broken,
+      ],
+    });
+  });
+
+  it('should judge by an oracle that takes the first of racing changes and each id once', () => {
+    const values = [createChange('a', 0), createChange('b', 0), createChange('c', 1), createChange('c', 3), 'text'];
+    const accepted = listAccepted(values.map((value, index) => ({ offset: index + 1, value })));
+    expect(accepted.map(({ version }) => version)).toEqual([1, 3]);
+  });
+});
--- /dev/null
+++ b/tests/configuration/logServer.test.ts
@@ -0,0 +1,67 @@
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createLogClient } from '../../src/platform/logClient.js';
+import { startLogServer } from '../../src/standins/logServer.js';
+import type { LogServer } from '../../src/standins/logServer.js';
+import { createChange } from '../fixtures/changes.js';
+
+describe('client of the log over HTTP', () => {
+  let log: LogServer;
+
+  beforeEach(async () => {
+    log = await startLogServer({ maxPageEntries: 2 });
+  });
+  afterEach(async () => {
+    await log.stop();
+  });
+
+  it('should tell a lost answer from an append that was certainly not written', async () => {
+    const client = createLogClient(log.url);
+    log.faults.loseAnswers = 1;
+    expect((await client.append(createChange('a', 0))).type).toEqual('unknown');
+    log.faults.appendsPerSecond = 0;
+    expect((await client.append(createChange('b', 0))).type).toEqual('unavailable');
+    expect(log.store.readFrom(1, 10).entries.length).toEqual(1);
+  });
+
+  it('should report a log that is down, and read on from the same offset when a restarted one is back', async () => {
+    const client = createLogClient(log.url);
+    for (const changeId of ['a', 'b', 'c']) await client.append(createChange(changeId, 0));
+    const port = Number(new URL(log.url).port);
+    await log.stop();
+    expect((await client.read(1)).type).toEqual('unavailable');
+    expect((await client.append(createChange('d', 0))).type).toEqual('unavailable');
+    log = await startLogServer({ port, store: log.store, maxPageEntries: 2 });
+    const page = await client.read(2);
+    expect(page.type === 'page' ? page.page.entries.map(({ offset }) => offset) : []).toEqual([2, 3]);
+  });
+
+  it('should give up on a log that answers too slowly', async () => {
+    const client = createLogClient(log.url, { timeoutMs: 50 });
+    log.faults.delayMs = 5000;
+    expect((await client.read(1)).type).toEqual('unavailable');
+    expect((await client.append(createChange('a', 0))).type).toEqual('unknown');
+    log.faults.delayMs = 0;
+  });
+
+  it('should be woken by an append during a long poll, and by nothing when the log goes down meanwhile', async () => {
+    const client = createLogClient(log.url);
+    const woken = client.read(1, { waitMs: 20_000 });
+    await client.read(1);
+    log.store.append(createChange('a', 0));
+    const page = await woken;
+    expect(page.type === 'page' ? page.page.entries.length : 0).toEqual(1);
+    const lost = client.read(2, { waitMs: 300 });
+    await client.read(1);
+    log.faults.isDown = true;
+    expect((await lost).type).toEqual('unavailable');
+  });
+
+  it('should show which records expired', async () => {
+    const client = createLogClient(log.url);
+    for (const changeId of ['a', 'b', 'c']) await client.append(createChange(changeId, 0));
+    log.store.dropBefore(3);
+    const outcome = await client.read(1);
+    expect(outcome).toEqual({ type: 'page', page: expect.subset({ oldestOffset: 3, nextOffset: 4 }) });
+  });
+});
--- /dev/null
+++ b/tests/configuration/spread.test.ts
@@ -0,0 +1,288 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createControlFleet } from '../../src/fuzz/controlFleet.js';
+import type { ControlFleet } from '../../src/fuzz/controlFleet.js';
+import { listGateways } from '../../src/policy/gatewayChoice.js';
+import { buildSnapshot } from '../../src/policy/snapshot.js';
+import { createFoldState } from '../../src/policy/configurationFold.js';
+import type { LogState } from '../../src/schema/logRecord.js';
+import { createChange, createDocument } from '../fixtures/changes.js';
+
+/** The bound of I8. */
+const IN_FORCE_MS = 7000;
+const SETTLE_MS = 5000;
+const RETENTION_MS = 600_000;
+
+function createFleet(
+  options: { hostsPerDataCenter?: number; retentionMs?: number; started?: string[] } = {},
+): ControlFleet {
+  const { hostsPerDataCenter = 4, retentionMs = RETENTION_MS, started } = options;
+  const fleet = createControlFleet({
+    seed: 11,
+    dataCenters: ['d1', 'd2'],
+    hostsPerDataCenter,
+    retentionMs,
+    ...(started === undefined ? {} : { started }),
+  });
+  fleet.clock.advance(SETTLE_MS);
+  return fleet;
+}
+
+function listVersions(fleet: ControlFleet, service = 'contracts'): number[] {
+  return [...fleet.hosts.keys()].map((host) => fleet.getVersion(host, service));
+}
+
+function listFleetGateways(fleet: ControlFleet, dataCenter: string): string[] {
+  const candidates = [...fleet.hosts.values()].map(({ host }) => ({
+    id: host,
+    dataCenter: host.slice(0, 2),
+    nodeState: 'alive' as const,
+  }));
+  return listGateways(candidates, dataCenter);
+}
+
+function getLogState(fleet: ControlFleet, host: string): LogState {
+  const state = fleet.hosts.get(host)?.node.board.read('configuration').log;
+  return (
+    state ?? { state: 'unread', sinceMs: 0, message: '', isComplete: false, retentionMs: 0, lastSnapshotOffset: 0 }
+  );
+}
+
+function listSnapshots(fleet: ControlFleet): { offset: number; value: { author: string; upTo: number } }[] {
+  return fleet.log.records.filter(({ value }) => (value as { kind?: unknown }).kind === 'snapshot') as ReturnType<
+    typeof listSnapshots
+  >;
+}
+
+describe('spread of the configuration', () => {
+  it('should put a change in force at every node while only two nodes of a data centre read the log', () => {
+    const fleet = createFleet();
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+    const readers = [...fleet.hosts.keys()].filter((host) => getLogState(fleet, host).state === 'up');
+    expect(readers.sort()).toEqual([...listFleetGateways(fleet, 'd1'), ...listFleetGateways(fleet, 'd2')].sort());
+  });
+
+  it('should repair a lost push within the bound', () => {
+    const fleet = createFleet();
+    fleet.network.loseFrames('configuration', 1000);
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(100);
+    fleet.network.loseFrames('configuration', 0);
+    expect(listVersions(fleet).includes(0)).toEqual(true);
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+  });
+
+  it('should give a node that starts while the log is down the state of its peers', () => {
+    const fleet = createFleet({ started: ['d1-0', 'd1-1', 'd1-2', 'd2-0', 'd2-1'] });
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    fleet.log.isDown = true;
+    fleet.startHost('d2-3');
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(fleet.getVersion('d2-3', 'contracts')).toEqual(version);
+  });
+
+  it('should keep what it has in a cut-off data centre, and catch up within the bound once links are back', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    fleet.network.cut('d1', 'd2');
+    fleet.log.cutOff.add('d2');
+    const second = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(60_000);
+    expect(listVersions(fleet)).toEqual([...Array<number>(4).fill(second), ...Array<number>(4).fill(first)]);
+    expect(getLogState(fleet, listFleetGateways(fleet, 'd2')[0] ?? '').state).toEqual('down');
+    fleet.network.heal('d1', 'd2');
+    fleet.log.cutOff.clear();
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(second));
+  });
+
+  it('should reach a data centre that has links but no log', () => {
+    const fleet = createFleet();
+    fleet.log.cutOff.add('d2');
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+  });
+
+  it('should tell since when the log is down, and back off while it is', () => {
+    const fleet = createFleet();
+    const gateway = listFleetGateways(fleet, 'd1')[0] ?? '';
+    expect(getLogState(fleet, gateway)).toEqual(expect.subset({ state: 'up', retentionMs: RETENTION_MS }));
+    fleet.log.isDown = true;
+    fleet.clock.advance(3000);
+    const downAtMs = getLogState(fleet, gateway).sinceMs;
+    const readsBefore = fleet.log.reads;
+    fleet.clock.advance(60_000);
+    const state = getLogState(fleet, gateway);
+    expect(state).toEqual(expect.subset({ state: 'down', message: 'connection refused' }));
+    expect(state.sinceMs).toEqual(downAtMs);
+    expect(downAtMs).toBeGreaterThan(0);
+    // Four gateways, each reading every 1 to 2 s.
+    expect(fleet.log.reads - readsBefore).toBeLessThan(4 * 60);
+    expect(fleet.log.reads - readsBefore).toBeGreaterThan(4 * 25);
+    fleet.log.isDown = false;
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(getLogState(fleet, gateway).state).toEqual('up');
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+  });
+
+  it('should read on through a log that answers slower than a read is waited for', () => {
+    const fleet = createFleet();
+    fleet.log.delayMs = 5000;
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(30_000);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+  });
+
+  it('should read everything through pages that hold few records', () => {
+    const fleet = createFleet();
+    let version = 0;
+    for (let count = 0; count < 100; count++) version = fleet.log.append(createChange(`c${count}`, version));
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+  });
+
+  it('should let other nodes read when both gateways die', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    for (const host of listFleetGateways(fleet, 'd1')) fleet.killHost(host);
+    fleet.log.cutOff.add('d2');
+    const second = fleet.log.append(createChange('b', first));
+    // Membership takes up to 6 s to find the loss; the bound counts from then on.
+    fleet.clock.advance(6000 + IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(6).fill(second));
+  });
+
+  it('should catch up an old gateway that was paused for longer than the retention', () => {
+    const fleet = createFleet();
+    const gateway = listFleetGateways(fleet, 'd1')[0] ?? '';
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    fleet.pauseHost(gateway);
+    const second = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(2 * RETENTION_MS);
+    const third = fleet.log.append(createChange('c', second));
+    expect(fleet.getVersion(gateway, 'contracts')).toEqual(first);
+    fleet.resumeHost(gateway);
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(third));
+    fleet.clock.advance(RETENTION_MS / 2);
+    expect(getLogState(fleet, gateway)).toEqual(expect.subset({ state: 'up', isComplete: true }));
+  });
+
+  it('should not revert to an older document, nor take an invalid one, from a peer', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    const second = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(1000);
+    const { board } = fleet.hosts.get('d1-2')?.node ?? {};
+    const fields = { service: 'contracts', changeId: 'x', operator: 'x' };
+    board?.post('configuration', { documents: [{ ...fields, version: first, document: createDocument('contracts') }] });
+    board?.post('configuration', { documents: [{ ...fields, version: 99, document: { service: 'contracts' } }] });
+    board?.post('configuration', { documents: [{ ...fields, version: 99, document: createDocument('other') }] });
+    expect(fleet.getVersion('d1-2', 'contracts')).toEqual(second);
+  });
+
+  it('should refuse at a gateway a document whose version the log never accepted', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.log.append('filler');
+    fleet.clock.advance(1000);
+    const gateway = listFleetGateways(fleet, 'd1')[0] ?? '';
+    const document = createDocument('contracts', 5);
+    const documents = [{ service: 'contracts', changeId: 'x', operator: 'x', version: first + 1, document }];
+    fleet.hosts.get(gateway)?.node.board.post('configuration', { documents });
+    expect(fleet.getVersion(gateway, 'contracts')).toEqual(first);
+  });
+
+  it('should keep what it has, and say so, when the log restarts empty', () => {
+    const fleet = createFleet();
+    const version = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    fleet.log.store.readFrom = () => ({ entries: [], oldestOffset: 1, nextOffset: 1 });
+    fleet.clock.advance(10_000);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(version));
+    expect(getLogState(fleet, listFleetGateways(fleet, 'd1')[0] ?? '')).toEqual(
+      expect.subset({ state: 'down', message: 'the log ends before offset 1, but offset 1 was read from it before' }),
+    );
+  });
+});
+
+describe('snapshots of the configuration', () => {
+  it('should be written by gateways alone, about one for each quarter of the retention', () => {
+    const fleet = createFleet();
+    fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(2 * RETENTION_MS);
+    const gateways = [...listFleetGateways(fleet, 'd1'), ...listFleetGateways(fleet, 'd2')];
+    const authors = listSnapshots(fleet).map(({ value }) => value.author);
+    expect(authors.filter((author) => !gateways.includes(author))).toEqual([]);
+    expect(authors.length).toBeGreaterThan(6);
+    // Several writers may find a snapshot due before they read that of another one.
+    expect(authors.length).toBeLessThan(17);
+  });
+
+  it('should be written again when its answer is lost or the log was down, without harm', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.log.loseAnswers = 2;
+    fleet.clock.advance(RETENTION_MS / 4);
+    fleet.log.isDown = true;
+    fleet.clock.advance(2 * RETENTION_MS);
+    fleet.log.isDown = false;
+    fleet.clock.advance(RETENTION_MS / 16);
+    const second = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(second));
+    const kept = fleet.log.store.readFrom(1, 100).entries.map(({ value }) => (value as { kind?: unknown }).kind);
+    expect(kept.includes('snapshot')).toEqual(true);
+  });
+
+  it('should be refuted within seconds when its content is wrong, so that a new reader leaves it', () => {
+    const fleet = createFleet();
+    fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(RETENTION_MS / 2);
+    const fold = { ...createFoldState(), appliedOffset: fleet.log.records.length };
+    const wrong = fleet.log.append(buildSnapshot(fold, { author: 'd1-9' }));
+    fleet.clock.advance(IN_FORCE_MS);
+    const last = fleet.log.records.at(-1)?.value;
+    expect(last).toEqual(expect.subset({ kind: 'snapshot', refutes: [wrong] }));
+  });
+
+  it('should let a fleet go on whose log holds nothing complete, from what is in force', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(1000);
+    // A record that expires before anybody reads it: no reader can tell what it decided.
+    fleet.log.isDown = true;
+    fleet.log.append(createChange('lost', first));
+    fleet.clock.advance(2 * RETENTION_MS);
+    fleet.log.isDown = false;
+    fleet.clock.advance(RETENTION_MS / 8);
+    const gateway = listFleetGateways(fleet, 'd1')[0] ?? '';
+    expect(getLogState(fleet, gateway)).toEqual(expect.subset({ state: 'up', isComplete: false }));
+    const third = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(RETENTION_MS);
+    expect(getLogState(fleet, gateway).isComplete).toEqual(true);
+    expect(listVersions(fleet)).toEqual(Array(8).fill(third));
+  });
+
+  it('should not be needed when all gateways are replaced while the log is down for longer than the retention', () => {
+    const fleet = createFleet();
+    const first = fleet.log.append(createChange('a', 0));
+    fleet.clock.advance(20_000);
+    fleet.log.isDown = true;
+    for (const host of [...listFleetGateways(fleet, 'd1'), ...listFleetGateways(fleet, 'd2')]) fleet.killHost(host);
+    fleet.clock.advance(2 * RETENTION_MS);
+    fleet.log.isDown = false;
+    const second = fleet.log.append(createChange('b', first));
+    fleet.clock.advance(IN_FORCE_MS);
+    expect(listVersions(fleet)).toEqual(Array(4).fill(second));
+  });
+});
