--- a/src/bench/fakes/fakeTarget.ts
+++ b/src/bench/fakes/fakeTarget.ts
@@ -1,7 +1,8 @@
-import type { CallTarget, TargetOutcome, TargetRequest } from '../../control/context.js';
-import type { CallReply, CancelCall, OnwardCall } from '../../control/calls.js';
+import type { CallTarget } from '../../control/context.js';
+import type { CallReply, CancelCall } from '../../control/calls.js';
 import { generateExponential } from '../../core/random.js';
 import type { Random } from '../../core/random.js';
+import type { OnwardCall, TargetOutcome, TargetRequest } from '../../schema/call.js';
 import { createCallFailure } from '../../schema/failure.js';
 import type { ProcessClock } from './fakeProcess.js';
 
@@ -107,7 +108,9 @@
     }
     let pending = step.length;
     for (const { service, operation } of step) {
+      if (call.isEnded) return;
       let isReplied = false;
+      let cancel: CancelCall = () => undefined;
       const onward = {
         service,
         operation,
@@ -116,7 +119,7 @@
         body: request.body,
         token: request.token,
       };
-      const cancel = options.callOnward(onward, (result) => {
+      cancel = options.callOnward(onward, (result) => {
         isReplied = true;
         call.openOnward.delete(cancel);
         pending--;
--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -1,10 +1,11 @@
 import { isAdmitted } from '../policy/shedding.js';
+import type { CallResult, TargetOutcome } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, LoadHint } from '../schema/frame.js';
 import { serviceConfigurationDefaults } from '../schema/serviceConfiguration.js';
-import type { AllowanceAccount, CallReply, CallResult, CancelCall, RunningCall } from './calls.js';
-import type { ControllerContext, TargetOutcome } from './context.js';
+import type { AllowanceAccount, CallReply, CancelCall, RunningCall } from './calls.js';
+import type { ControllerContext } from './context.js';
 import { describeCall } from './dispatchCalls.js';
 import type { Sections } from './sections.js';
 
@@ -15,6 +16,8 @@
   admit: AdmitCall;
   /** Starts waiting calls while the limit allows. */
   startWaiting(): void;
+  /** Refuses all calls that have not started; they certainly did not run. */
+  refuseWaiting(): void;
   getLoad(): LoadHint;
 }
 
@@ -262,6 +265,10 @@
       };
     },
     startWaiting,
+    refuseWaiting: () => {
+      for (const call of [...waiting])
+        fail(call, createCallFailure('noTarget', `node ${settings.host} was paused`, { retry: 'elsewhere' }));
+    },
     getLoad: () => ({ limit: board.read('limits').concurrency, inFlight: calls.inFlight, queued: waiting.length }),
   };
 }
--- a/src/control/spreadDocuments.ts
+++ b/src/control/spreadDocuments.ts
@@ -1,15 +1,15 @@
 import { computeVersionsDigest } from '../policy/versionsDigest.js';
-import { listGateways } from '../policy/gatewayChoice.js';
-import type { ConfigurationDigestFrame, Frame } from '../schema/frame.js';
+import { selectGateways } from '../policy/overlay.js';
+import type { ConfigurationDigestFrame, ConfigurationFrame, Frame } from '../schema/frame.js';
 import type { AcceptedDocument } from '../schema/logRecord.js';
 import type { ControllerContext } from './context.js';
 import type { ConfigurationEntry } from './sections.js';
 
 /** Sends documents and digests of their versions to peers. */
 export interface DocumentSpreader {
-  /** Pushes news to the own data centre and to one gateway of each other one. */
+  /** Pushes news along the control links, except to the peer that it came from. */
   spreadDocuments(services: readonly string[], options?: { except?: string }): void;
-  /** Compares versions with a gateway and a random peer; a node that has nothing yet also asks a seed. */
+  /** Compares versions with a gateway and a random neighbour; a node that has nothing yet also asks a seed. */
   spreadDigest(): void;
   /** Answers a digest with what the sender lacks, or with the own versions. */
   handleDigest(frame: ConfigurationDigestFrame, respond: (frame: Frame) => void): void;
@@ -23,21 +23,11 @@
   const { board, io, random, settings } = context;
   const { services } = board.read('configuration');
   const members = board.read('members');
+  const links = board.read('links');
 
-  const listPeers = (): { local: string[]; remoteGateways: string[][] } => {
-    const local: string[] = [];
-    const dataCenters = new Set<string>();
-    for (const member of members.byId.values()) {
-      if (member.dataCenter !== settings.dataCenter) dataCenters.add(member.dataCenter);
-      else if (member.id !== settings.host && member.nodeState !== 'down') local.push(member.id);
-    }
-    const remoteGateways = [...dataCenters].map((dataCenter) => listGateways(members.byId.values(), dataCenter));
-    return { local, remoteGateways };
-  };
-  const isGateway = (): boolean => listGateways(members.byId.values(), settings.dataCenter).includes(settings.host);
   const choose = <Item>(items: readonly Item[]): Item | undefined => items[Math.floor(random() * items.length)];
 
-  const sendDocuments = (names: readonly string[], send: (frame: Frame) => void): void => {
+  const sendDocuments = (names: readonly string[], send: (frame: ConfigurationFrame) => void): void => {
     const { appliedOffset } = board.read('configuration');
     for (const documents of buildBatches(names, services as ReadonlyMap<string, ConfigurationEntry>)) {
       send({ type: 'configuration', appliedOffset, documents });
@@ -58,23 +48,19 @@
 
   return {
     spreadDocuments: (names, { except } = {}) => {
-      if (names.length === 0 || !isGateway()) return;
-      const { local, remoteGateways } = listPeers();
-      const remote = remoteGateways.map((gateways) => choose(gateways));
-      const targets = [...local, ...remote].filter((peer) => peer !== undefined && peer !== except) as string[];
-      for (const peer of targets) {
-        sendDocuments(names, (frame) => {
-          io.sendFrame(peer, 'control', frame);
-        });
-      }
+      sendDocuments(names, (frame) => {
+        const versions = frame.documents.map(({ service, version }) => `${service}:${version}`);
+        const newsId = `configuration ${versions.join(' ')}`;
+        board.post('links', { type: 'spread', frame, newsId, ...(except === undefined ? {} : { from: except }) });
+      });
     },
     spreadDigest: () => {
-      const { local, remoteGateways } = listPeers();
-      const gateways = isGateway()
-        ? remoteGateways.flat()
-        : listGateways(members.byId.values(), settings.dataCenter).filter((id) => id !== settings.host);
-      // A random peer repairs what the gateways cannot, for example while both are paused.
-      const peers = [choose(gateways), choose(local)];
+      const neighbours = [...links.neighbours];
+      const remote = neighbours.flatMap(([id, { isLocal }]) => (isLocal ? [] : [id]));
+      const ring = members.rings.get(settings.dataCenter) ?? [];
+      const gateways = links.isGateway ? remote : selectGateways(ring).filter((id) => id !== settings.host);
+      // A random neighbour repairs what the gateways cannot, for example while both are paused.
+      const peers = [choose(gateways), choose(neighbours)?.[0]];
       if (services.size === 0) peers.push(choose(settings.seeds));
       for (const peer of peers) {
         if (peer === undefined) continue;
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,5 +1,5 @@
 import 'reflect-metadata';
-import { randomBytes, randomInt } from 'node:crypto';
+import { createHmac, randomBytes, randomInt } from 'node:crypto';
 import type { AppendLog, ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -18,6 +18,9 @@
 import { createPeerClient } from '../transport/peerClient.js';
 import { createPeerCredentials } from '../transport/peerCredentials.js';
 import { startPeerServer } from '../transport/peerServer.js';
+import type { PeerServer } from '../transport/peerServer.js';
+import { createTrafficCounters } from '../transport/trafficCounters.js';
+import type { TrafficCounters } from '../transport/trafficCounters.js';
 import { createLogger } from './logger.js';
 
 export interface DaemonAddresses {
@@ -34,6 +37,7 @@
 }
 
 const TOKEN_BYTES = 18;
+const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
 /** Longer than the reading loop waits, so that the late answer of a slow log is still used. */
 const LOG_TIMEOUT_MS = 30_000;
@@ -49,7 +53,10 @@
   const clock = createSystemClock();
   const credentials = createPeerCredentials(settings);
   const targetClient = createTargetClient({ connections: serviceConfigurationDefaults.connectionLimit });
+  const counters = createTrafficCounters();
   const peerClient = createPeerClient({
+    random: createRandom(randomInt(MAX_SEED)),
+    counters,
     host: settings.host,
     credentials: credentials.client,
     clock,
@@ -64,24 +71,34 @@
       logger.debug(message);
     },
   });
+  const peerStreams: Pick<PeerServer, 'sendAccepted'> = { sendAccepted: () => false };
   const node: Node = createNode({
     settings,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
-    sendFrame: peerClient.sendFrame,
+    computeTicketMac: createTicketMac(),
+    sendFrame: (peer, lane, frame) => {
+      // Neighbours keep one connection for both directions.
+      if (lane === 'control' && !peerClient.hasLink(peer, lane) && peerStreams.sendAccepted(peer, lane, frame))
+        return true;
+      return peerClient.sendFrame(peer, lane, frame);
+    },
     callTarget: targetClient.callTarget,
     ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
-  const servers = await startServers(settings, node);
+  const servers = await startServers(settings, node, counters);
   const peerServer = await startPeerServer({
     listen: settings.peerListen,
     credentials: credentials.server,
+    counters,
     receiveFrame: node.receiveFrame,
-    reportFailure: (message) => {
-      logger.warn(message);
+    receiveStreamEnded: node.receiveStreamEnded,
+    reportFailure: ({ message, ...fields }) => {
+      logger.warn(message, fields);
     },
   });
+  peerStreams.sendAccepted = peerServer.sendAccepted;
   const addresses: DaemonAddresses = {
     caller: servers.caller.address,
     local: servers.local.address,
@@ -96,6 +113,7 @@
     addresses,
     stop: async () => {
       logger.info('stopping');
+      servers.caller.announceStop();
       await stopNode(node, settings.stopGraceMs);
       await Promise.all(Object.values(servers).map((server) => server.stop()));
       peerClient.stop();
@@ -111,7 +129,7 @@
   operator: HttpServer;
 }
 
-async function startServers(settings: Settings, node: Node): Promise<Servers> {
+async function startServers(settings: Settings, node: Node, counters: TrafficCounters): Promise<Servers> {
   const caller = await startHttpServer({
     listen: settings.callerListen,
     controllers: [CallerController],
@@ -122,11 +140,17 @@
   const operator = await startHttpServer({
     listen: settings.operatorListen,
     controllers: [OperatorController],
-    served: { node, metrics: createMetrics(node) },
+    served: { node, metrics: createMetrics(node, { traffic: counters }) },
   });
   return { caller, local, operator };
 }
 
+/** The key never leaves the process, so a restarted node accepts no ticket of its predecessor. */
+function createTicketMac(): (text: string) => string {
+  const key = randomBytes(TICKET_KEY_BYTES);
+  return (text) => createHmac('sha256', key).update(text).digest('base64url');
+}
+
 function createLogFunctions(url: string): { readLog: ReadLog; appendLog: AppendLog } {
   const log = createLogClient(url, { timeoutMs: LOG_TIMEOUT_MS });
   return {
--- a/tests/configuration/spread.test.ts
+++ b/tests/configuration/spread.test.ts
@@ -2,7 +2,6 @@
 import { expect } from 'earl';
 import { createControlFleet } from '../../src/fuzz/controlFleet.js';
 import type { ControlFleet } from '../../src/fuzz/controlFleet.js';
-import { listGateways } from '../../src/policy/gatewayChoice.js';
 import { buildSnapshot } from '../../src/policy/snapshot.js';
 import { createFoldState } from '../../src/policy/configurationFold.js';
 import type { LogState } from '../../src/schema/logRecord.js';
@@ -33,12 +32,9 @@
 }
 
 function listFleetGateways(fleet: ControlFleet, dataCenter: string): string[] {
-  const candidates = [...fleet.hosts.values()].map(({ host }) => ({
-    id: host,
-    dataCenter: host.slice(0, 2),
-    nodeState: 'alive' as const,
-  }));
-  return listGateways(candidates, dataCenter);
+  return [...fleet.hosts.values()]
+    .filter((host) => host.dataCenter === dataCenter && host.node.board.read('links').isGateway)
+    .map(({ host }) => host);
 }
 
 function getLogState(fleet: ControlFleet, host: string): LogState {
