--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -115,6 +115,7 @@
   appliedOffset: Type.Integer({ minimum: 0 }),
   documents: Type.Array(acceptedDocumentSchema),
 });
+export type ConfigurationFrame = Static<typeof configurationFrameSchema>;
 /** Compares the versions in force at two nodes; `versions` are sent once the digests differ. */
 export const configurationDigestFrameSchema = Type.Object({
   type: Type.Literal('configurationDigest'),
