--- /dev/null
+++ b/src/bench/scenarios/churn.ts
@@ -0,0 +1,232 @@
+import type { Figure } from '../../schema/report.js';
+import type { ServiceConfiguration } from '../../schema/serviceConfiguration.js';
+import type { FakeHostOptions } from '../fakes/fakeFleet.js';
+import { createMemberFleet } from '../fakes/memberFleet.js';
+import type { MemberFleet } from '../fakes/memberFleet.js';
+import { createFigure } from '../scenario.js';
+import type { Scenario } from '../scenario.js';
+
+/** The largest fleet that runs in about a minute on one core; figures per node grow with the logarithm of the size. */
+const NODES = 190;
+const DATA_CENTERS = 19;
+const REGIONS = 5;
+const SERVICES = 10;
+/** Loss and replacement of a whole day at 1,300 hosts, on fewer hosts and within minutes. */
+const LOST_HOSTS = 8;
+const REPLACED_HOSTS = 70;
+const PAUSE_BETWEEN_CHANGES_MS = 1000;
+const PARTED_MS = 120_000;
+const CONVERGE_LIMIT_MS = 60_000;
+const CALL_PERIOD_MS = 100;
+const STEP_MS = 100;
+const MAX_KB_PER_SECOND = 13;
+const KB = 1000;
+
+interface LightLoad {
+  sent: number;
+  answered: number;
+}
+
+/** Measures what ordinary changes and large losses cost the other nodes. */
+export const churn: Scenario = {
+  name: 'churn',
+  situation: 'a compressed day of lost and replaced hosts; a rack and a data centre lost; regions parted and joined',
+  kind: 'fakeClock',
+  run: ({ seed, printProgress }) => Promise.resolve(runChurn(seed, printProgress)),
+};
+
+function runChurn(seed: number, printProgress: (text: string) => void): Figure[] {
+  const fleet = createMemberFleet({
+    seed,
+    nodes: NODES,
+    dataCenters: DATA_CENTERS,
+    regions: REGIONS,
+    documents: Array.from({ length: SERVICES }, (_, index) => createDocument(index)),
+    describeHost: describeTarget,
+  });
+  const phases: [string, (fleet: MemberFleet, load: PhaseLoad) => number | undefined][] = [
+    ['start of the whole fleet', (_, load) => load.runUntilConverged()],
+    ['compressed day', runDay],
+    ['rack lost', (_, load) => crashHosts(fleet, load, listRack(fleet))],
+    ['data centre lost', (_, load) => crashDataCenter(fleet, load)],
+    ['regions parted', runPartedRegions],
+    ['regions joined', runJoinedRegions],
+  ];
+  return phases.flatMap(([name, act]) => {
+    const figures = measurePhase(fleet, name, act);
+    printProgress(`churn: ${name} done`);
+    return figures;
+  });
+}
+
+interface PhaseLoad {
+  /** Advances while every entry node sends a call now and then. */
+  run(durationMs: number): void;
+  /** Advances until all live nodes know exactly the live nodes; the time (ms), or undefined after a minute. */
+  runUntilConverged(): number | undefined;
+}
+
+function measurePhase(
+  fleet: MemberFleet,
+  name: string,
+  act: (fleet: MemberFleet, load: PhaseLoad) => number | undefined,
+): Figure[] {
+  const load: LightLoad = { sent: 0, answered: 0 };
+  let peakKbPerSecond = 0;
+  let secondStartMs = fleet.clock.now();
+  const startMs = secondStartMs;
+  let totalBytes = 0;
+  const endSecond = (): void => {
+    const bytes = [...fleet.bytesByHost.values()];
+    peakKbPerSecond = Math.max(peakKbPerSecond, ...bytes.map((count) => count / KB));
+    totalBytes += bytes.reduce((sum, count) => sum + count, 0);
+    fleet.resetTraffic();
+    secondStartMs = fleet.clock.now();
+  };
+  const runStep = (): void => {
+    sendCall(fleet, load);
+    fleet.clock.advance(STEP_MS);
+    if (fleet.clock.now() - secondStartMs >= 1000) endSecond();
+  };
+  fleet.resetTraffic();
+  const convergedMs = act(fleet, {
+    run: (durationMs) => {
+      for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += STEP_MS) runStep();
+    },
+    runUntilConverged: () => {
+      const fromMs = fleet.clock.now();
+      while (fleet.listDiverged().length > 0) {
+        if (fleet.clock.now() - fromMs > CONVERGE_LIMIT_MS) return undefined;
+        runStep();
+      }
+      return fleet.clock.now() - fromMs;
+    },
+  });
+  endSecond();
+  // Answers of calls under way belong to the phase in which they were sent.
+  fleet.clock.advance(2000);
+  const seconds = Math.max(1, (fleet.clock.now() - startMs) / 1000);
+  const meanKbPerSecond = totalBytes / KB / seconds / fleet.hosts.size;
+  return [
+    createFigure(`${name}: time to converge`, (convergedMs ?? Infinity) / 1000, 's', {
+      atMost: CONVERGE_LIMIT_MS / 1000,
+    }),
+    createFigure(`${name}: control bytes of a node, mean`, meanKbPerSecond, 'KB/s', { atMost: MAX_KB_PER_SECOND }),
+    createFigure(`${name}: control bytes of a node in the worst second`, peakKbPerSecond, 'KB/s'),
+    createFigure(`${name}: calls lost`, load.sent === 0 ? 0 : 1 - load.answered / load.sent, 'share'),
+  ];
+}
+
+function sendCall(fleet: MemberFleet, load: LightLoad): void {
+  const hosts = [...fleet.hosts.values()];
+  if (fleet.clock.now() % CALL_PERIOD_MS > STEP_MS / 2) return;
+  for (let count = 0; count < 4; count++) {
+    const entry = hosts[Math.floor(fleet.random() * hosts.length)];
+    // Callers use nodes that run; a paused or cut-off one still counts.
+    if (entry === undefined || entry.node.board.read('members').byService.size === 0) continue;
+    load.sent++;
+    entry.node.handleCallerCall(
+      {
+        service: formatService(Math.floor(fleet.random() * SERVICES)),
+        operation: 'read',
+        callerKey: 'c',
+        contentType: 'text/plain',
+        body: new Uint8Array([count]),
+      },
+      (result) => {
+        if (result.type === 'answer') load.answered++;
+      },
+    );
+  }
+}
+
+function runDay(fleet: MemberFleet, load: PhaseLoad): number | undefined {
+  for (let change = 0; change < REPLACED_HOSTS; change++) {
+    const hosts = [...fleet.hosts.values()];
+    const host = hosts[Math.floor(fleet.random() * hosts.length)];
+    if (host === undefined) continue;
+    const isLost = change % Math.floor(REPLACED_HOSTS / LOST_HOSTS) === 0;
+    if (!isLost) {
+      host.node.stop(() => undefined);
+      load.run(PAUSE_BETWEEN_CHANGES_MS);
+    }
+    fleet.killHost(host.options.host);
+    load.run(PAUSE_BETWEEN_CHANGES_MS);
+    fleet.startHost(host.options);
+  }
+  return load.runUntilConverged();
+}
+
+function listRack(fleet: MemberFleet): string[] {
+  return listDataCenterHosts(fleet, 'd03').slice(0, Math.floor(NODES / DATA_CENTERS / 2));
+}
+
+function crashHosts(fleet: MemberFleet, load: PhaseLoad, names: readonly string[]): number | undefined {
+  const lost = names.map((host) => fleet.hosts.get(host)?.options).filter((options) => options !== undefined);
+  for (const host of names) fleet.killHost(host);
+  const convergedMs = load.runUntilConverged();
+  for (const options of lost) fleet.startHost(options);
+  load.run(10_000);
+  return convergedMs;
+}
+
+/** Nobody watches the nodes of a lost data centre: its records stay and it is held silent until it is back. */
+function crashDataCenter(fleet: MemberFleet, load: PhaseLoad): number | undefined {
+  const names = listDataCenterHosts(fleet, 'd07');
+  const lost = names.map((host) => fleet.hosts.get(host)?.options).filter((options) => options !== undefined);
+  for (const host of names) fleet.killHost(host);
+  const startMs = fleet.clock.now();
+  const isSilentEverywhere = (): boolean =>
+    [...fleet.hosts.values()].every(({ node }) => node.board.read('members').silentDataCenters.has('d07'));
+  while (!isSilentEverywhere() && fleet.clock.now() - startMs < CONVERGE_LIMIT_MS) load.run(STEP_MS);
+  const convergedMs = isSilentEverywhere() ? fleet.clock.now() - startMs : undefined;
+  for (const options of lost) fleet.startHost(options);
+  load.run(15_000);
+  return convergedMs;
+}
+
+function runPartedRegions(fleet: MemberFleet, load: PhaseLoad): number | undefined {
+  updateRegionLinks(fleet, 'cut');
+  const [first, second] = [...fleet.hosts.values()].filter(({ options }) => options.region === 'r1');
+  load.run(PARTED_MS);
+  // A host of each side is lost meanwhile, so that both sides have news when they meet.
+  for (const host of [first?.options.host, second?.options.host, 'h0']) if (host !== undefined) fleet.killHost(host);
+  load.run(10_000);
+  return 0;
+}
+
+function runJoinedRegions(fleet: MemberFleet, load: PhaseLoad): number | undefined {
+  updateRegionLinks(fleet, 'heal');
+  const convergedMs = load.runUntilConverged();
+  load.run(10_000);
+  return convergedMs;
+}
+
+function updateRegionLinks(fleet: MemberFleet, act: 'cut' | 'heal'): void {
+  const regions = new Map([...fleet.hosts.values()].map(({ options }) => [options.dataCenter, options.region]));
+  for (const [left, leftRegion] of regions)
+    for (const [right, rightRegion] of regions)
+      if (leftRegion === 'r1' && rightRegion !== 'r1') fleet.network[act](left, right);
+}
+
+function listDataCenterHosts(fleet: MemberFleet, dataCenter: string): string[] {
+  return [...fleet.hosts].filter(([, { options }]) => options.dataCenter === dataCenter).map(([host]) => host);
+}
+
+function formatService(index: number): string {
+  return `service-${index}`;
+}
+
+function describeTarget(index: number): Partial<FakeHostOptions> {
+  const service = formatService(Math.floor(index / DATA_CENTERS) % SERVICES);
+  return { service, target: { slots: 8, operations: { read: { meanMs: 5 } } } };
+}
+
+function createDocument(index: number): ServiceConfiguration {
+  return {
+    service: formatService(index),
+    operations: { read: { idempotent: true, priority: 'normal', expectedCostMs: 5, deadlineMs: 1000 } },
+    priorities: [{ name: 'normal', worth: 1, guaranteedShare: 0.5 }],
+    retryAllowance: 2,
+  };
+}
--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,4 +1,6 @@
 import type { Scenario } from '../scenario.js';
+import { churn } from './churn.js';
+import { controlCost } from './controlCost.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [];
+export const scenarios: readonly Scenario[] = [churn, controlCost];
