Publish the demonstration through hemlockctl and register its timeline command

Change: addTimelineCommand uses the same context and exit codes; the demonstration no longer writes to the log itself.

--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,16 +1,18 @@
 import { writeFileSync } from 'node:fs';
+import { setTimeout as wait } from 'node:timers/promises';
 import type { Sade } from 'sade';
 import { eventKindSchema } from '../../schema/event.js';
 import { FailureError } from '../../schema/failure.js';
 import { formatEvent } from '../../timeline/formatEvents.js';
 import { mergeEvents } from '../../timeline/mergeEvents.js';
-import type { EventFilter, EventSource } from '../../timeline/mergeEvents.js';
+import type { EventFilter } from '../../timeline/mergeEvents.js';
 import { renderPage } from '../../timeline/renderPage.js';
+import { getRequiredOption, runCommand } from '../commandContext.js';
+import { EXIT_DONE } from '../commandResult.js';
+import type { CommandResult } from '../commandResult.js';
 import { fetchEvents } from '../fetchEvents.js';
 import type { EventCursors } from '../fetchEvents.js';
 
-const EXIT_USAGE = 2;
-const EXIT_UNREACHABLE = 4;
 const FOLLOW_PERIOD_MS = 1000;
 
 interface TimelineOptions {
@@ -28,65 +30,58 @@
  * Adds `timeline` to the program of hemlockctl.
  *
  * @example
- * addTimelineCommand(sade('hemlockctl')).parse(process.argv);
+ * addTimelineCommand(cli);
  */
-export function addTimelineCommand(program: Sade): Sade {
-  return program
+export function addTimelineCommand(program: Sade): void {
+  program
     .command('timeline')
     .describe('Print the events of all processes in the order of cause and effect.')
-    .option('--node', 'Operator address of any node, such as 127.0.0.1:7003')
+    .option('--node', 'Operator address of any node, such as 127.0.0.1:7003 (or HEMLOCK_NODE)')
     .option('--request', 'Only events of this request id')
     .option('--service', 'Only events of this service')
     .option('--host', 'Only events recorded at this host')
     .option('--kind', 'Only events of this kind, such as callRefused')
-    .option('--json', 'One JSON object per line')
     .option('--html', 'Write a self-contained page to this file')
     .option('--follow', 'Go on with new events until interrupted')
     .example('timeline --node 127.0.0.1:7003 --kind callRefused')
     .example('timeline --node 127.0.0.1:7003 --request k3x9 --html request.html')
-    .action(runTimeline);
+    .action((options: TimelineOptions) => runCommand(options, () => buildTimeline(options)));
 }
 
-/** Runs the command; sets the exit code: 0 done, 2 usage, 4 unreachable. */
-export async function runTimeline(options: TimelineOptions): Promise<void> {
-  const fault = checkOptions(options);
-  if (fault !== undefined) {
-    process.stderr.write(`${fault}\n`);
-    process.exitCode = EXIT_USAGE;
-    return;
-  }
-  try {
-    await printTimeline(options, options.node ?? '');
-  } catch (error) {
-    if (!(error instanceof FailureError)) throw error;
-    process.stderr.write(`${error.failure.kind}: ${error.failure.message}\n`);
-    process.exitCode = EXIT_UNREACHABLE;
-  }
+async function buildTimeline(options: TimelineOptions): Promise<CommandResult> {
+  checkOptions(options);
+  const node = getRequiredOption({ node: options.node }, 'node', 'HEMLOCK_NODE');
+  const filter = buildFilter(options);
+  if (options.follow === true) return printFollowed(node, filter, options.json === true);
+  const { sources, missing } = await fetchEvents(node);
+  if (missing.length > 0) process.stderr.write(`no events from ${missing.join(', ')}: unreachable\n`);
+  const events = mergeEvents(sources, filter);
+  if (options.html === undefined) return { exitCode: EXIT_DONE, lines: events.map(formatEvent), value: events };
+  writeFileSync(options.html, renderPage(sources, events));
+  const summary = { file: options.html, events: events.length, processes: sources.length };
+  const line = `${summary.events} events of ${summary.processes} processes written to ${summary.file}`;
+  return { exitCode: EXIT_DONE, lines: [line], value: summary };
 }
 
-function checkOptions({ node, kind, html, follow }: TimelineOptions): string | undefined {
-  if (typeof node !== 'string' || !/^[^:/]+:\d+$/.test(node))
-    return 'usage: --node takes the operator address of a node, such as 127.0.0.1:7003';
-  const kinds = eventKindSchema.anyOf.map((literal) => String(literal.const));
-  if (kind !== undefined && !kinds.includes(kind)) return `usage: --kind takes one of ${kinds.join(', ')}`;
-  if (html !== undefined && (typeof html !== 'string' || follow === true))
-    return 'usage: --html takes a file, and does not go with --follow';
-  return undefined;
+/** Prints until the process is interrupted; with JSON one event per line, since the list has no end. */
+async function printFollowed(node: string, filter: EventFilter, isJson: boolean): Promise<never> {
+  const cursors: EventCursors = new Map();
+  for (;;) {
+    const { sources } = await fetchEvents(node, cursors);
+    for (const event of mergeEvents(sources, filter)) {
+      process.stdout.write(`${isJson ? JSON.stringify(event) : formatEvent(event)}\n`);
+    }
+    await wait(FOLLOW_PERIOD_MS);
+  }
 }
 
-async function printTimeline(options: TimelineOptions, node: string): Promise<void> {
-  const cursors: EventCursors = new Map();
-  const filter = buildFilter(options);
-  const { sources, missing } = await fetchEvents(node, cursors);
-  if (missing.length > 0) process.stderr.write(`no events from ${missing.join(', ')}: unreachable\n`);
-  if (options.html !== undefined) {
-    writePage(options.html, sources, filter);
-    return;
+function checkOptions({ kind, html, follow }: TimelineOptions): void {
+  const kinds = eventKindSchema.anyOf.map((literal) => String(literal.const));
+  if (kind !== undefined && !kinds.includes(kind)) {
+    throw new FailureError({ kind: 'usage', message: `--kind is ${kind}: give one of ${kinds.join(', ')}` });
   }
-  printEvents(sources, filter, options.json === true);
-  while (options.follow === true) {
-    await new Promise((resolve) => setTimeout(resolve, FOLLOW_PERIOD_MS));
-    printEvents((await fetchEvents(node, cursors)).sources, filter, options.json === true);
+  if (html !== undefined && (typeof html !== 'string' || follow === true)) {
+    throw new FailureError({ kind: 'usage', message: '--html takes a file, and does not go with --follow' });
   }
 }
 
@@ -99,15 +94,3 @@
   if (kind !== undefined) filter.kind = kind;
   return filter;
 }
-
-function printEvents(sources: readonly EventSource[], filter: EventFilter, isJson: boolean): void {
-  for (const event of mergeEvents(sources, filter)) {
-    process.stdout.write(`${isJson ? JSON.stringify(event) : formatEvent(event)}\n`);
-  }
-}
-
-function writePage(file: string, sources: readonly EventSource[], filter: EventFilter): void {
-  const events = mergeEvents(sources, filter);
-  writeFileSync(file, renderPage(sources, events));
-  process.stderr.write(`${events.length} events of ${sources.length} processes written to ${file}\n`);
-}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,6 +7,7 @@
 import { addPublishCommand } from './commands/publish.js';
 import { addShowCommand } from './commands/show.js';
 import { addStatusCommand } from './commands/status.js';
+import { addTimelineCommand } from './commands/timeline.js';
 import { addValidateCommand } from './commands/validate.js';
 import { addWaitCommand } from './commands/wait.js';
 import { EXIT_INVALID } from './commandResult.js';
@@ -23,6 +24,7 @@
 addStatusCommand(cli);
 addDrainCommand(cli);
 addWaitCommand(cli);
+addTimelineCommand(cli);
 
 // sade ends the process with 1 on wrong usage, but 1 stands for a rejection here.
 const putUsageExitCode = (code: number): void => {
--- a/src/demo/publishDocuments.ts
+++ b/src/demo/publishDocuments.ts
@@ -1,7 +1,5 @@
 import { spawn } from 'node:child_process';
-import { existsSync, readFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-import { createLogClient } from '../platform/logClient.js';
 import { FailureError } from '../schema/failure.js';
 
 const cliScript = fileURLToPath(new URL('../cli/main.js', import.meta.url));
@@ -12,20 +10,6 @@
  * @throws FailureError `processFailed` with what hemlockctl printed.
  */
 export function publishDocuments(files: readonly string[], logUrl: string): Promise<void> {
-  return existsSync(cliScript) ? runPublish(files, logUrl) : appendDocuments(files, logUrl);
-}
-
-async function appendDocuments(files: readonly string[], logUrl: string): Promise<void> {
-  const log = createLogClient(logUrl);
-  for (const file of files) {
-    const document = JSON.parse(readFileSync(file, 'utf8')) as { service: string };
-    const { service } = document;
-    const changeId = `demo-${service}`;
-    await log.append({ kind: 'change', changeId, service, baseVersion: 0, operator: 'demo', document });
-  }
-}
-
-function runPublish(files: readonly string[], logUrl: string): Promise<void> {
   const child = spawn(process.execPath, [cliScript, 'publish', ...files, '--log', logUrl], {
     stdio: ['ignore', 'pipe', 'pipe'],
   });
