--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -146,7 +146,12 @@
     const announce = (): void => {
       if (target.isDown) return;
       const incarnation = `${firstIncarnation}-${target.starts}`;
-      node.announceTarget({ service, address: 'http://target', state: 'ready', incarnation });
+      node.announceTarget({
+        service,
+        address: 'http://target',
+        state: target.isDraining ? 'draining' : 'ready',
+        incarnation,
+      });
     };
     announce();
     scheduleRepeated(process, ANNOUNCE_PERIOD_MS, announce);
--- a/src/bench/fakes/fakeTarget.ts
+++ b/src/bench/fakes/fakeTarget.ts
@@ -39,6 +39,8 @@
   callTarget: CallTarget;
   /** Factor on all service times. */
   slowness: number;
+  /** Announces that it is leaving. */
+  isDraining: boolean;
   /** Counts starts, so that a node sees a restart. */
   readonly starts: number;
   readonly isDown: boolean;
@@ -63,7 +65,7 @@
   const { clock, random, slots, connections = Infinity, connectMs = 1 } = options;
   const open = new Set<TargetCall>();
   const waiting: TargetCall[] = [];
-  const state = { slowness: 1, busySlots: 0, openConnections: 0, isDown: false, starts: 1 };
+  const state = { slowness: 1, isDraining: false, busySlots: 0, openConnections: 0, isDown: false, starts: 1 };
 
   const end = (call: TargetCall, outcome?: TargetOutcome): void => {
     if (call.isEnded) return;
@@ -166,6 +168,12 @@
     set slowness(factor) {
       state.slowness = factor;
     },
+    get isDraining() {
+      return state.isDraining;
+    },
+    set isDraining(isDraining) {
+      state.isDraining = isDraining;
+    },
     get starts() {
       return state.starts;
     },
@@ -181,6 +189,7 @@
     crash,
     restart: () => {
       state.isDown = false;
+      state.isDraining = false;
       state.starts++;
     },
   };
--- /dev/null
+++ b/src/fuzz/callWorld.ts
@@ -0,0 +1,175 @@
+import type { FakeFleet, FakeHost, FakeHostOptions } from '../bench/fakes/fakeFleet.js';
+import { buildOrderCall, createOrderFleet } from '../bench/fakes/orderFleet.js';
+import type { CancelCall } from '../control/calls.js';
+import { check, createCallOracle } from './callOracle.js';
+import type { CallOracle, FuzzRequest, FuzzSend } from './callOracle.js';
+
+export const FUZZ_DATA_CENTERS = ['d1', 'd2'] as const;
+export const FUZZ_HOSTS = FUZZ_DATA_CENTERS.flatMap((dataCenter) =>
+  ['shop1', 'shop2', 'stock1', 'stock2'].map((name) => `${dataCenter}-${name}`),
+);
+
+/** The fleet under test with its callers and faults. */
+export interface CallWorld {
+  readonly fleet: FakeFleet;
+  readonly oracle: CallOracle;
+  readonly requests: FuzzRequest[];
+  sendNew(host: string, operation: FuzzRequest['operation'], options: { hasTicket: boolean }): FuzzSend | undefined;
+  sendAgain(request: FuzzRequest, host: string): void;
+  /** The caller of the newest open send of a request leaves. */
+  cancelSend(request: FuzzRequest): void;
+  killHost(host: string): void;
+  startHost(host: string): void;
+  pauseHost(host: string): void;
+  restartPaused(host: string): void;
+  drainTarget(host: string): void;
+  crashTarget(host: string): void;
+  restartTarget(host: string): void;
+  stopHost(host: string): void;
+  /** Ends all faults, waits for all calls to end, and checks what must hold then. */
+  finish(): void;
+}
+
+const RETRY_ALLOWANCE = 2;
+const DRAIN_BOUND_MS = 2000;
+const WARM_UP_MS = 4000;
+/** Longer than the longest deadline and every lease. */
+const SETTLE_MS = 8000;
+/** The daemon closes its connections this long after its last reply. */
+const EXIT_DELAY_MS = 50;
+
+/** Starts the fleet of one fuzz run. */
+export function createCallWorld(seed: number): CallWorld {
+  const fleet = createOrderFleet({
+    seed,
+    dataCenters: FUZZ_DATA_CENTERS,
+    retryAllowance: RETRY_ALLOWANCE,
+    onRun: (host, request) => {
+      oracle.observeRun(host, request);
+    },
+    observeFrame: (_from, to, _lane, frame) => {
+      oracle.observeFrame(to, frame);
+    },
+  });
+  const { clock, hosts, network } = fleet;
+  const oracle = createCallOracle({
+    getNow: clock.now,
+    retryAllowance: RETRY_ALLOWANCE,
+    drainBoundMs: DRAIN_BOUND_MS,
+  });
+  const hostOptions = new Map<string, FakeHostOptions>([...hosts].map(([name, { options }]) => [name, options]));
+  const requests: FuzzRequest[] = [];
+  const open = new Map<FuzzSend, { entry: FakeHost; cancel: CancelCall }>();
+
+  const send = (request: FuzzRequest, host: string): FuzzSend | undefined => {
+    const entry = hosts.get(host);
+    if (entry === undefined) return undefined;
+    const sent: FuzzSend = { request, host, sentAtMs: clock.now(), results: [], isGivenUp: false };
+    request.sends.push(sent);
+    const state = { entry, cancel: (): void => undefined };
+    open.set(sent, state);
+    const options = request.ticket === undefined ? {} : { idempotencyKey: request.ticket };
+    entry.process.runWhenAwake(() => {
+      state.cancel = entry.node.handleCallerCall(buildOrderCall(request.operation, request.body, options), (result) => {
+        open.delete(sent);
+        if (!sent.isGivenUp) oracle.observeResult(sent, result);
+      });
+    });
+    return sent;
+  };
+  const dropSend = (sent: FuzzSend): void => {
+    const state = open.get(sent);
+    if (state === undefined) return;
+    sent.isGivenUp = true;
+    open.delete(sent);
+    state.entry.process.runWhenAwake(() => {
+      state.cancel();
+    });
+  };
+  const endHost = (host: string): void => {
+    for (const sent of open.keys()) {
+      if (sent.host !== host) continue;
+      sent.isGivenUp = true;
+      open.delete(sent);
+    }
+    fleet.killHost(host);
+    oracle.markDraining(host, undefined);
+  };
+  const stopHost = (host: string): void => {
+    const entry = hosts.get(host);
+    if (entry === undefined || entry.node.board.read('calls').isStopping) return;
+    entry.process.runWhenAwake(() => {
+      oracle.markDraining(host, clock.now());
+      const before = [...open.keys()].filter((sent) => sent.host === host);
+      entry.node.stop(() => {
+        const cutOff = before.filter((sent) => !sent.isGivenUp && sent.results.length === 0);
+        check(cutOff.length === 0, `I7: ${host} stopped without a result for ${cutOff[0]?.request.body ?? ''}`);
+        const { incoming, running } = entry.node.board.read('calls');
+        const busy = incoming.size + running.size + (entry.target?.busySlots ?? 0);
+        check(busy === 0, `I7: ${host} stopped with ${busy} calls under way`);
+        clock.schedule(EXIT_DELAY_MS, () => {
+          if (hosts.get(host) === entry) endHost(host);
+        });
+      });
+    });
+  };
+  const restartPaused = (host: string): void => {
+    oracle.markPaused(host);
+    hosts.get(host)?.process.resume();
+  };
+  const endFaults = (): void => {
+    for (const from of [...FUZZ_HOSTS, ...FUZZ_DATA_CENTERS]) {
+      for (const to of [...FUZZ_HOSTS, ...FUZZ_DATA_CENTERS]) network.heal(from, to);
+    }
+    for (const type of ['call', 'answer', 'refusal', 'cancel', 'members'] as const) network.loseFrames(type, 0);
+    for (const host of FUZZ_HOSTS) restartPaused(host);
+  };
+
+  clock.advance(WARM_UP_MS);
+  return {
+    fleet,
+    oracle,
+    requests,
+    sendNew: (host, operation, { hasTicket }) => {
+      const ticket = hasTicket ? hosts.get(host)?.node.issueTickets(1)[0] : undefined;
+      const request: FuzzRequest = { body: `${operation} ${requests.length}`, operation, ticket, sends: [] };
+      requests.push(request);
+      return send(request, host);
+    },
+    sendAgain: send,
+    cancelSend: (request) => {
+      const newest = request.sends.findLast((sent) => open.has(sent));
+      if (newest !== undefined) dropSend(newest);
+    },
+    killHost: endHost,
+    startHost: (host) => {
+      const options = hostOptions.get(host);
+      if (options !== undefined && !hosts.has(host)) fleet.startHost(options);
+    },
+    pauseHost: (host) => {
+      hosts.get(host)?.process.pause();
+    },
+    restartPaused,
+    drainTarget: (host) => {
+      const target = hosts.get(host)?.target;
+      if (target === undefined || target.isDown || hosts.get(host)?.process.isPaused === true) return;
+      target.isDraining = true;
+      oracle.markDraining(host, clock.now());
+    },
+    crashTarget: (host) => {
+      hosts.get(host)?.target?.crash();
+    },
+    restartTarget: (host) => {
+      const target = hosts.get(host)?.target;
+      if (target?.isDown !== true) return;
+      target.restart();
+      if (hosts.get(host)?.node.board.read('calls').isStopping !== true) oracle.markDraining(host, undefined);
+    },
+    stopHost,
+    finish: () => {
+      endFaults();
+      clock.advance(SETTLE_MS);
+      oracle.checkAllReplied(requests.flatMap(({ sends }) => sends));
+    },
+  };
+}
--- /dev/null
+++ b/src/fuzz/main.ts
@@ -0,0 +1,39 @@
+import sade from 'sade';
+import { runCallSuite, runLoadSuite } from './callSuite.js';
+import type { FuzzOptions, FuzzReport } from './callSuite.js';
+
+const EXIT_FAILED = 1;
+const EXIT_USAGE = 2;
+
+const suites: Record<string, (options: FuzzOptions) => FuzzReport> = { calls: runCallSuite, load: runLoadSuite };
+
+interface FuzzArguments {
+  seed: number;
+  runs: number;
+  suite: string;
+  path?: string;
+}
+
+function runFuzz({ seed, runs, suite, path }: FuzzArguments): void {
+  const run = suites[suite];
+  if (run === undefined) {
+    console.error(`no suite is named ${suite}; there are ${Object.keys(suites).join(', ')}`);
+    process.exitCode = EXIT_USAGE;
+    return;
+  }
+  const startedAtMs = performance.now();
+  const report = run({ seed, runs, ...(path === undefined ? {} : { path: String(path) }) });
+  const seconds = ((performance.now() - startedAtMs) / 1000).toFixed(1);
+  console.log(report.failure ?? `${suite}: ${report.runs} runs hold (seed ${seed}, ${seconds} s)`);
+  process.exitCode = report.failure === undefined ? 0 : EXIT_FAILED;
+}
+
+sade('fuzz', true)
+  .describe('Checks the invariants on random sequences of calls and faults.')
+  .option('--seed', 'Seed of all random choices', 1)
+  .option('--runs', 'Number of runs', 100)
+  .option('--suite', 'calls (I1, I3 to I7) or load (I2)', 'calls')
+  .option('--path', 'Path of one run in an earlier report, to run it again')
+  .example('--seed 7 --runs 1000')
+  .action(runFuzz)
+  .parse(process.argv);
