Adapt limits by trials, shed by estimated demand, queue by class

Entry shedding and refusals at the own node also crashed on use before initialization, and calls refused at once left entries in the table of incoming calls. Change: own time by Little's law, lowered limits tried as experiments, demand estimated from shed keys, a queue by priority, depth and caller with a bounded wait, learned own times.

--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -1,5 +1,6 @@
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFrame, Frame, Lane, ReplyFrame } from '../schema/frame.js';
+import { updateActive } from './activeTime.js';
 import { createAdmission } from './admitCalls.js';
 import { buildEntryEnvelope, buildOnwardEnvelope } from './buildEnvelope.js';
 import type { EnvelopeOutcome } from './buildEnvelope.js';
@@ -56,15 +57,6 @@
     const { envelope } = outcome;
     const startedAtMs = clock.now();
     const account = { remaining: envelope.allowance };
-    const dispatched = dispatcher.dispatch({
-      envelope,
-      account,
-      parent: undefined,
-      reply: (result) => {
-        recordResult(result, startedAtMs);
-        reply({ ...result, requestId: envelope.requestId });
-      },
-    });
     const recordResult = (result: CallResult, fromMs: number): void => {
       const data = {
         durationMs: clock.now() - fromMs,
@@ -74,6 +66,15 @@
       else if (envelope.shedKey < SAMPLED_EVENTS)
         board.post('events', { kind: 'callAnswered', ...describeCall(envelope), data });
     };
+    const dispatched = dispatcher.dispatch({
+      envelope,
+      account,
+      parent: undefined,
+      reply: (result) => {
+        recordResult(result, startedAtMs);
+        reply({ ...result, requestId: envelope.requestId });
+      },
+    });
     return () => {
       dispatcher.cancel(dispatched);
     };
@@ -101,12 +102,18 @@
     };
   };
   const openOnward = (parent: RunningCall): void => {
-    if (parent.onwardOpen === 0) parent.onwardSinceMs = clock.now();
+    if (parent.onwardOpen === 0) {
+      parent.onwardSinceMs = clock.now();
+      updateActive(calls.section, clock.now(), -1);
+    }
     parent.onwardOpen++;
   };
   const closeOnward = (parent: RunningCall): void => {
+    if (parent.state !== 'running') return;
     parent.onwardOpen--;
-    if (parent.onwardOpen === 0) parent.onwardTimeMs += clock.now() - parent.onwardSinceMs;
+    if (parent.onwardOpen > 0) return;
+    parent.onwardTimeMs += clock.now() - parent.onwardSinceMs;
+    updateActive(calls.section, clock.now(), 1);
   };
 
   const checkIdle = (done: () => void): void => {
@@ -128,7 +135,9 @@
     },
     receiveCall: (host, frame, respond) => {
       const key = `${host}/${frame.callId}`;
+      let isReplied = false;
       const cancel = admission.admit(frame.envelope, { remaining: frame.envelope.allowance }, (result) => {
+        isReplied = true;
         incoming.delete(key);
         const shared = {
           callId: frame.callId,
@@ -146,7 +155,8 @@
             body: result.body,
           });
       });
-      if (cancel !== ignore) incoming.set(key, cancel);
+      // A call refused at once must leave no entry behind.
+      if (!isReplied) incoming.set(key, cancel);
     },
     receiveReply: dispatcher.receiveReply,
     receiveCancel: (host, callId) => {
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -88,7 +88,8 @@
   readonly arrivedAtMs: number;
   readonly reply: CallReply;
   readonly children: Set<DispatchedCall>;
-  state: 'queued' | 'running' | 'finished';
+  /** `taken`: out of the queue and not yet running. */
+  state: 'queued' | 'taken' | 'running' | 'finished';
   startedAtMs: number;
   concurrencyAtStart: number;
   /** Time (ms) during which at least one onward call was open. */
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -140,6 +140,7 @@
     const isGranted = policies.isRetryGranted({
       failure,
       isIdempotent: envelope.idempotent,
+      attempts: call.attempts,
       remainingAllowance: account.remaining,
       timeLeftMs: call.deadlineAtMs - clock.now(),
       expectedMs:
@@ -188,7 +189,6 @@
     call.admittedFraction = Math.min(call.admittedFraction, result.admittedFraction);
     if (call.parent !== undefined)
       call.parent.admittedFraction = Math.min(call.parent.admittedFraction, result.admittedFraction);
-    if (result.admittedFraction >= 1) return;
     board.post('shedding', { type: 'heard', key: formatFractionKey(call.envelope), fraction: result.admittedFraction });
   };
 
@@ -226,9 +226,12 @@
         attempt: undefined,
         cancelDeadline: undefined,
       };
-      const heard = board.read('shedding').downstream.get(formatFractionKey(envelope));
+      // Deeper calls are shed by the target alone: work is already spent on them, and its fraction may just have moved.
+      const heard =
+        parent === undefined ? board.read('shedding').downstream.get(formatFractionKey(envelope)) : undefined;
       if (heard !== undefined && !isAdmitted(envelope.shedKey, heard.fraction)) {
         const message = `${envelope.service}/${envelope.operation} sheds ${envelope.priority} requests`;
+        call.isFinished = true;
         reply({
           type: 'refusal',
           failure: createCallFailure('shed', message),
--- a/src/control/limitController.ts
+++ b/src/control/limitController.ts
@@ -1,38 +1,136 @@
 import { scheduleRepeated } from '../core/clock.js';
+import { createObservation } from '../policy/limit.js';
 import type { LimitWindow } from '../policy/limit.js';
 import { serviceConfigurationDefaults } from '../schema/serviceConfiguration.js';
+import type { Operation } from '../schema/serviceConfiguration.js';
+import type { Sample } from '../schema/state.js';
+import { computeActiveMs } from './activeTime.js';
 import type { Controller, ControllerContext } from './context.js';
 
 const ADJUST_PERIOD_MS = 100;
-/** With fewer samples the mean own time says too little; the window stays open until it has them. */
-const MIN_SAMPLES = 8;
+/** With fewer finished calls a window says too little and stays open. */
+const MIN_CALLS = 8;
+/** Expected calls in a window after which it counts although fewer finished: the target stalls. */
+const STALLED_CALLS = 16;
+const LONGEST_WINDOW_MS = 1000;
+/** Slow start begins at this share of the hint: a host far slower than the hint says must not be flooded first. */
+const START_SHARE = 0.5;
+const OWN_TIME_SMOOTHING = 0.05;
+const COST_SMOOTHING = 0.01;
+
+interface LearnedCost {
+  declaredMs: number;
+  learnedMs: number;
+}
 
 /** Writes the concurrency limit of the local target from the own times of its calls. */
 export function createLimitController(context: ControllerContext): Controller {
   const { board, clock, policies } = context;
   const limits = board.claim('limits', 'limitController');
   const samples = board.read('samples').ring;
+  const costs = new Map<string, LearnedCost>();
   let cursor = samples.end;
+  let window = createWindow();
+  let lastActiveMs = 0;
+  let lastAtMs = clock.now();
   let stopTimer = (): void => undefined;
 
-  const restart = (concurrency: number): void => {
-    Object.assign(limits.section, { concurrency, isSlowStart: true, leastOwnTimeMs: 0, ownTimeMs: 0 });
+  const restart = (hint: number): void => {
+    Object.assign(limits.section, {
+      concurrency: Math.max(1, hint * START_SHARE),
+      hint,
+      isSlowStart: true,
+      costFactor: 0,
+      leastCostFactor: 0,
+      sinceTrialMs: 0,
+      trial: undefined,
+      recent: createObservation(),
+      ownTimeMs: {},
+    });
+    costs.clear();
+    window = createWindow();
     limits.publishChange();
   };
   limits.handlePosts((post) => {
     restart(post.concurrency);
   });
 
-  const adjust = (): void => {
-    const window = collectWindow(samples.listFrom(cursor));
-    if (window.count < MIN_SAMPLES && samples.end - cursor < MIN_SAMPLES) return;
+  const getOperations = (): Readonly<Record<string, Operation | undefined>> => {
+    const service = board.read('target').announcement?.service ?? '';
+    const operations = board.read('configuration').services.get(service)?.document.operations;
+    return operations ?? {};
+  };
+  const updateWindow = (): void => {
+    const operations = getOperations();
+    for (let at = Math.max(cursor, samples.start); at < samples.end; at++) {
+      const sample = samples.get(at);
+      if (sample?.role === 'run') addSample(sample, operations[sample.operation]?.expectedCostMs ?? 1);
+    }
     cursor = samples.end;
-    const before = Math.floor(limits.section.concurrency);
-    Object.assign(limits.section, policies.adjustLimit(limits.section, window));
-    const after = Math.floor(limits.section.concurrency);
+    const nowMs = clock.now();
+    const calls = board.read('calls');
+    const activeMs = computeActiveMs(calls, nowMs);
+    window.activeMs += activeMs - lastActiveMs;
+    window.durationMs += nowMs - lastAtMs;
+    const isWaiting = board.read('queue').length > 0;
+    window.peakConcurrency = Math.max(calls.inFlight, isWaiting ? Math.floor(limits.section.concurrency) : 0);
+    lastActiveMs = activeMs;
+    lastAtMs = nowMs;
+  };
+  /** Learns what operations cost relative to each other, so that a changed mix does not look like a slower target. */
+  const updateCost = (sample: Sample, declaredMs: number): number => {
+    let cost = costs.get(sample.operation);
+    if (cost === undefined) {
+      cost = { declaredMs, learnedMs: declaredMs };
+      costs.set(sample.operation, cost);
+    }
+    const { costFactor } = limits.section;
+    if (costFactor > 0) cost.learnedMs += COST_SMOOTHING * (sample.ownTimeMs / costFactor - cost.learnedMs);
+    return cost.learnedMs;
+  };
+  /** Keeps the sum at that of the published costs: only the relations are learned, the level is the cost factor. */
+  const updateCostScale = (): void => {
+    let declaredMs = 0;
+    let learnedMs = 0;
+    for (const cost of costs.values()) {
+      declaredMs += cost.declaredMs;
+      learnedMs += cost.learnedMs;
+    }
+    if (learnedMs > 0) for (const cost of costs.values()) cost.learnedMs *= declaredMs / learnedMs;
+  };
+  const addSample = (sample: Sample, declaredCostMs: number): void => {
+    if (sample.result === 'failed' && sample.ran !== 'yes') {
+      if (sample.failureKind !== 'deadlineExceeded') window.refusals++;
+      return;
+    }
+    window.count++;
+    window.declaredCostMs += updateCost(sample, declaredCostMs);
+    const { ownTimeMs } = limits.section;
+    const known = ownTimeMs[sample.operation] ?? sample.ownTimeMs;
+    ownTimeMs[sample.operation] = known + OWN_TIME_SMOOTHING * (sample.ownTimeMs - known);
+  };
+  const isWindowFull = (): boolean => {
+    const { costFactor, meanCostMs } = limits.section;
+    if (window.count >= MIN_CALLS || window.durationMs >= LONGEST_WINDOW_MS) return true;
+    return costFactor > 0 && window.activeMs > STALLED_CALLS * costFactor * meanCostMs;
+  };
+  const adjust = (): void => {
+    updateWindow();
+    if (!isWindowFull()) return;
+    const { section } = limits;
+    const before = Math.floor(section.concurrency);
+    updateCostScale();
+    if (window.count > 0) section.meanCostMs = window.declaredCostMs / window.count;
+    Object.assign(section, policies.adjustLimit(section, window));
+    window = createWindow();
+    const after = Math.floor(section.concurrency);
     if (after === before) return;
     limits.publishChange();
-    board.post('events', { kind: 'limitChanged', data: { before, after, ownTimeMs: window.meanOwnTimeMs } });
+    const ownTimeMs = section.costFactor * section.meanCostMs;
+    board.post('events', {
+      kind: 'limitChanged',
+      data: { before, after, ownTimeMs, isTrial: section.trial !== undefined },
+    });
   };
   return {
     start: () => {
@@ -45,20 +143,6 @@
   };
 }
 
-function collectWindow(
-  samples: readonly { role: string; result: string; ran: string; ownTimeMs: number; concurrency: number }[],
-): LimitWindow {
-  const window = { count: 0, meanOwnTimeMs: 0, minOwnTimeMs: Infinity, peakConcurrency: 0, refusals: 0 };
-  for (const sample of samples) {
-    if (sample.role !== 'run') continue;
-    if (sample.result === 'failed' && sample.ran !== 'yes') {
-      window.refusals++;
-      continue;
-    }
-    window.count++;
-    window.meanOwnTimeMs += (sample.ownTimeMs - window.meanOwnTimeMs) / window.count;
-    window.minOwnTimeMs = Math.min(window.minOwnTimeMs, sample.ownTimeMs);
-    window.peakConcurrency = Math.max(window.peakConcurrency, sample.concurrency);
-  }
-  return window;
+function createWindow(): LimitWindow {
+  return { ...createObservation(), peakConcurrency: 0, refusals: 0 };
 }
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -14,6 +14,8 @@
   RouteState,
   Sample,
 } from '../schema/state.js';
+import { createCallQueue } from './callQueue.js';
+import type { CallQueue } from './callQueue.js';
 import type { CancelCall, DispatchedCall, RemoteAttempt, RunningCall } from './calls.js';
 
 const SAMPLES_KEPT = 4096;
@@ -37,9 +39,15 @@
     /** By sending host and call id: how to cancel a call that a peer sent. */
     incoming: Map<string, CancelCall>;
     inFlight: number;
+    /** Calls that the local target took so far. */
+    started: number;
+    /** Calls that the local target works on now, its time integral (ms x calls), and up to when that was taken. */
+    active: number;
+    activeMs: number;
+    activeAtMs: number;
     isStopping: boolean;
   };
-  queue: { waiting: RunningCall[] };
+  queue: CallQueue;
   samples: { ring: RingBuffer<Sample> };
   limits: LimitState;
   shedding: {
@@ -64,7 +72,9 @@
   queue: never;
   samples: never;
   limits: { type: 'restart'; concurrency: number };
-  shedding: { type: 'arrival'; priority: string; worth: number } | { type: 'heard'; key: string; fraction: number };
+  shedding:
+    | { type: 'arrival'; priority: string; worth: number; shedKey: number }
+    | { type: 'heard'; key: string; fraction: number };
   routes:
     { type: 'started' | 'finished' | 'linkClosed'; host: string } | { type: 'heard'; host: string; load: LoadHint };
   budgets: { type: 'attempt' | 'retry'; service: string };
@@ -85,11 +95,25 @@
       running: new Map(),
       incoming: new Map(),
       inFlight: 0,
+      started: 0,
+      active: 0,
+      activeMs: 0,
+      activeAtMs: 0,
       isStopping: false,
     },
-    queue: { waiting: [] },
+    queue: createCallQueue(),
     samples: { ring: createRingBuffer(SAMPLES_KEPT) },
-    limits: { concurrency: 1, isSlowStart: true, leastOwnTimeMs: 0, ownTimeMs: 0 },
+    limits: {
+      concurrency: 1,
+      hint: 1,
+      isSlowStart: true,
+      costFactor: 0,
+      leastCostFactor: 0,
+      meanCostMs: 1,
+      sinceTrialMs: 0,
+      recent: { count: 0, declaredCostMs: 0, activeMs: 0, durationMs: 0 },
+      ownTimeMs: {},
+    },
     shedding: { local: new Map(), downstream: new Map() },
     routes: { byHost: new Map() },
     budgets: { byService: new Map() },
--- a/src/control/sheddingController.ts
+++ b/src/control/sheddingController.ts
@@ -1,60 +1,122 @@
 import { scheduleRepeated } from '../core/clock.js';
-import { splitCapacity } from '../policy/shedding.js';
+import { adjustCapacity, computeAllowed, estimateDemand, hasSpareCapacity, splitCapacity } from '../policy/shedding.js';
 import type { FractionState } from '../schema/state.js';
 import type { Controller, ControllerContext } from './context.js';
 
 const ADJUST_PERIOD_MS = 100;
+/** Adjustments that a changed fraction may take to reach all entry nodes and the calls behind them. */
+const LAG_PERIODS = 4;
+const THROUGHPUT_SMOOTHING = 0.3;
+/** Share of the queue time bound at which the queue is held. */
+const WANTED_QUEUE_SHARE = 0.3;
+/** Weight of one reply in a downstream fraction: targets of one service differ, and a caller meets them in turn. */
+const HEARD_SMOOTHING = 0.3;
 /** Time after which a downstream fraction that nothing confirms is raised. */
 const DOWNSTREAM_DECAY_MS = 1000;
-const RAISE_FACTOR = 1.1;
+const RAISE_FACTOR = 1.25;
+const MIN_EVENT_CHANGE = 0.1;
 
 /** Writes the admitted fractions: of the local target from its demand, of called operations from replies. */
 export function createSheddingController(context: ControllerContext): Controller {
   const { board, clock, policies } = context;
   const shedding = board.claim('shedding', 'sheddingController');
-  const samples = board.read('samples').ring;
   const { local, downstream } = shedding.section;
-  let cursor = samples.end;
+  const histories = new Map<string, number[]>();
+  const published = new Map<string, number>();
+  let lastStarted = 0;
+  let throughput = 0;
+  let inFlight = 0;
+  let capacity = 0;
   let stopTimer = (): void => undefined;
 
+  const addArrival = (priority: string, worth: number, shedKey: number): void => {
+    let state = local.get(priority);
+    if (state === undefined) {
+      state = { fraction: 1, countedBelow: 1, admittedBelow: 1, arrivals: 0, demand: 0, worth };
+      local.set(priority, state);
+    }
+    if (shedKey < state.countedBelow) state.arrivals++;
+  };
   shedding.handlePosts((post) => {
     if (post.type === 'arrival') {
-      const state = local.get(post.priority);
-      if (state === undefined) local.set(post.priority, { fraction: 1, arrivals: 1, worth: post.worth });
-      else state.arrivals++;
+      addArrival(post.priority, post.worth, post.shedKey);
       return;
     }
-    downstream.set(post.key, { fraction: post.fraction, heardAtMs: clock.now() });
+    const entry = downstream.get(post.key);
+    if (entry === undefined) {
+      if (post.fraction < 1) downstream.set(post.key, { fraction: post.fraction, heardAtMs: clock.now() });
+      return;
+    }
+    entry.fraction += HEARD_SMOOTHING * (post.fraction - entry.fraction);
+    entry.heardAtMs = clock.now();
   });
 
+  const getShare = (priority: string): number => {
+    const service = board.read('target').announcement?.service ?? '';
+    const priorities = board.read('configuration').services.get(service)?.document.priorities;
+    return priorities?.find(({ name }) => name === priority)?.guaranteedShare ?? 0;
+  };
+  const updateThroughput = (): void => {
+    const { started, inFlight: inFlightNow } = board.read('calls');
+    inFlight += THROUGHPUT_SMOOTHING * (inFlightNow - inFlight);
+    throughput += THROUGHPUT_SMOOTHING * (started - lastStarted - throughput);
+    const isSaturated = board.read('queue').length > 0;
+    capacity = adjustCapacity(capacity, started - lastStarted, throughput, isSaturated);
+    lastStarted = started;
+  };
+  const computeQueueTimes = (): { queueTimeMs: number; wantedQueueTimeMs: number } => {
+    const { costFactor, meanCostMs } = board.read('limits');
+    const queueTimeMs = (board.read('queue').length / Math.max(0.1, throughput)) * ADJUST_PERIOD_MS;
+    return {
+      queueTimeMs,
+      wantedQueueTimeMs: WANTED_QUEUE_SHARE * policies.computeQueueTimeBound(costFactor * meanCostMs),
+    };
+  };
   const adjustLocal = (): void => {
-    const finished = samples.listFrom(cursor).filter((sample) => sample.role === 'run' && sample.result === 'answered');
-    cursor = samples.end;
-    const isOverloaded = board.read('queue').waiting.length > board.read('limits').concurrency;
-    const states = [...local.values()];
-    const allotted = isOverloaded
-      ? splitCapacity(
-          finished.length,
-          states.map((state) => ({ state, guaranteedShare: getShare(state) })),
-        )
-      : states.map((state) => state.arrivals);
-    for (const [index, state] of states.entries()) {
-      state.fraction = policies.adjustFraction(state.fraction, state.arrivals, allotted[index] ?? 0);
+    updateThroughput();
+    const { queueTimeMs, wantedQueueTimeMs } = computeQueueTimes();
+    const limit = board.read('limits').concurrency;
+    const entries = [...local];
+    for (const [, state] of entries) {
+      state.demand = estimateDemand(state);
       state.arrivals = 0;
     }
+    const isShedding = queueTimeMs > wantedQueueTimeMs || entries.some(([, { fraction }]) => fraction < 1);
+    if (!isShedding) return;
+    const demands = entries.map(([priority, state]) => ({
+      demand: state.demand,
+      worth: state.worth,
+      guaranteedShare: getShare(priority),
+    }));
+    const load = { throughput, capacity, inFlight, limit, queueTimeMs, wantedQueueTimeMs };
+    const hasSpare = hasSpareCapacity(load);
+    const allotted = splitCapacity(computeAllowed(load), demands);
+    for (const [index, [priority, state]] of entries.entries()) {
+      state.fraction = policies.adjustFraction(state.fraction, state.demand, allotted[index] ?? 0, hasSpare);
+      updateHistory(priority, state);
+      recordChange(priority, state.fraction);
+    }
+  };
+  const updateHistory = (priority: string, state: FractionState): void => {
+    const history = histories.get(priority) ?? [];
+    histories.set(priority, history);
+    history.push(state.fraction);
+    if (history.length > LAG_PERIODS) history.shift();
+    state.countedBelow = Math.min(...history);
+    state.admittedBelow = Math.max(...history);
   };
-  const getShare = (wanted: FractionState): number => {
-    const service = board.read('target').announcement?.service;
-    const priorities =
-      service === undefined ? [] : (board.read('configuration').services.get(service)?.document.priorities ?? []);
-    return priorities.find((priority) => priority.worth === wanted.worth)?.guaranteedShare ?? 0;
+  const recordChange = (priority: string, fraction: number): void => {
+    const before = published.get(priority) ?? 1;
+    const isEnd = fraction === 1 && before < 1;
+    if (!isEnd && Math.abs(fraction - before) < MIN_EVENT_CHANGE * before) return;
+    published.set(priority, fraction);
+    board.post('events', { kind: 'sheddingChanged', priority, data: { before, after: fraction } });
   };
   const decayDownstream = (): void => {
     const heardBefore = clock.now() - DOWNSTREAM_DECAY_MS;
     for (const [key, entry] of downstream) {
-      if (entry.heardAtMs > heardBefore) continue;
-      entry.fraction = Math.min(1, entry.fraction * RAISE_FACTOR);
-      if (entry.fraction >= 1) downstream.delete(key);
+      if (entry.heardAtMs <= heardBefore) entry.fraction = Math.min(1, entry.fraction * RAISE_FACTOR);
+      if (entry.fraction > 0.995) downstream.delete(key);
     }
   };
   return {
--- a/src/http/metrics.ts
+++ b/src/http/metrics.ts
@@ -47,7 +47,7 @@
     () => board.read('limits').concurrency,
   );
   createGauge('hemlock_calls_in_flight', 'Calls running at the local target', () => board.read('calls').inFlight);
-  createGauge('hemlock_calls_queued', 'Calls waiting for the local target', () => board.read('queue').waiting.length);
+  createGauge('hemlock_calls_queued', 'Calls waiting for the local target', () => board.read('queue').length);
   createGauge(
     'hemlock_calls_dispatched',
     'Calls that this node answers for',
--- a/src/http/operatorController.ts
+++ b/src/http/operatorController.ts
@@ -42,7 +42,7 @@
       limits: { ...limits },
       inFlight: calls.inFlight,
       dispatched: calls.dispatched.size,
-      queued: board.read('queue').waiting.length,
+      queued: board.read('queue').length,
       fractions: Object.fromEntries([...board.read('shedding').local].map(([name, state]) => [name, state.fraction])),
     };
   }
--- a/src/policy/policies.ts
+++ b/src/policy/policies.ts
@@ -1,6 +1,6 @@
 import { computeLoan } from './allowance.js';
 import { adjustLimit } from './limit.js';
-import { compareWaiting } from './queueOrder.js';
+import { chooseWaiting, computeQueueTimeBound, isUnreachable } from './queueOrder.js';
 import { isRetryGranted } from './retry.js';
 import { chooseRoute } from './routing.js';
 import { adjustFraction } from './shedding.js';
@@ -12,7 +12,9 @@
   chooseRoute: typeof chooseRoute;
   adjustLimit: typeof adjustLimit;
   adjustFraction: typeof adjustFraction;
-  compareWaiting: typeof compareWaiting;
+  chooseWaiting: typeof chooseWaiting;
+  computeQueueTimeBound: typeof computeQueueTimeBound;
+  isUnreachable: typeof isUnreachable;
 }
 
 export const defaultPolicies: Policies = {
@@ -21,5 +23,7 @@
   chooseRoute,
   adjustLimit,
   adjustFraction,
-  compareWaiting,
+  chooseWaiting,
+  computeQueueTimeBound,
+  isUnreachable,
 };
--- a/src/policy/retry.ts
+++ b/src/policy/retry.ts
@@ -3,6 +3,8 @@
 export interface RetryQuestion {
   failure: CallFailure;
   isIdempotent: boolean;
+  /** Attempts made so far. */
+  attempts: number;
   /** Extra attempts that the request may still make from here. */
   remainingAllowance: number;
   /** Time left until the deadline (ms). */
--- a/src/policy/shedding.ts
+++ b/src/policy/shedding.ts
@@ -1,11 +1,35 @@
 import type { FractionState } from '../schema/state.js';
 
-/** Growth of an admitted fraction per adjustment while there is spare capacity. */
-const RAISE_FACTOR = 1.1;
+/** Growth of an admitted fraction per adjustment: at least, while there is spare capacity, and at most. */
+const LEAST_RAISE = 1.15;
+const GREATEST_RAISE = 2;
 const MIN_FRACTION = 0.01;
+/** The limit allows for some queueing inside the target, so less than all of it is capacity. */
+const SPARE_SHARE = 0.65;
+const LEAST_CORRECTION = 0.3;
+const CAPACITY_SMOOTHING = 0.07;
+const CAPACITY_LOSS = 0.6;
+/**
+ * Time in which the queue settles at its wanted length (ms). A change of a fraction shows in the queue some 0.3 s later,
+ * so a queue that is corrected faster than about twice that swings.
+ */
+const SETTLE_TIME_MS = 600;
+const GREATEST_GAIN = 0.3;
+/** Queues beyond this multiple of the wanted length come from a surge and are reduced faster. */
+const SURGE_EXCESS = 2;
+const SURGE_GAIN = 0.15;
+const DEMAND_SMOOTHING = 0.08;
+/** Arrivals so many standard deviations from the expected ones show that the demand has moved. */
+const SHIFT_DEVIATIONS = 3;
+const SHIFT_SMOOTHING = 0.4;
+/** Fewer arrivals in an interval say little, so they move the estimate less. */
+const FEW_ARRIVALS = 4;
+const LEAST_DEMAND_WEIGHT = 0.1;
 
 export interface PriorityDemand {
-  state: FractionState;
+  /** Calls per interval that would arrive if nothing were shed. */
+  demand: number;
+  worth: number;
   /** Share of the capacity that this priority keeps in a surge of others, in [0, 1]. */
   guaranteedShare: number;
 }
@@ -15,28 +39,94 @@
  * by worth, the most worth first.
  *
  * @returns The allotted calls per interval, in the order given.
+ *
+ * @example
+ * splitCapacity(100, [{ demand: 80, worth: 9, guaranteedShare: 0.4 }, { demand: 500, worth: 1, guaranteedShare: 0.1 }]);
+ * // [80, 20]
  */
 export function splitCapacity(capacity: number, demands: readonly PriorityDemand[]): number[] {
-  const guaranteed = demands.map(({ state, guaranteedShare }) => Math.min(state.arrivals, guaranteedShare * capacity));
-  let rest = capacity - guaranteed.reduce((sum, value) => sum + value, 0);
-  const byWorth = demands.map((demand, index) => ({ demand, index }));
-  byWorth.sort((left, right) => right.demand.state.worth - left.demand.state.worth);
-  const allotted = [...guaranteed];
-  for (const { demand, index } of byWorth) {
-    const extra = Math.max(0, Math.min(rest, demand.state.arrivals - (guaranteed[index] ?? 0)));
-    allotted[index] = (guaranteed[index] ?? 0) + extra;
+  const allotted = demands.map(({ demand, guaranteedShare }) => Math.min(demand, guaranteedShare * capacity));
+  let rest = capacity - allotted.reduce((sum, value) => sum + value, 0);
+  const byWorth = demands.map((_, index) => index);
+  byWorth.sort((left, right) => (demands[right]?.worth ?? 0) - (demands[left]?.worth ?? 0));
+  for (const index of byWorth) {
+    const guaranteed = allotted[index] ?? 0;
+    const extra = Math.max(0, Math.min(rest, (demands[index]?.demand ?? 0) - guaranteed));
+    allotted[index] = guaranteed + extra;
     rest -= extra;
   }
   return allotted;
 }
 
+/** What the calls at the local target say about its load. */
+export interface LoadWindow {
+  /** Calls per interval that the target took, over the last few intervals. */
+  throughput: number;
+  /** Calls per interval that it takes while it is saturated. */
+  capacity: number;
+  /** Calls in flight at the target, smoothed like the throughput, and their limit. */
+  inFlight: number;
+  limit: number;
+  /** Time in which the waiting calls will have started (ms). */
+  queueTimeMs: number;
+  /** Queue time at which the slots are always in use and no call waits long (ms). */
+  wantedQueueTimeMs: number;
+}
+
 /**
- * Computes the next admitted fraction of a priority. Arrivals are those left after earlier shedding by the current
- * fraction, so the next one scales the current one.
+ * Computes how many calls per interval may be admitted: the capacity, corrected so that the queue settles at its wanted
+ * length. Without a queue the capacity may have grown unseen; by Little's law the limit would be in use at
+ * `throughput * limit / inFlight`, of which a share is admitted at once.
  */
-export function adjustFraction(current: number, arrivals: number, allotted: number): number {
-  if (arrivals <= allotted || arrivals === 0) return Math.min(1, current * RAISE_FACTOR);
-  return Math.max(MIN_FRACTION, (current * allotted) / arrivals);
+export function computeAllowed(window: LoadWindow): number {
+  const { throughput, capacity, inFlight, limit, queueTimeMs, wantedQueueTimeMs } = window;
+  const excess = queueTimeMs / wantedQueueTimeMs;
+  const gain = Math.min(GREATEST_GAIN, wantedQueueTimeMs / SETTLE_TIME_MS);
+  const correction = 1 + gain * (1 - excess) - SURGE_GAIN * Math.max(0, excess - SURGE_EXCESS);
+  const spare = queueTimeMs === 0 ? (SPARE_SHARE * throughput * limit) / Math.max(inFlight, 1) : 0;
+  return Math.max(1, spare, capacity * Math.max(LEAST_CORRECTION, correction));
+}
+
+/**
+ * Computes the capacity (calls per interval): a slow average while the target is saturated, since a fast one would
+ * follow the changes of the admitted load and make them oscillate. A loss of much of it is followed at once.
+ */
+export function adjustCapacity(capacity: number, started: number, throughput: number, isSaturated: boolean): number {
+  if (throughput > capacity) return throughput;
+  if (!isSaturated) return capacity;
+  if (throughput < CAPACITY_LOSS * capacity) return throughput;
+  return capacity + CAPACITY_SMOOTHING * (started - capacity);
+}
+
+/**
+ * Estimates the calls per interval that would arrive if nothing were shed. Shed keys are spread evenly over [0, 1), so
+ * those below a fraction that was in force all the time stand for the rest. Unlike a count of all arrivals this does not
+ * depend on how much of the last change has already reached the entry nodes.
+ */
+export function estimateDemand(state: FractionState): number {
+  const { arrivals, countedBelow, demand } = state;
+  const measured = arrivals / countedBelow;
+  if (demand === 0) return measured;
+  const expected = demand * countedBelow;
+  const isShift = Math.abs(arrivals - expected) > SHIFT_DEVIATIONS * Math.sqrt(Math.max(1, expected));
+  const smoothing = isShift ? SHIFT_SMOOTHING : DEMAND_SMOOTHING;
+  const weight = smoothing * Math.max(LEAST_DEMAND_WEIGHT, Math.min(1, Math.max(arrivals, expected) / FEW_ARRIVALS));
+  return demand + weight * (measured - demand);
+}
+
+/**
+ * Computes the next admitted fraction of a priority from its whole demand and what it is allotted. With spare capacity it
+ * rises in any case, since a demand estimated from few arrivals may be far too high.
+ */
+export function adjustFraction(current: number, demand: number, allotted: number, hasSpare: boolean): number {
+  const wanted = demand <= allotted ? 1 : allotted / demand;
+  const floor = hasSpare ? current * LEAST_RAISE : MIN_FRACTION;
+  return Math.min(1, Math.max(floor, Math.min(wanted, current * GREATEST_RAISE)));
+}
+
+/** True when the target could take more calls than it gets. */
+export function hasSpareCapacity({ inFlight, limit, queueTimeMs }: LoadWindow): boolean {
+  return queueTimeMs === 0 && inFlight < SPARE_SHARE * limit;
 }
 
 /** True when a request with this shed key is admitted under a fraction. */
--- a/src/schema/state.ts
+++ b/src/schema/state.ts
@@ -3,15 +3,50 @@
 import { ranSchema, retrySchema } from './failure.js';
 import { loadHintSchema } from './frame.js';
 
+/** What a target did in some time. */
+const limitObservationSchema = Type.Object({
+  /** Calls that it finished; a fraction where older ones are partly forgotten. */
+  count: Type.Number({ minimum: 0 }),
+  /** Sum of the costs of the finished calls (ms): learned per operation, in the scale of the published costs. */
+  declaredCostMs: Type.Number({ minimum: 0 }),
+  /**
+   * Time integral of the calls that the target worked on (ms x calls): running, and not waiting for onward calls. Over
+   * the finished work this is the mean own time by Little's law; unlike a mean over finished calls it grows at once
+   * when the target stalls.
+   */
+  activeMs: Type.Number({ minimum: 0 }),
+  durationMs: Type.Number({ minimum: 0 }),
+});
+export type LimitObservation = Static<typeof limitObservationSchema>;
+
+/** A lowered limit under observation. */
+const limitTrialSchema = Type.Object({
+  /** The limit before. */
+  concurrency: Type.Number({ minimum: 1 }),
+  observed: limitObservationSchema,
+  /** True once the calls in flight are within the lowered limit. */
+  isSettled: Type.Boolean(),
+});
+
 /** The adaptive concurrency limit of the local target. Times in ms. */
 export const limitStateSchema = Type.Object({
   concurrency: Type.Number({ minimum: 1 }),
+  /** The published concurrency hint. */
+  hint: Type.Number({ minimum: 1 }),
   /** True until the limit first met resistance: the limit doubles per adjustment. */
   isSlowStart: Type.Boolean(),
-  /** Own time of an uncontended call; drifts up slowly, so that a changed target is learned anew. */
-  leastOwnTimeMs: Type.Number({ minimum: 0 }),
-  /** Smoothed own time of recent calls. */
-  ownTimeMs: Type.Number({ minimum: 0 }),
+  /** Own time per declared cost, smoothed over recent calls; 0 before the first ones. */
+  costFactor: Type.Number({ minimum: 0 }),
+  /** The same when calls do not contend; learned again by trials. */
+  leastCostFactor: Type.Number({ minimum: 0 }),
+  /** Mean declared cost of recent calls (ms). */
+  meanCostMs: Type.Number({ minimum: 0 }),
+  sinceTrialMs: Type.Number({ minimum: 0 }),
+  /** Sums over recent calls, from which `costFactor` follows. */
+  recent: limitObservationSchema,
+  /** Smoothed own time of each operation (ms). */
+  ownTimeMs: Type.Record(Type.String(), Type.Number({ minimum: 0 })),
+  trial: Type.Optional(Type.Union([limitTrialSchema, Type.Undefined()])),
 });
 export type LimitState = Static<typeof limitStateSchema>;
 
@@ -55,10 +90,16 @@
 export const budgetStateSchema = Type.Object({ tokens: Type.Number({ minimum: 0 }) });
 export type BudgetState = Static<typeof budgetStateSchema>;
 
-/** The share of one priority's requests that is admitted, and the arrivals since the last adjustment. */
+/** The share of one priority's requests that is admitted, and its demand. */
 export const fractionStateSchema = Type.Object({
   fraction: Type.Number({ minimum: 0, maximum: 1 }),
+  /** Least and greatest fraction in force within the time that a change takes to reach the entry nodes. */
+  countedBelow: Type.Number({ minimum: 0, maximum: 1 }),
+  admittedBelow: Type.Number({ minimum: 0, maximum: 1 }),
+  /** Calls since the last adjustment whose shed key is below `countedBelow`. */
   arrivals: Type.Number({ minimum: 0 }),
+  /** Calls per adjustment that would arrive if nothing were shed, smoothed. */
+  demand: Type.Number({ minimum: 0 }),
   worth: Type.Number(),
 });
 export type FractionState = Static<typeof fractionStateSchema>;
