Recover limits, fractions and routes at once; add flood and recovery benches

Cause: after a slow spell limits stayed in trials of the slow time, entry nodes with few replies kept stale fractions, ejected targets kept backing off, and a full queue of the least worth cost urgent calls their place.

--- a/src/bench/load/callerLoad.ts
+++ b/src/bench/load/callerLoad.ts
@@ -1,6 +1,7 @@
 import { generateExponential } from '../../core/random.js';
 import type { Random } from '../../core/random.js';
 import type { FakeFleet } from '../fakes/fakeFleet.js';
+import { createAccounting } from './accounting.js';
 import type { Accounting } from './accounting.js';
 import { DATA_CENTERS } from './deployments.js';
 
@@ -27,14 +28,17 @@
   /** Number of callers; each sends through any node of its own data centre. */
   callers?: number;
   untilMs: number;
+  /** Requests first sent before this time are not accounted (ms). */
+  accountFromMs?: number;
 }
 
 const IDLE_CHECK_MS = 20;
 
 /** Sends requests at the given rates whatever becomes of them (open loop); callers resend what fails. */
 export function startCallerLoad(options: CallerLoadOptions): void {
-  const { fleet, random, accounting, streams, clientDelayMs, untilMs } = options;
-  const { resends = 3, resendPauseMs = 50, callers = 400 } = options;
+  const { fleet, random, streams, clientDelayMs, untilMs, accountFromMs = 0 } = options;
+  const unaccounted = createAccounting();
+  const { resends = 2, resendPauseMs = 50, callers = 400 } = options;
   const { clock } = fleet;
   const hostsByDataCenter = new Map<string, string[]>();
   for (const { options: host } of fleet.hosts.values()) {
@@ -52,6 +56,7 @@
     resendsLeft: number,
   ): void => {
     const sentMs = clock.now();
+    const accounting = firstSentMs >= accountFromMs ? options.accounting : unaccounted;
     accounting.recordTry(stream.priority);
     const dataCenter = DATA_CENTERS[caller % DATA_CENTERS.length] ?? DATA_CENTERS[0];
     const hosts = hostsByDataCenter.get(dataCenter) ?? [];
@@ -99,7 +104,7 @@
     clock.schedule(Math.min(pauseMs, IDLE_CHECK_MS), () => {
       if (clock.now() >= untilMs) return;
       if (isSend) {
-        accounting.recordOffered(stream.priority, clock.now());
+        if (clock.now() >= accountFromMs) options.accounting.recordOffered(stream.priority, clock.now());
         const body = new Uint8Array(new Uint32Array([nextRequest++]).buffer);
         sendTry(stream, Math.floor(random() * callers), body, clock.now(), resends);
       }
--- a/src/bench/load/measureRun.ts
+++ b/src/bench/load/measureRun.ts
@@ -17,7 +17,7 @@
   streams: readonly CallerStream[];
   /** End of the load (ms of the run). */
   untilMs: number;
-  load?: Partial<Pick<CallerLoadOptions, 'resends' | 'resendPauseMs' | 'callers'>>;
+  load?: Partial<Pick<CallerLoadOptions, 'resends' | 'resendPauseMs' | 'callers' | 'accountFromMs'>>;
   /** Changes hosts before the start. */
   changeHost?: (host: FakeHostOptions) => FakeHostOptions;
   /** Things that happen at times of the run. */
--- a/src/bench/scenarios/chainOverload.ts
+++ b/src/bench/scenarios/chainOverload.ts
@@ -1,5 +1,5 @@
 import type { Figure } from '../../schema/report.js';
-import { variants } from '../load/baselines.js';
+import { ownDecisions, variants } from '../load/baselines.js';
 import { computeCapacity, createDeepKaltfracht, createDerwent, createKaltfracht } from '../load/deployments.js';
 import type { Deployment } from '../load/deployments.js';
 import { createStreams, measureRun, WARM_UP_MS } from '../load/measureRun.js';
@@ -11,6 +11,8 @@
 const OVERLOAD = 3;
 const SETTLE_MS = 4000;
 const DEEP = 12;
+/** Baselines reach their steady state within this time; their runs cost several times more than those they compare to. */
+const BASELINE_OVERLOAD_MS = 5000;
 
 export interface ChainOverloadOptions {
   seed: number;
@@ -24,10 +26,11 @@
 ): Map<string, { goodputShare: number; wastedShare: number; accounting: ReturnType<typeof measureRun>['accounting'] }> {
   const capacity = computeCapacity(deployment);
   const fromMs = WARM_UP_MS + SETTLE_MS;
-  const untilMs = fromMs + overloadMs;
   const share = 1 / deployment.kinds.length;
   const streams = createStreams(deployment, (atMs) => share * capacity * (atMs < fromMs ? NORMAL_LOAD : OVERLOAD));
   const outcomes = variants.map((variant) => {
+    const isBaseline = variant !== ownDecisions;
+    const untilMs = fromMs + (isBaseline ? Math.min(overloadMs, BASELINE_OVERLOAD_MS) : overloadMs);
     const { accounting } = measureRun({ seed, deployment, variant, streams, untilMs });
     const goodputShare = accounting.computeGoodput(fromMs, untilMs) / capacity;
     return [variant.name, { goodputShare, wastedShare: accounting.computeWastedShare(), accounting }] as const;
--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,5 +1,13 @@
 import type { Scenario } from '../scenario.js';
 import { chainOverload } from './chainOverload.js';
+import { lowPriorityFlood, urgentFlood } from './floods.js';
+import { recovery } from './recovery.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [chainOverload];
+// prettier-ignore
+export const scenarios: readonly Scenario[] = [
+  chainOverload,
+  recovery,
+  lowPriorityFlood,
+  urgentFlood,
+];
--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -1,4 +1,4 @@
-import { isAdmitted } from '../policy/shedding.js';
+import { computeShareFactor, isAdmitted } from '../policy/shedding.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, LoadHint } from '../schema/frame.js';
@@ -23,6 +23,8 @@
 }
 
 const RAN_YES_STATUS = 500;
+/** Calls of more worth wait this much longer, so that a flood of less worth does not cost them their place. */
+const WORTHIER_BOUND_FACTOR = 4;
 
 /** Decides which calls run at the local target, in which order, and which are refused before they run. */
 export function createAdmission(
@@ -200,13 +202,15 @@
   const refuseWaiting = (call: RunningCall, reason: string): void => {
     fail(call, createCallFailure('overloaded', `${call.envelope.service} at ${settings.host}: ${reason}`));
   };
-  /** Refuses calls whose wait exceeds the bound. The least worth waits longest, so it goes first. */
+  /** Refuses calls whose wait exceeds the bound: at once where no less worth waits, else after several times of it. */
   const dropLate = (): void => {
+    const least = findLeastWorth(queue);
     for (let index = queue.filled.length - 1; index >= 0; index--) {
       const entry = queue.filled[index];
       if (entry === undefined) continue;
       for (let oldest = findOldest(entry); oldest !== undefined; oldest = findOldest(entry)) {
-        const boundMs = policies.computeQueueTimeBound(getExpectedMs(oldest.envelope));
+        const factor = entry === least ? 1 : WORTHIER_BOUND_FACTOR;
+        const boundMs = factor * policies.computeQueueTimeBound(getExpectedMs(oldest.envelope));
         if (clock.now() - oldest.arrivedAtMs <= boundMs) break;
         refuseWaiting(oldest, `waited longer than ${Math.round(boundMs)} ms`);
       }
@@ -289,5 +293,7 @@
 }
 
 function findShare(document: ReadView<ServiceConfiguration> | undefined, priority: string): number {
-  return document?.priorities.find(({ name }) => name === priority)?.guaranteedShare ?? 0;
+  const priorities = document?.priorities ?? [];
+  const share = priorities.find(({ name }) => name === priority)?.guaranteedShare ?? 0;
+  return share * computeShareFactor(priorities.map(({ guaranteedShare }) => guaranteedShare));
 }
--- a/src/control/routingController.ts
+++ b/src/control/routingController.ts
@@ -60,6 +60,9 @@
     route.failuresInRow = 0;
     if (sample.result !== 'answered') return;
     route.ejectionMs = FIRST_EJECTION_MS;
+    if (route.ejectedUntilMs > clock.now())
+      board.post('events', { kind: 'routeRestored', data: { host: sample.host } });
+    route.ejectedUntilMs = 0;
     route.latencyMs += route.latencyMs === 0 ? sample.totalTimeMs : SMOOTHING * (sample.totalTimeMs - route.latencyMs);
   };
   routes.handlePosts((post) => {
--- a/src/control/sheddingController.ts
+++ b/src/control/sheddingController.ts
@@ -6,13 +6,13 @@
 const ADJUST_PERIOD_MS = 100;
 /** Adjustments that a changed fraction may take to reach all entry nodes and the calls behind them. */
 const LAG_PERIODS = 4;
-const THROUGHPUT_SMOOTHING = 0.3;
+const THROUGHPUT_SMOOTHING = 0.5;
 /** Share of the queue time bound at which the queue is held. */
 const WANTED_QUEUE_SHARE = 0.3;
 /** Weight of one reply in a downstream fraction: targets of one service differ, and a caller meets them in turn. */
 const HEARD_SMOOTHING = 0.3;
 /** Time after which a downstream fraction that nothing confirms is raised. */
-const DOWNSTREAM_DECAY_MS = 1000;
+const DOWNSTREAM_DECAY_MS = 500;
 const RAISE_FACTOR = 1.25;
 const MIN_EVENT_CHANGE = 0.1;
 
@@ -47,7 +47,10 @@
       if (post.fraction < 1) downstream.set(post.key, { fraction: post.fraction, heardAtMs: clock.now() });
       return;
     }
-    entry.fraction += HEARD_SMOOTHING * (post.fraction - entry.fraction);
+    // After a silence the kept value is stale, so that the new one counts for more.
+    const silence = (clock.now() - entry.heardAtMs) / DOWNSTREAM_DECAY_MS;
+    const weight = Math.min(1, Math.max(HEARD_SMOOTHING, silence));
+    entry.fraction += weight * (post.fraction - entry.fraction);
     entry.heardAtMs = clock.now();
   });
 
@@ -66,12 +69,18 @@
   };
   const computeQueueTimes = (): { queueTimeMs: number; wantedQueueTimeMs: number } => {
     const { costFactor, meanCostMs } = board.read('limits');
-    const queueTimeMs = (board.read('queue').length / Math.max(0.1, throughput)) * ADJUST_PERIOD_MS;
+    const queueTimeMs = (board.read('queue').length / Math.max(0.1, throughput, capacity)) * ADJUST_PERIOD_MS;
     return {
       queueTimeMs,
       wantedQueueTimeMs: WANTED_QUEUE_SHARE * policies.computeQueueTimeBound(costFactor * meanCostMs),
     };
   };
+  /** Shows a standing queue even where the throughput is not known yet, as after a start. */
+  const computeOldestWaitMs = (): number => {
+    let arrivedAtMs = clock.now();
+    for (const { headArrivedAtMs } of board.read('queue').filled) arrivedAtMs = Math.min(arrivedAtMs, headArrivedAtMs);
+    return clock.now() - arrivedAtMs;
+  };
   const adjustLocal = (): void => {
     updateThroughput();
     const { queueTimeMs, wantedQueueTimeMs } = computeQueueTimes();
@@ -81,7 +90,9 @@
       state.demand = estimateDemand(state);
       state.arrivals = 0;
     }
-    const isShedding = queueTimeMs > wantedQueueTimeMs || entries.some(([, { fraction }]) => fraction < 1);
+    const isShedding =
+      (queueTimeMs > wantedQueueTimeMs && computeOldestWaitMs() > wantedQueueTimeMs) ||
+      entries.some(([, { fraction }]) => fraction < 1);
     if (!isShedding) return;
     const demands = entries.map(([priority, state]) => ({
       demand: state.demand,
@@ -90,7 +101,7 @@
     }));
     const load = { throughput, capacity, inFlight, limit, queueTimeMs, wantedQueueTimeMs };
     const hasSpare = hasSpareCapacity(load);
-    const allotted = splitCapacity(computeAllowed(load), demands);
+    const allotted = splitCapacity(computeAllowed(load), capacity, demands);
     for (const [index, [priority, state]] of entries.entries()) {
       state.fraction = policies.adjustFraction(state.fraction, state.demand, allotted[index] ?? 0, hasSpare);
       updateHistory(priority, state);
--- a/src/policy/limit.ts
+++ b/src/policy/limit.ts
@@ -46,6 +46,10 @@
 const REAL_FALL = 0.8;
 /** Windows with fewer finished calls may be those of a stalled target. */
 const FEW_CALLS = 4;
+/** Calls before the first least own time is kept. */
+const FIRST_CALLS = 50;
+/** Fall of own time in a trial that only a target that became faster explains. */
+const RECOVERED_FALL = 0.4;
 /** A trial that lowered the calls inside the target by less shows nothing but noise. */
 const CONCLUSIVE_FALL = 0.88;
 const CLEAR_GROWTH = 2.5;
@@ -80,8 +84,10 @@
   const leastCostFactor = computeLeast(state, costFactor, window, isInUse);
   const next = { ...state, recent, costFactor, leastCostFactor, sinceTrialMs: state.sinceTrialMs + window.durationMs };
   if (!isInUse) return next;
-  const isTrialDue = next.sinceTrialMs > options.trialPeriodMs && costFactor > NOISE * leastCostFactor;
   const growth = costFactor / leastCostFactor;
+  // A limit that keeps falling rests on a least own time that may be wrong, so that is tried sooner.
+  const periodMs = growth > options.tolerance ? options.trialPeriodMs / 3 : options.trialPeriodMs;
+  const isTrialDue = next.sinceTrialMs > periodMs && growth > NOISE;
   if (isTrialDue || growth > options.trialGrowth) return startTrial(next, options);
   if (growth <= options.tolerance) return { ...next, ...computeRaise(next, options) };
   const concurrency = applyBounds(state.concurrency * Math.sqrt(options.tolerance / growth), options);
@@ -132,7 +138,8 @@
 }
 
 function computeLeast(state: LimitState, costFactor: number, window: LimitWindow, isInUse: boolean): number {
-  if (state.leastCostFactor === 0) return costFactor;
+  // The first calls after a start are too few to take their own time for the least one.
+  if (state.recent.count < FIRST_CALLS) return costFactor;
   if (costFactor < REAL_FALL * state.leastCostFactor) return costFactor;
   if (isInUse) return state.leastCostFactor;
   // Uncontended calls show the own time itself; a slow average keeps noise from pulling the least value down.
@@ -155,6 +162,8 @@
   latest: LimitObservation,
   options: LimitOptions,
 ): LimitState {
+  if (computeCostFactor(latest) < RECOVERED_FALL * state.costFactor)
+    return cancelTrial(state, trial.concurrency, latest);
   const observed = addObservation(trial.observed, latest);
   if (!trial.isSettled) {
     // Calls admitted under the old limit still contend; they say nothing about the lower one.
@@ -167,6 +176,13 @@
   return endTrial(state, trial.concurrency, observed, options);
 }
 
+/** The target became faster in the middle of a trial: what was seen before no longer counts. */
+function cancelTrial(state: LimitState, concurrency: number, latest: LimitObservation): LimitState {
+  const costFactor = computeCostFactor(latest);
+  const leastCostFactor = Math.min(state.leastCostFactor, costFactor);
+  return { ...state, trial: undefined, recent: latest, costFactor, leastCostFactor, concurrency, sinceTrialMs: 0 };
+}
+
 function endTrial(
   state: LimitState,
   concurrencyBefore: number,
--- a/src/policy/queueOrder.ts
+++ b/src/policy/queueOrder.ts
@@ -8,7 +8,7 @@
 }
 
 /** Most starts that a guaranteed share saves up, so that an idle priority cannot seize the target for long later. */
-const MAX_CREDIT = 4;
+const MAX_CREDIT = 8;
 
 /**
  * Chooses the priority that starts next: one with an unused guaranteed share before the others, then by worth.
--- a/src/policy/shedding.ts
+++ b/src/policy/shedding.ts
@@ -1,7 +1,7 @@
 import type { FractionState } from '../schema/state.js';
 
 /** Growth of an admitted fraction per adjustment: at least, while there is spare capacity, and at most. */
-const LEAST_RAISE = 1.15;
+const LEAST_RAISE = 1.25;
 const GREATEST_RAISE = 2;
 const MIN_FRACTION = 0.01;
 /** The limit allows for some queueing inside the target, so less than all of it is capacity. */
@@ -34,25 +34,43 @@
   guaranteedShare: number;
 }
 
+/** Surplus on guaranteed shares, as far as they leave room: what is admitted exactly at a share ends below it by chance. */
+const SHARE_SURPLUS = 1.15;
+
+/** Computes the factor on guaranteed shares that gives them their surplus without promising more than everything. */
+export function computeShareFactor(shares: readonly number[]): number {
+  const sum = shares.reduce((total, share) => total + share, 0);
+  return sum === 0 ? 1 : Math.max(1, Math.min(SHARE_SURPLUS, 1 / sum));
+}
+
 /**
- * Allots a capacity (calls per interval) to priorities: guaranteed shares first as far as there is demand, then the rest
- * by worth, the most worth first.
+ * Allots calls per interval to priorities: guaranteed shares of the capacity first as far as there is demand, then the
+ * rest of what is allowed by worth, the most worth first. When less is allowed than was guaranteed, because the queue is
+ * too long, only priorities that ask for more than their share give way: they filled it.
  *
  * @returns The allotted calls per interval, in the order given.
  *
  * @example
- * splitCapacity(100, [{ demand: 80, worth: 9, guaranteedShare: 0.4 }, { demand: 500, worth: 1, guaranteedShare: 0.1 }]);
- * // [80, 20]
+ * splitCapacity(100, 100, [{ demand: 30, worth: 9, guaranteedShare: 0.4 }, { demand: 500, worth: 1, guaranteedShare: 0.1 }]);
+ * // [30, 70]
  */
-export function splitCapacity(capacity: number, demands: readonly PriorityDemand[]): number[] {
-  const allotted = demands.map(({ demand, guaranteedShare }) => Math.min(demand, guaranteedShare * capacity));
-  let rest = capacity - allotted.reduce((sum, value) => sum + value, 0);
+export function splitCapacity(allowed: number, capacity: number, demands: readonly PriorityDemand[]): number[] {
+  const factor = computeShareFactor(demands.map(({ guaranteedShare }) => guaranteedShare));
+  const guaranteed = demands.map(({ guaranteedShare }) => guaranteedShare * factor * capacity);
+  const allotted = demands.map(({ demand }, index) => Math.min(demand, guaranteed[index] ?? 0));
+  const isOver = demands.map(({ demand }, index) => demand > (guaranteed[index] ?? 0));
+  const overSum = allotted.reduce((sum, value, index) => sum + (isOver[index] === true ? value : 0), 0);
+  let rest = allowed - allotted.reduce((sum, value) => sum + value, 0);
+  if (rest < 0 && overSum > 0) {
+    const kept = Math.max(0, overSum + rest) / overSum;
+    return allotted.map((value, index) => (isOver[index] === true ? value * kept : value));
+  }
   const byWorth = demands.map((_, index) => index);
   byWorth.sort((left, right) => (demands[right]?.worth ?? 0) - (demands[left]?.worth ?? 0));
   for (const index of byWorth) {
-    const guaranteed = allotted[index] ?? 0;
-    const extra = Math.max(0, Math.min(rest, (demands[index]?.demand ?? 0) - guaranteed));
-    allotted[index] = guaranteed + extra;
+    const share = allotted[index] ?? 0;
+    const extra = Math.max(0, Math.min(rest, (demands[index]?.demand ?? 0) - share));
+    allotted[index] = share + extra;
     rest -= extra;
   }
   return allotted;
