--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -6,6 +6,7 @@
 import type { EnvelopeOutcome } from './buildEnvelope.js';
 import type { CallerCall, CallReply, CallResult, CancelCall, OnwardCall, RunningCall } from './calls.js';
 import type { Controller, ControllerContext } from './context.js';
+import { recordRequest } from './resends.js';
 import { createDispatcher, describeCall, generateRequestId } from './dispatchCalls.js';
 
 export interface CallController extends Controller {
@@ -56,6 +57,10 @@
   const dispatchEntry = (outcome: EnvelopeOutcome & { type: 'built' }, reply: CallReply): CancelCall => {
     const { envelope } = outcome;
     const startedAtMs = clock.now();
+    if (envelope.idempotent) {
+      const request = `${envelope.callerKey}/${envelope.fingerprint}`;
+      if (recordRequest(calls.section.recentRequests, request, startedAtMs)) envelope.allowance = 0;
+    }
     const account = { remaining: envelope.allowance };
     const recordResult = (result: CallResult, fromMs: number): void => {
       const data = {
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -46,6 +46,8 @@
     activeMs: number;
     activeAtMs: number;
     isStopping: boolean;
+    /** By caller and fingerprint: when an idempotent request entered here last, oldest first. */
+    recentRequests: Map<string, number>;
   };
   queue: CallQueue;
   samples: { ring: RingBuffer<Sample> };
@@ -100,6 +102,7 @@
       activeMs: 0,
       activeAtMs: 0,
       isStopping: false,
+      recentRequests: new Map(),
     },
     queue: createCallQueue(),
     samples: { ring: createRingBuffer(SAMPLES_KEPT) },
