--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -2,6 +2,7 @@
 import { chainOverload } from './chainOverload.js';
 import { lowPriorityFlood, urgentFlood } from './floods.js';
 import { recovery } from './recovery.js';
+import { retryBound } from './retryBound.js';
 
 /** All benches, in the order of the list. */
 // prettier-ignore
@@ -10,4 +11,5 @@
   recovery,
   lowPriorityFlood,
   urgentFlood,
+  retryBound,
 ];
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -150,7 +150,8 @@
       hasOtherTarget: candidates.length > 0,
     });
     if (!isGranted) {
-      fail(call, failure);
+      // The hop next to a failure is the one that retries: a caller above would repeat all work in between.
+      fail(call, call.parent === undefined ? failure : { ...failure, retry: 'never' });
       return;
     }
     account.remaining--;
