--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -4,6 +4,20 @@
 import { churn } from './churn.js';
 import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
+import { lowPriorityFlood, urgentFlood } from './floods.js';
+import { recovery } from './recovery.js';
+import { retryBound } from './retryBound.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [chainOverload, atMostOnce, configSpread, churn, controlCost];
+// prettier-ignore
+export const scenarios: readonly Scenario[] = [
+  chainOverload,
+  recovery,
+  lowPriorityFlood,
+  urgentFlood,
+  retryBound,
+  atMostOnce,
+  configSpread,
+  churn,
+  controlCost,
+];
--- a/src/control/entryCalls.ts
+++ b/src/control/entryCalls.ts
@@ -11,6 +11,7 @@
 import type { Dispatcher } from './dispatchCalls.js';
 import { createForwarder } from './forwardCalls.js';
 import type { HomeCalls } from './homeCalls.js';
+import { recordRequest } from './resends.js';
 import type { Sections } from './sections.js';
 
 export interface EntryCalls {
@@ -65,11 +66,18 @@
     const failure = checkCapacity();
     if (failure !== undefined) return refuse(reply, failure);
     if (!envelope.idempotent) return homeCalls.handle(envelope, reply, { canBeResent: false });
+    const request = `${envelope.callerKey}/${envelope.fingerprint}`;
+    const isResend = recordRequest(calls.recentRequests, request, clock.now());
+    const allowance = isResend ? 0 : envelope.allowance;
     const dispatched = dispatcher.dispatch({
-      envelope,
-      account: { remaining: envelope.allowance },
+      envelope: { ...envelope, allowance },
+      account: { remaining: allowance },
       parent: undefined,
-      reply,
+      reply: (result) => {
+        // Whoever has its answer and asks again makes a new request.
+        if (result.type === 'answer') calls.recentRequests.delete(request);
+        reply(result);
+      },
     });
     return () => {
       dispatcher.cancel(dispatched);
