--- /dev/null
+++ b/tests/configuration/races.test.ts
@@ -0,0 +1,12 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { configRaces } from '../../src/bench/scenarios/configRaces.js';
+
+describe('bench config-races', () => {
+  it('should lose no accepted edit, where the last writer wins loses many', async () => {
+    const figures = await configRaces.run({ seed: 1, plotFolder: undefined, printProgress: () => undefined });
+    const lost = figures.find(({ name }) => name === 'accepted edits that are lost');
+    expect(lost?.value).toEqual(0);
+    expect(lost?.baselines['last writer wins'] ?? 0).toBeGreaterThan(0);
+  });
+});
