--- a/src/cli/publishChange.ts
+++ b/src/cli/publishChange.ts
@@ -68,7 +68,9 @@
     await readLogToEnd(context, log, options);
     return true;
   } catch (error) {
-    if (error instanceof FailureError && error.failure.kind === 'logUnavailable') return false;
+    // The outcome is unknown then, and is reported with the change id that a later attempt needs.
+    const isPassing = error instanceof FailureError && ['logUnavailable', 'logIncomplete'].includes(error.failure.kind);
+    if (isPassing) return false;
     throw error;
   }
 }
