--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,7 +1,9 @@
 import type { Scenario } from '../scenario.js';
 import { atMostOnce } from './atMostOnce.js';
+import { churn } from './churn.js';
 import { configRaces } from './configRaces.js';
 import { configSpread } from './configSpread.js';
+import { controlCost } from './controlCost.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [atMostOnce, configRaces, configSpread];
+export const scenarios: readonly Scenario[] = [atMostOnce, configRaces, configSpread, churn, controlCost];
