--- a/tests/cli/publish.test.ts
+++ b/tests/cli/publish.test.ts
@@ -94,6 +94,20 @@
     expect(run.errors).toEqual(expect.includes('trying again under the same change id'));
   });
 
+  it('should report unknown with the change id when the record expires before it is read back', async () => {
+    const { append } = log.store;
+    log.store.append = (value) => {
+      const offset = append(value);
+      append('filler');
+      log.store.dropBefore(offset + 1);
+      return offset;
+    };
+    const path = writeDocument(createDocument('contracts'));
+    const run = await runHemlockctl('publish', path, '--timeout', '1', '--change-id', 'x1', '--log', log.url);
+    expect(run.exitCode).toEqual(3);
+    expect(run.output).toEqual(expect.includes('--change-id x1'));
+  });
+
   it('should report unreachable when nothing was written, and write nothing later', async () => {
     const path = writeDocument(createDocument('contracts'));
     log.faults.isDown = true;
