--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,9 +1,17 @@
 import type { Scenario } from '../scenario.js';
 import { atMostOnce } from './atMostOnce.js';
+import { chainOverload } from './chainOverload.js';
 import { churn } from './churn.js';
 import { configRaces } from './configRaces.js';
 import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [atMostOnce, configRaces, configSpread, churn, controlCost];
+export const scenarios: readonly Scenario[] = [
+  chainOverload,
+  atMostOnce,
+  configRaces,
+  configSpread,
+  churn,
+  controlCost,
+];
--- a/tests/membership/leaving.test.ts
+++ b/tests/membership/leaving.test.ts
@@ -173,7 +173,7 @@
         },
       );
     for (let index = 0; index < 200; index++) sendFrame(`c${index}`);
-    const queued = host?.node.board.read('queue').waiting.length ?? 0;
+    const queued = host?.node.board.read('queue').length ?? 0;
     expect(queued).toBeGreaterThan(0);
     outcomes.length = 0;
     host?.process.pause();
