--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -2,6 +2,7 @@
 import { atMostOnce } from './atMostOnce.js';
 import { chainOverload } from './chainOverload.js';
 import { churn } from './churn.js';
+import { configRaces } from './configRaces.js';
 import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
 import { lowPriorityFlood, urgentFlood } from './floods.js';
@@ -9,7 +10,6 @@
 import { retryBound } from './retryBound.js';
 
 /** All benches, in the order of the list. */
-// prettier-ignore
 export const scenarios: readonly Scenario[] = [
   chainOverload,
   recovery,
@@ -17,6 +17,7 @@
   urgentFlood,
   retryBound,
   atMostOnce,
+  configRaces,
   configSpread,
   churn,
   controlCost,
