--- a/src/transport/peerClient.ts
+++ b/src/transport/peerClient.ts
@@ -6,7 +6,14 @@
 import type { Frame, Lane } from '../schema/frame.js';
 import { createFrameWriter } from './frameWriter.js';
 import type { WriteFrame } from './frameWriter.js';
-import { createPeerService, HOST_HEADER, KEEPALIVE_OPTIONS, LANE_HEADER, MAX_FRAME_BYTES } from './peerService.js';
+import {
+  CONTROL_KEEPALIVE_OPTIONS,
+  createPeerService,
+  HOST_HEADER,
+  KEEPALIVE_OPTIONS,
+  LANE_HEADER,
+  MAX_FRAME_BYTES,
+} from './peerService.js';
 import type { FrameReceiver } from './peerService.js';
 import { createTrafficCounters } from './trafficCounters.js';
 import type { TrafficCounters } from './trafficCounters.js';
@@ -51,6 +58,8 @@
 }
 
 const IDLE_CLOSE_MS = 60_000;
+/** Seeds are named by address and needed once: each open connection costs a seed pings. */
+const ADDRESS_IDLE_CLOSE_MS = 5000;
 const CHECK_PERIOD_MS = 1000;
 /** An address that drops packets is given up after this long. */
 const DIAL_TIMEOUT_MS = 3000;
@@ -69,7 +78,7 @@
   const openLink = (key: string, peer: string, lane: Lane, address: string): PeerLink | undefined => {
     if (isStopped || clock.now() < (redials.get(key)?.notBeforeMs ?? 0)) return undefined;
     const client = new Client(address, options.credentials, {
-      ...KEEPALIVE_OPTIONS,
+      ...(lane === 'control' ? CONTROL_KEEPALIVE_OPTIONS : KEEPALIVE_OPTIONS),
       'grpc.max_receive_message_length': MAX_FRAME_BYTES,
       'grpc.max_send_message_length': MAX_FRAME_BYTES,
       // Without its own pool, lanes to one address would share a connection and urgent frames could queue behind others.
@@ -120,7 +129,8 @@
   const stopChecks = scheduleRepeated(clock, CHECK_PERIOD_MS, () => {
     const nowMs = clock.now();
     for (const link of links.values()) {
-      if (link.lastUsedMs < nowMs - IDLE_CLOSE_MS) link.stream.end();
+      const idleMs = link.peer.includes(':') ? ADDRESS_IDLE_CLOSE_MS : IDLE_CLOSE_MS;
+      if (link.lastUsedMs < nowMs - idleMs) link.stream.end();
       else if (!link.isOpen && link.lastUsedMs < nowMs - DIAL_TIMEOUT_MS) failLink(link, 'no connection in time');
     }
     for (const [key, { notBeforeMs }] of redials) if (notBeforeMs < nowMs - IDLE_CLOSE_MS) redials.delete(key);
--- a/src/transport/peerService.ts
+++ b/src/transport/peerService.ts
@@ -57,6 +57,9 @@
   'grpc.keepalive_permit_without_calls': 0,
 };
 
+/** Heartbeats show within 3 s that a control link is silent; pings only free the connection. */
+export const CONTROL_KEEPALIVE_OPTIONS = { ...KEEPALIVE_OPTIONS, 'grpc.keepalive_time_ms': 10_000 };
+
 /** Estimates the encoded size of a frame without encoding it. */
 export function estimateFrameBytes(frame: Frame): number {
   if (frame.type === 'call') return FIXED_FRAME_BYTES + frame.envelope.body.length;
