--- a/src/bench/fakes/orderFleet.ts
+++ b/src/bench/fakes/orderFleet.ts
@@ -13,7 +13,9 @@
   retryAllowance?: number;
   quarantineMs?: number;
   meanMs?: number;
+  distribution?: 'constant' | 'exponential';
   node?: FakeFleetOptions['node'];
+  observeFrame?: FakeFleetOptions['observeFrame'];
   /** Called when an operation starts to run at a host. */
   onRun?: (host: string, request: TargetRequest) => void;
   /** Called when an operation leaves its slot, with the time that it held it (ms). */
@@ -49,7 +51,7 @@
 
 /** A fleet of two services on a fake clock, for what concerns single requests. */
 export function createOrderFleet(options: OrderFleetOptions): FakeFleet {
-  const { dataCenters, hostsPerService = 2, slots = 4, meanMs = 5 } = options;
+  const { dataCenters, hostsPerService = 2, slots = 4, meanMs = 5, distribution = 'exponential' } = options;
   const createHost = (dataCenter: string, service: string, index: number): FakeHostOptions => {
     const host = `${dataCenter}-${service}${index}`;
     const buildOnward = (operation: string) => (service === 'shop' ? [[{ service: 'stock', operation }]] : []);
@@ -61,8 +63,8 @@
       target: {
         slots,
         operations: {
-          [write]: { meanMs, onward: buildOnward('reserve') },
-          [read]: { meanMs, onward: buildOnward('look') },
+          [write]: { meanMs, distribution, onward: buildOnward('reserve') },
+          [read]: { meanMs, distribution, onward: buildOnward('look') },
         },
         onRun: (request) => options.onRun?.(host, request),
         onRelease: (request, heldMs) => options.onRelease?.(host, request, heldMs),
@@ -79,8 +81,14 @@
       Array.from({ length: hostsPerService }, (_, index) => createHost(dataCenter, service, index + 1)),
     ),
   );
-  const { seed, node } = options;
-  return createFakeFleet({ seed, hosts, documents: createOrderDocuments(options), ...(node ? { node } : {}) });
+  const { seed, node, observeFrame } = options;
+  return createFakeFleet({
+    seed,
+    hosts,
+    documents: createOrderDocuments(options),
+    ...(node ? { node } : {}),
+    ...(observeFrame ? { observeFrame } : {}),
+  });
 }
 
 /** Builds a call of the order fleet as an outside caller makes it. */
--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,6 +1,8 @@
 import type { Scenario } from '../scenario.js';
+import { atMostOnce } from './atMostOnce.js';
 import { churn } from './churn.js';
+import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [churn, controlCost];
+export const scenarios: readonly Scenario[] = [atMostOnce, configSpread, churn, controlCost];
--- a/src/control/configurationController.ts
+++ b/src/control/configurationController.ts
@@ -3,7 +3,6 @@
 import { formatCanonical } from '../policy/canonicalJson.js';
 import { validateServiceDocument } from '../policy/configurationFold.js';
 import type { FoldedDocument, Verdict } from '../policy/configurationFold.js';
-import { listGateways } from '../policy/gatewayChoice.js';
 import { applyPage, applyPeerState, createLogReader } from '../policy/logReader.js';
 import type { SnapshotVerdict } from '../policy/logReader.js';
 import { computeVersionsDigest } from '../policy/versionsDigest.js';
@@ -151,8 +150,7 @@
 
   const updateRole = (): void => {
     const isSettled = settings.seeds.length === 0 || clock.now() - startedMs >= SETTLE_MS;
-    const gateways = listGateways(board.read('members').byId.values(), settings.dataCenter);
-    const shouldRead = isSettled && context.io.readLog !== undefined && gateways.includes(settings.host);
+    const shouldRead = isSettled && context.io.readLog !== undefined && board.read('links').isGateway;
     if (shouldRead === isReading) return;
     isReading = shouldRead;
     if (shouldRead) {
--- a/src/fuzz/controlFleet.ts
+++ b/src/fuzz/controlFleet.ts
@@ -7,7 +7,6 @@
 import { createRandom } from '../core/random.js';
 import { createNode } from '../node/createNode.js';
 import type { Node } from '../node/createNode.js';
-import type { MemberRecord } from '../schema/member.js';
 import { parseSettings } from '../schema/settings.js';
 import { createLogStore } from '../standins/logStore.js';
 import { createControlLog } from './controlLog.js';
@@ -45,8 +44,6 @@
   started?: readonly string[];
 }
 
-/** Membership marks a silent node as down in 3 to 6 s. */
-const DETECTION_MS = 4500;
 const SEEDS_USED = 3;
 
 /**
@@ -81,6 +78,7 @@
       localListen: listen,
       operatorListen: listen,
       peerListen: listen,
+      allowPlainText: true,
       logRetentionMs: retentionMs,
       seeds: names
         .filter((name) => name !== host && name.endsWith('-0'))
@@ -102,19 +100,6 @@
     node.start();
     return entry;
   };
-  const markDownLater = (entry: ControlHost, isSilent: () => boolean): void => {
-    const { self } = entry.node.board.read('members');
-    clock.schedule(DETECTION_MS, () => {
-      if (!isSilent()) return;
-      const record: MemberRecord = { ...self, version: self.version + 1, nodeState: 'down' };
-      for (const other of hosts.values()) {
-        if (other === entry) continue;
-        other.process.runWhenAwake(() => {
-          other.node.receiveFrame(entry.host, 'control', { type: 'members', records: [record] }, () => undefined);
-        });
-      }
-    });
-  };
   for (const host of options.started ?? names) startHost(host);
   return {
     clock,
@@ -128,20 +113,16 @@
       entry.process.kill();
       network.detach(host);
       hosts.delete(host);
-      markDownLater(entry, () => !hosts.has(host));
     },
     pauseHost: (host) => {
       const entry = hosts.get(host);
       if (entry === undefined || entry.process.isPaused) return;
       entry.process.pause();
-      markDownLater(entry, () => entry.process.isPaused);
     },
     resumeHost: (host) => {
       const entry = hosts.get(host);
       if (entry?.process.isPaused !== true) return;
       entry.process.resume();
-      // As the membership rules ask: a node that learns that it counts as down raises its version.
-      for (let count = 0; count < 2; count++) entry.node.board.post('members', { type: 'setSelf', change: {} });
     },
     getVersion: (host, service) =>
       hosts.get(host)?.node.board.read('configuration').services.get(service)?.version ?? 0,
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -115,6 +115,7 @@
   appliedOffset: Type.Integer({ minimum: 0 }),
   documents: Type.Array(acceptedDocumentSchema),
 });
+export type ConfigurationFrame = Static<typeof configurationFrameSchema>;
 /** Compares the versions in force at two nodes; `versions` are sent once the digests differ. */
 export const configurationDigestFrameSchema = Type.Object({
   type: Type.Literal('configurationDigest'),
@@ -153,8 +154,8 @@
   }),
 });
 
-/** Every message between two nodes. */
-export const frameSchema = Type.Union([
+/** Every message between two nodes, without what all of them carry. */
+const messageSchema = Type.Union([
   callFrameSchema,
   answerFrameSchema,
   refusalFrameSchema,
@@ -171,6 +172,9 @@
   suspicionFrameSchema,
   versionsFrameSchema,
 ]);
+/** Hybrid time of the sender as wall ms and counter: a pair, since an object would add its key names to every frame. */
+const sentAtSchema = Type.Tuple([Type.Number(), Type.Integer({ minimum: 0 })]);
+export const frameSchema = Type.Intersect([messageSchema, Type.Object({ sentAt: Type.Optional(sentAtSchema) })]);
 export type Frame = Static<typeof frameSchema>;
 export type CallFrame = Static<typeof callFrameSchema>;
 export type AnswerFrame = Static<typeof answerFrameSchema>;
