--- a/src/fuzz/callWorld.ts
+++ b/src/fuzz/callWorld.ts
@@ -40,15 +40,17 @@
 
 /** Starts the fleet of one fuzz run. */
 export function createCallWorld(seed: number): CallWorld {
+  // Nodes send frames to each other while the fleet starts, before the oracle can watch them.
+  const watch: { oracle?: CallOracle } = {};
   const fleet = createOrderFleet({
     seed,
     dataCenters: FUZZ_DATA_CENTERS,
     retryAllowance: RETRY_ALLOWANCE,
     onRun: (host, request) => {
-      oracle.observeRun(host, request);
+      watch.oracle?.observeRun(host, request);
     },
     observeFrame: (_from, to, _lane, frame) => {
-      oracle.observeFrame(to, frame);
+      watch.oracle?.observeFrame(to, frame);
     },
   });
   const { clock, hosts, network } = fleet;
@@ -57,6 +59,7 @@
     retryAllowance: RETRY_ALLOWANCE,
     drainBoundMs: DRAIN_BOUND_MS,
   });
+  watch.oracle = oracle;
   const hostOptions = new Map<string, FakeHostOptions>([...hosts].map(([name, { options }]) => [name, options]));
   const requests: FuzzRequest[] = [];
   const open = new Map<FuzzSend, { entry: FakeHost; cancel: CancelCall }>();
