Do not let a joining node send on what it pulls

Cause: a new node knows the gateways of other data centres, pulls the rest by version, and took it for news. Change: a pull of a joining node says so, and what answers it is not spread.

--- a/src/control/exchangeMembers.ts
+++ b/src/control/exchangeMembers.ts
@@ -19,11 +19,22 @@
 }
 
 /** Creates the exchange of member records over one table. */
-export function createMemberExchange({ io }: ControllerContext, members: Sections['members']): MemberExchange {
+export function createMemberExchange(
+  { io }: ControllerContext,
+  members: Sections['members'],
+  isJoining: () => boolean,
+): MemberExchange {
   const listRecords = (dataCenter: string): MemberRecord[] =>
     [...members.byId.values()].filter((record) => record.dataCenter === dataCenter);
   const sendPull = (respond: Respond, wanted: Partial<PullFrame>): void => {
-    respond({ type: 'pull', dataCenters: [], hosts: [], configuration: false, ...wanted });
+    respond({
+      type: 'pull',
+      dataCenters: [],
+      hosts: [],
+      configuration: false,
+      ...wanted,
+      ...(isJoining() ? { isJoining: true } : {}),
+    });
   };
   const compareDataCenter = (dataCenter: string, theirs: string | undefined, respond: Respond): void => {
     const own = members.digests.get(dataCenter);
@@ -76,7 +87,7 @@
         const record = members.byId.get(host);
         if (record !== undefined) wanted.push(record);
       }
-      sendRecords(wanted, respond);
+      sendRecords(wanted, respond, frame.isJoining === true ? { isWelcome: true } : {});
     },
     sendWelcome: (dataCenter, respond) => {
       const records = listRecords(dataCenter);
--- a/src/control/membershipController.ts
+++ b/src/control/membershipController.ts
@@ -22,6 +22,8 @@
 const WELCOMES_PER_SECOND = 50;
 /** After a welcome, the time until neighbours know this node well enough to tell it the rest. */
 const FIRST_EXCHANGE_MS = 200;
+/** What a new node pulls until then is old news to its neighbours, and it does not send it on. */
+const JOINING_MS = 2000;
 
 /** Writes the member records: its own, those that other nodes send, and those of watched nodes that are down. */
 export function createMembershipController(context: ControllerContext): Controller {
@@ -30,7 +32,7 @@
   const { section } = members;
   const links = board.read('links');
   const news = createMemberNews(context);
-  const exchange = createMemberExchange(context, section);
+  const exchange = createMemberExchange(context, section, () => clock.now() < state.joiningUntilMs);
   /** By host: when its down or leaving record is removed. */
   const goneAtMs = new Map<string, number>();
   const state = {
@@ -41,6 +43,7 @@
     nextExchangeMs: 0,
     welcomes: 0,
     welcomesSinceMs: 0,
+    joiningUntilMs: 0,
   };
 
   const applyRecord = (record: MemberRecord, sender: string, isWelcome: boolean): boolean => {
@@ -144,6 +147,7 @@
   const finishWelcome = (): void => {
     if (state.isWelcomed) return;
     state.isWelcomed = true;
+    state.joiningUntilMs = clock.now() + JOINING_MS;
     clock.schedule(FIRST_EXCHANGE_MS, () => {
       compareWithNeighbour();
     });
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -143,6 +143,8 @@
   dataCenters: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 256 }),
   hosts: Type.Array(Type.String({ maxLength: 255 }), { maxItems: 4096 }),
   configuration: Type.Boolean(),
+  /** The sender joins: what it gets is no news to its neighbours. */
+  isJoining: Type.Optional(Type.Boolean()),
 });
 /** The records that a node holds of one data centre, so that only what differs is sent. */
 export const versionsFrameSchema = Type.Object({
