--- a/src/control/onwardCalls.ts
+++ b/src/control/onwardCalls.ts
@@ -1,6 +1,7 @@
 import { createInvalidTicketFailure } from '../policy/ticket.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
+import { updateActive } from './activeTime.js';
 import { buildOnwardEnvelope } from './buildEnvelope.js';
 import type { CallReply, CancelCall, DispatchedCall, RunningCall } from './calls.js';
 import type { OnwardCall } from '../schema/call.js';
@@ -24,12 +25,18 @@
   const { board, clock } = context;
 
   const open = (parent: RunningCall): void => {
-    if (parent.onwardOpen === 0) parent.onwardSinceMs = clock.now();
+    if (parent.onwardOpen === 0) {
+      parent.onwardSinceMs = clock.now();
+      updateActive(calls, clock.now(), -1);
+    }
     parent.onwardOpen++;
   };
   const close = (parent: RunningCall): void => {
+    if (parent.state !== 'running') return;
     parent.onwardOpen--;
-    if (parent.onwardOpen === 0) parent.onwardTimeMs += clock.now() - parent.onwardSinceMs;
+    if (parent.onwardOpen > 0) return;
+    parent.onwardTimeMs += clock.now() - parent.onwardSinceMs;
+    updateActive(calls, clock.now(), 1);
   };
   const dispatch = (call: OnwardCall, parent: RunningCall, reply: CallReply): CancelCall => {
     const outcome = buildOnwardEnvelope(board, call, parent, clock.now());
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -19,6 +19,8 @@
   TicketRecord,
 } from '../schema/state.js';
 import type { DispatchedCall, ForwardedCall, HomeRun, IncomingCall, RemoteAttempt, RunningCall } from './calls.js';
+import { createCallQueue } from './callQueue.js';
+import type { CallQueue } from './callQueue.js';
 
 const SAMPLES_KEPT = 4096;
 const EVENTS_KEPT = 8192;
@@ -43,6 +45,7 @@
   isHeard: boolean;
   /** Both ends are gateways, so heartbeats carry what was heard of other data centres. */
   joinsGateways: boolean;
+  isLocal: boolean;
 }
 
 /** All shared state of one node. The table in docs/design.md names writer, readers and bound of each section. */
@@ -84,9 +87,15 @@
     /** Replies that matched no open call and were dropped. */
     lateReplies: number;
     inFlight: number;
+    /** Calls that the local target took so far. */
+    started: number;
+    /** Calls that the local target works on now, its time integral (ms x calls), and up to when that was taken. */
+    active: number;
+    activeMs: number;
+    activeAtMs: number;
     isStopping: boolean;
   };
-  queue: { waiting: RunningCall[] };
+  queue: CallQueue;
   samples: { ring: RingBuffer<Sample> };
   limits: LimitState;
   shedding: {
@@ -122,10 +131,10 @@
     | { type: 'setSelf'; change: Partial<MemberRecord> };
   /**
    * `spread` sends a frame to all neighbours but `from`, once per `newsId`: a controller that receives news posts it
-   * again with the id that the frame carries.
+   * again with the id that the frame carries. With `withinDataCenter` it stays in the own data centre.
    */
   links:
-    | { type: 'spread'; frame: Frame; newsId: string; from?: string }
+    | { type: 'spread'; frame: Frame; newsId: string; from?: string; withinDataCenter?: boolean }
     | { type: 'heard'; host: string }
     | { type: 'heartbeat'; host: string; frame: HeartbeatFrame; respond: (frame: Frame) => void };
   /** `lapse` ends the lease: the process was paused, and the target may have changed meanwhile. */
@@ -135,7 +144,9 @@
   queue: never;
   samples: never;
   limits: { type: 'restart'; concurrency: number };
-  shedding: { type: 'arrival'; priority: string; worth: number } | { type: 'heard'; key: string; fraction: number };
+  shedding:
+    | { type: 'arrival'; priority: string; worth: number; shedKey: number }
+    | { type: 'heard'; key: string; fraction: number };
   routes:
     | { type: 'started' | 'finished' | 'linkClosed' | 'leaving'; host: string }
     | { type: 'heard'; host: string; load: LoadHint };
@@ -172,11 +183,25 @@
       homeRuns: new Map(),
       lateReplies: 0,
       inFlight: 0,
+      started: 0,
+      active: 0,
+      activeMs: 0,
+      activeAtMs: 0,
       isStopping: false,
     },
-    queue: { waiting: [] },
+    queue: createCallQueue(),
     samples: { ring: createRingBuffer(SAMPLES_KEPT) },
-    limits: { concurrency: 1, isSlowStart: true, leastOwnTimeMs: 0, ownTimeMs: 0 },
+    limits: {
+      concurrency: 1,
+      hint: 1,
+      isSlowStart: true,
+      costFactor: 0,
+      leastCostFactor: 0,
+      meanCostMs: 1,
+      sinceTrialMs: 0,
+      recent: { count: 0, declaredCostMs: 0, activeMs: 0, durationMs: 0 },
+      ownTimeMs: {},
+    },
     shedding: { local: new Map(), downstream: new Map() },
     routes: { byHost: new Map() },
     budgets: { byService: new Map() },
