--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,4 +1,5 @@
 import type { Scenario } from '../scenario.js';
+import { addedLatency } from './addedLatency.js';
 import { atMostOnce } from './atMostOnce.js';
 import { chainOverload } from './chainOverload.js';
 import { churn } from './churn.js';
@@ -17,6 +18,7 @@
   urgentFlood,
   retryBound,
   atMostOnce,
+  addedLatency,
   configRaces,
   configSpread,
   churn,
