Quarantine requests that crash targets

A request that crashes its target was retried by nodes and resent by its caller without end. The target's node now tells a crash from a lost connection by a probe, spreads a crash report along the control links, and its failure forbids a retry.

--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -121,6 +121,13 @@
       clock: process,
       random: hostRandom,
       sendFrame: network.createSender(host),
+      probeTarget: (_address, done) => {
+        clock.schedule(0, () => {
+          process.runWhenAwake(() => {
+            done(targets.get(host)?.isDown === false);
+          });
+        });
+      },
       callTarget: (request, done) => targets.get(host)?.callTarget(request, done) ?? ((): void => undefined),
     });
     node.board.post('members', { type: 'setSelf', change: { peerAddress: computeAddress(host) } });
--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -4,6 +4,8 @@
 import type { CallerCall, CallResult, OnwardCall } from '../schema/call.js';
 import type { Controller, ControllerContext } from './context.js';
 import { createDispatcher } from './dispatchCalls.js';
+import { createSuspectGate } from './gateSuspects.js';
+import { createCrashWatch } from './watchCrashes.js';
 import { createEntryCalls } from './entryCalls.js';
 import { createHomeCalls } from './homeCalls.js';
 import { createOnwardCalls } from './onwardCalls.js';
@@ -37,8 +39,11 @@
     for (const child of call.children) dispatcher.cancel(child);
     call.children.clear();
   };
-  const admission = createAdmission(context, section, queue.section, samples.section, cancelChildren);
-  const dispatcher = createDispatcher(context, section, samples.section, admission.admit);
+  const crashWatch = createCrashWatch(context);
+  const watched = { ...context, io: { ...context.io, callTarget: crashWatch.callTarget } };
+  const admission = createAdmission(watched, section, queue.section, samples.section, cancelChildren);
+  const admit = createSuspectGate(context, admission.admit);
+  const dispatcher = createDispatcher(context, section, samples.section, admit);
   const homeCalls = createHomeCalls(context, section, dispatcher);
   const entryCalls = createEntryCalls(context, section, dispatcher, homeCalls);
   const onwardCalls = createOnwardCalls(context, section, dispatcher);
@@ -65,7 +70,7 @@
     const cancel =
       purpose === 'home'
         ? homeCalls.handle(envelope, finish, { canBeResent: true })
-        : admission.admit(envelope, { remaining: envelope.allowance }, finish);
+        : admit(envelope, { remaining: envelope.allowance }, finish);
     if (!isReplied) incoming.set(key, { respond, cancel });
   };
 
@@ -107,6 +112,7 @@
       checkIdle(done);
     },
     start: () => {
+      crashWatch.start();
       board.subscribe('limits', admission.startWaiting);
     },
     stop: ignore,
--- a/src/control/context.ts
+++ b/src/control/context.ts
@@ -24,10 +24,15 @@
 /** Appends one record; `unknown` when the answer was lost. */
 export type AppendLog = (record: LogRecord, done: (outcome: LogAppendOutcome) => void) => void;
 
+/** Tries to connect to the local target. */
+export type ProbeTarget = (address: string, done: (isUp: boolean) => void) => void;
+
 /** What a node needs from outside: all effects are functions passed in. */
 export interface NodeIo {
   sendFrame: SendFrame;
   callTarget: CallTarget;
+  /** Finds out whether the local target accepts connections; without it no crash of a target is noticed. */
+  probeTarget?: ProbeTarget;
   readLog?: ReadLog;
   appendLog?: AppendLog;
 }
--- /dev/null
+++ b/src/control/gateSuspects.ts
@@ -0,0 +1,62 @@
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { CallEnvelope } from '../schema/frame.js';
+import type { AdmitCall } from './admitCalls.js';
+import type { CallReply } from './calls.js';
+import type { ControllerContext } from './context.js';
+
+const ignore = (): void => undefined;
+
+/** Puts a gate before the admission: quarantined requests are refused, suspects run one at a time. */
+export function createSuspectGate(context: ControllerContext, admit: AdmitCall): AdmitCall {
+  const { board, clock, policies, settings } = context;
+  let isSuspectRunning = false;
+
+  const runAlone: AdmitCall = (envelope, account, reply) => {
+    isSuspectRunning = true;
+    let isEnded = false;
+    const finish = (): void => {
+      if (isEnded) return;
+      isEnded = true;
+      isSuspectRunning = false;
+    };
+    const cancel = admit(envelope, account, (result) => {
+      finish();
+      if (result.type === 'answer') dropSuspicion(envelope);
+      reply(result);
+    });
+    return () => {
+      finish();
+      cancel();
+    };
+  };
+  const dropSuspicion = ({ service, fingerprint }: CallEnvelope): void => {
+    if (!board.read('quarantine').byFingerprint.has(fingerprint)) return;
+    board.post('quarantine', { type: 'report', service, fingerprints: [fingerprint], news: 'succeeded' });
+  };
+  const refuse = (reply: CallReply, allowanceLeft: number, failure: CallFailure): (() => void) => {
+    reply({ type: 'refusal', failure: { ...failure, host: settings.host }, allowanceLeft, admittedFraction: 1 });
+    return ignore;
+  };
+
+  return (envelope, account, reply) => {
+    const { service, operation, fingerprint } = envelope;
+    const verdict = policies.resolveSuspect(board.read('quarantine').byFingerprint.get(fingerprint), clock.now());
+    if (verdict === 'run') return admit(envelope, account, reply);
+    if (verdict === 'refuse') return refuse(reply, account.remaining, createQuarantinedFailure(service, operation));
+    if (isSuspectRunning) {
+      const message = `the target of ${service} at ${settings.host} already runs a request that was seen at a crash`;
+      return refuse(reply, account.remaining, createCallFailure('overloaded', message));
+    }
+    if (verdict === 'trial') {
+      board.post('quarantine', { type: 'report', service, fingerprints: [fingerprint], news: 'trial' });
+    }
+    return runAlone(envelope, account, reply);
+  };
+}
+
+/** The failure of a request that crashed several targets. */
+export function createQuarantinedFailure(service: string, operation: string): CallFailure {
+  const message = `this request of ${service}/${operation} crashed targets twice and is held back for a while`;
+  return createCallFailure('quarantined', message);
+}
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -4,7 +4,7 @@
 import { createRingBuffer } from '../core/ringBuffer.js';
 import type { RingBuffer } from '../core/ringBuffer.js';
 import type { TimelineEvent } from '../schema/event.js';
-import type { Frame, HeartbeatFrame, LoadHint, MembershipFrame } from '../schema/frame.js';
+import type { Frame, HeartbeatFrame, LoadHint, MembershipFrame, CrashReportFrame } from '../schema/frame.js';
 import type { AcceptedDocument } from '../schema/logRecord.js';
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
@@ -15,6 +15,7 @@
   LimitState,
   RouteState,
   Sample,
+  SuspectState,
   TicketOutcome,
   TicketRecord,
 } from '../schema/state.js';
@@ -96,6 +97,11 @@
     /** Memory that the finished records take. */
     bytes: number;
   };
+  quarantine: {
+    byFingerprint: Map<string, SuspectState>;
+    /** Reports that were applied, so that each is sent on once. */
+    reportIds: Set<string>;
+  };
   events: { ring: RingBuffer<TimelineEvent> };
 }
 
@@ -131,6 +137,9 @@
     | { type: 'issue'; count: number; take: (tickets: string[]) => void }
     | { type: 'started'; counter: number; fingerprint: string }
     | { type: 'finished'; counter: number; outcome: TicketOutcome };
+  quarantine:
+    | { type: 'report'; service: string; fingerprints: readonly string[]; news: CrashReportFrame['news'] }
+    | { type: 'received'; report: CrashReportFrame; from: string };
   events: EventPost;
 }
 
@@ -163,6 +172,7 @@
     routes: { byHost: new Map() },
     budgets: { byService: new Map() },
     tickets: { incarnation: '', nextCounter: 0, lowWaterMark: 0, running: new Map(), finished: new Map(), bytes: 0 },
+    quarantine: { byFingerprint: new Map(), reportIds: new Set() },
     events: { ring: createRingBuffer(EVENTS_KEPT) },
   };
 }
--- /dev/null
+++ b/src/control/watchCrashes.ts
@@ -0,0 +1,102 @@
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure } from '../schema/failure.js';
+import type { TargetOutcome } from '../schema/call.js';
+import type { ControllerContext, CallTarget } from './context.js';
+
+/** Lost calls that still wait to learn whether the target crashed. */
+interface LostCall {
+  fingerprint: string;
+  service: string;
+  settle(outcome: TargetOutcome): void;
+  failure: CallFailure;
+}
+
+const LOST_KINDS = new Set(['connectionLost', 'answerTruncated']);
+
+export interface CrashWatch {
+  /** Calls the target, and tells a crash of the target from a lost connection before it reports the outcome. */
+  callTarget: CallTarget;
+  start(): void;
+}
+
+/**
+ * Watches the local target. When connections are lost and no new one can be made, or the lease lapsed and none can be
+ * made, the target crashed: what ran there is reported, and its failure forbids nodes to retry it.
+ */
+export function createCrashWatch(context: ControllerContext): CrashWatch {
+  const { board, io, settings } = context;
+  const lost = new Set<LostCall>();
+  let isProbing = false;
+  let wasAnnounced = false;
+
+  const reportCrash = (calls: readonly { service: string; fingerprint: string }[]): void => {
+    const [first] = calls;
+    if (first === undefined) return;
+    const fingerprints = [...new Set(calls.map(({ fingerprint }) => fingerprint))];
+    board.post('events', { kind: 'targetCrashed', service: first.service, data: { calls: calls.length } });
+    board.post('quarantine', { type: 'report', service: first.service, fingerprints, news: 'crashed' });
+  };
+  const settleLost = (isUp: boolean): void => {
+    isProbing = false;
+    const calls = [...lost];
+    lost.clear();
+    if (!isUp) reportCrash(calls);
+    for (const { settle, failure, service } of calls) {
+      const message = `the target of ${service} at ${settings.host} crashed while it ran this call`;
+      const crash = createCallFailure('targetCrashed', message, { retry: 'never' });
+      settle({ type: 'failure', failure: isUp ? failure : crash });
+    }
+    // Its own announcement brings the target back; until then calls sent to it would only fail.
+    if (!isUp) board.post('target', { type: 'lapse' });
+  };
+  const startProbe = (address: string): void => {
+    if (isProbing) return;
+    isProbing = true;
+    checkTarget(address, settleLost);
+  };
+  const checkTarget = (address: string, done: (isUp: boolean) => void): void => {
+    if (io.probeTarget === undefined) done(true);
+    else io.probeTarget(address, done);
+  };
+  const findFingerprint = (token: string): string | undefined =>
+    board.read('calls').running.get(token)?.envelope.fingerprint;
+
+  const checkLease = (): void => {
+    const { announcement } = board.read('target');
+    const isLapsed = wasAnnounced && announcement === undefined;
+    wasAnnounced = announcement !== undefined;
+    if (!isLapsed || lastAddress === '') return;
+    checkTarget(lastAddress, (isUp) => {
+      const running = [...board.read('calls').running.values()].filter(({ state }) => state === 'running');
+      if (!isUp) reportCrash(running.map(({ envelope }) => envelope));
+    });
+  };
+  let lastAddress = '';
+
+  return {
+    callTarget: (request, done) => {
+      const fingerprint = findFingerprint(request.token) ?? '';
+      const state: { isCancelled: boolean; call?: LostCall } = { isCancelled: false };
+      lastAddress = request.address;
+      const cancel = io.callTarget(request, (outcome) => {
+        if (outcome.type === 'answer' || !LOST_KINDS.has(outcome.failure.kind)) {
+          if (outcome.type === 'failure' && outcome.failure.kind === 'targetUnreachable') startProbe(request.address);
+          done(outcome);
+          return;
+        }
+        const settle = (told: TargetOutcome): void => {
+          if (!state.isCancelled) done(told);
+        };
+        lost.add({ fingerprint, service: request.service, settle, failure: outcome.failure });
+        startProbe(request.address);
+      });
+      return () => {
+        state.isCancelled = true;
+        cancel();
+      };
+    },
+    start: () => {
+      board.subscribe('target', checkLease);
+    },
+  };
+}
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -71,6 +71,7 @@
     computeTicketMac: createTicketMac(),
     sendFrame: peerClient.sendFrame,
     callTarget: targetClient.callTarget,
+    probeTarget: targetClient.probeTarget,
     ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
   });
   const servers = await startServers(settings, node);
--- a/src/http/targetClient.ts
+++ b/src/http/targetClient.ts
@@ -1,6 +1,7 @@
+import { connect } from 'node:net';
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
-import type { CallTarget } from '../control/context.js';
+import type { CallTarget, ProbeTarget } from '../control/context.js';
 import type { TargetOutcome, TargetRequest } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailureKind, Ran } from '../schema/failure.js';
@@ -8,9 +9,11 @@
 
 export interface TargetClient {
   callTarget: CallTarget;
+  probeTarget: ProbeTarget;
   stop(): Promise<void>;
 }
 
+const PROBE_TIMEOUT_MS = 200;
 const KEEP_ALIVE_MS = 60_000;
 const SERVICE_UNAVAILABLE = 503;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
@@ -46,6 +49,7 @@
   };
   return {
     callTarget: (request, done) => sendRequest(getPool(request.address), request, done),
+    probeTarget: openProbe,
     stop: async () => {
       await Promise.all([...pools.values()].map((pool) => pool.destroy()));
     },
@@ -58,6 +62,26 @@
   return CONTENT_TYPE.test(text) ? text : DEFAULT_CONTENT_TYPE;
 }
 
+/** A refused connection means that no process listens; other errors and silence leave it open. */
+function openProbe(address: string, done: (isUp: boolean) => void): void {
+  const { hostname, port, protocol } = new URL(address);
+  const socket = connect({ host: hostname, port: Number(port) || (protocol === 'https:' ? 443 : 80) });
+  const finish = (isUp: boolean): void => {
+    socket.destroy();
+    done(isUp);
+  };
+  socket.setTimeout(PROBE_TIMEOUT_MS);
+  socket.once('timeout', () => {
+    finish(true);
+  });
+  socket.once('connect', () => {
+    finish(true);
+  });
+  socket.once('error', (error: NodeJS.ErrnoException) => {
+    finish(error.code !== 'ECONNREFUSED');
+  });
+}
+
 function sendRequest(pool: Pool, request: TargetRequest, done: (outcome: TargetOutcome) => void): () => void {
   const state: RunningRequest = {
     isStarted: false,
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -8,6 +8,7 @@
 import { createLimitController } from '../control/limitController.js';
 import { createLinkController } from '../control/linkController.js';
 import { createMembershipController } from '../control/membershipController.js';
+import { createQuarantineController } from '../control/quarantineController.js';
 import { createRetryController } from '../control/retryController.js';
 import { createRoutingController } from '../control/routingController.js';
 import { createSheddingController } from '../control/sheddingController.js';
@@ -98,6 +99,7 @@
     createRoutingController(context),
     createRetryController(context),
     createTicketController(context),
+    createQuarantineController(context),
     callController,
   ];
   return {
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -48,6 +48,7 @@
       board.post('members', { type: 'receive', host, frame, respond });
       return;
     case 'crashReport':
+      board.post('quarantine', { type: 'received', report: frame, from: host });
       return;
   }
 }
--- a/src/policy/policies.ts
+++ b/src/policy/policies.ts
@@ -1,6 +1,7 @@
 import { computeLoan } from './allowance.js';
 import { adjustLimit } from './limit.js';
 import { compareWaiting } from './queueOrder.js';
+import { resolveSuspect } from './quarantine.js';
 import { isRetryGranted } from './retry.js';
 import { chooseRoute } from './routing.js';
 import { adjustFraction } from './shedding.js';
@@ -13,6 +14,7 @@
   adjustLimit: typeof adjustLimit;
   adjustFraction: typeof adjustFraction;
   compareWaiting: typeof compareWaiting;
+  resolveSuspect: typeof resolveSuspect;
 }
 
 export const defaultPolicies: Policies = {
@@ -22,4 +24,5 @@
   adjustLimit,
   adjustFraction,
   compareWaiting,
+  resolveSuspect,
 };
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -112,6 +112,9 @@
   type: Type.Literal('crashReport'),
   reportId: Type.String({ maxLength: 64 }),
   host: Type.String({ maxLength: 255 }),
+  service: Type.String({ maxLength: 64 }),
+  /** `crashed`: they ran when the target crashed; `succeeded`: one ran to its end; `trial`: one runs after a quarantine. */
+  news: Type.Union([Type.Literal('crashed'), Type.Literal('succeeded'), Type.Literal('trial')]),
   fingerprints: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 4096 }),
 });
 export const digestFrameSchema = Type.Object({
@@ -152,6 +155,7 @@
   versionsFrameSchema,
 ]);
 export type Frame = Static<typeof frameSchema>;
+export type CrashReportFrame = Static<typeof crashReportFrameSchema>;
 export type CallFrame = Static<typeof callFrameSchema>;
 export type AnswerFrame = Static<typeof answerFrameSchema>;
 export type RefusalFrame = Static<typeof refusalFrameSchema>;
--- a/src/schema/state.ts
+++ b/src/schema/state.ts
@@ -70,6 +70,17 @@
 });
 export type DownstreamFraction = Static<typeof downstreamFractionSchema>;
 
+/** A fingerprint that was running when targets crashed. Times are monotonic (ms). */
+export const suspectStateSchema = Type.Object({
+  /** `suspect` after one crash, `quarantined` after two, `trial` while one request may run after a quarantine. */
+  phase: Type.Union([Type.Literal('suspect'), Type.Literal('quarantined'), Type.Literal('trial')]),
+  /** End of the quarantine or of the time kept for a trial. */
+  untilMs: Type.Number(),
+  /** Duration of the quarantine. */
+  periodMs: Type.Number(),
+});
+export type SuspectState = Static<typeof suspectStateSchema>;
+
 /** How the one run of a ticket ended, as its home remembers it. */
 export const ticketOutcomeSchema = Type.Union([
   Type.Object({
