--- /dev/null
+++ b/src/control/spreadDocuments.ts
@@ -0,0 +1,112 @@
+import { computeVersionsDigest } from '../policy/versionsDigest.js';
+import { selectGateways } from '../policy/overlay.js';
+import type { ConfigurationDigestFrame, ConfigurationFrame, Frame } from '../schema/frame.js';
+import type { AcceptedDocument } from '../schema/logRecord.js';
+import type { ControllerContext } from './context.js';
+import type { ConfigurationEntry } from './sections.js';
+
+/** Sends documents and digests of their versions to peers. */
+export interface DocumentSpreader {
+  /** Pushes news along the control links, except to the peer that it came from. */
+  spreadDocuments(services: readonly string[], options?: { except?: string }): void;
+  /** Compares versions with a gateway and a random neighbour; a node that has nothing yet also asks a seed. */
+  spreadDigest(): void;
+  /** Answers a digest with what the sender lacks, or with the own versions. */
+  handleDigest(frame: ConfigurationDigestFrame, respond: (frame: Frame) => void): void;
+}
+
+/** Keeps a frame below the 2 MiB that a stream takes, with room for one more document. */
+const MAX_BATCH_BYTES = 512 * 1024;
+
+/** Creates the spreading of documents over control frames. */
+export function createDocumentSpreader(context: ControllerContext): DocumentSpreader {
+  const { board, io, random, settings } = context;
+  const { services } = board.read('configuration');
+  const members = board.read('members');
+  const links = board.read('links');
+
+  const choose = <Item>(items: readonly Item[]): Item | undefined => items[Math.floor(random() * items.length)];
+
+  const sendDocuments = (names: readonly string[], send: (frame: ConfigurationFrame) => void): void => {
+    const { appliedOffset } = board.read('configuration');
+    for (const documents of buildBatches(names, services as ReadonlyMap<string, ConfigurationEntry>)) {
+      send({ type: 'configuration', appliedOffset, documents });
+    }
+  };
+  const getCompleteUpTo = (): number => {
+    const { complete } = board.read('configuration');
+    return complete.digest === computeVersionsDigest(services) ? complete.upTo : 0;
+  };
+  const buildDigest = (options: Pick<ConfigurationDigestFrame, 'isLast' | 'versions'>): ConfigurationDigestFrame => ({
+    type: 'configurationDigest',
+    digest: computeVersionsDigest(services),
+    completeUpTo: getCompleteUpTo(),
+    ...options,
+  });
+  const listVersions = (): Record<string, number> =>
+    Object.fromEntries([...services].map(([service, { version }]) => [service, version]));
+
+  return {
+    spreadDocuments: (names, { except } = {}) => {
+      sendDocuments(names, (frame) => {
+        const versions = frame.documents.map(({ service, version }) => `${service}:${version}`);
+        const newsId = `configuration ${versions.join(' ')}`;
+        board.post('links', { type: 'spread', frame, newsId, ...(except === undefined ? {} : { from: except }) });
+      });
+    },
+    spreadDigest: () => {
+      const neighbours = [...links.neighbours];
+      const remote = neighbours.flatMap(([id, { isLocal }]) => (isLocal ? [] : [id]));
+      const ring = members.rings.get(settings.dataCenter) ?? [];
+      const gateways = links.isGateway ? remote : selectGateways(ring).filter((id) => id !== settings.host);
+      // A random neighbour repairs what the gateways cannot, for example while both are paused.
+      const peers = [choose(gateways), choose(neighbours)?.[0]];
+      if (services.size === 0) peers.push(choose(settings.seeds));
+      for (const peer of peers) {
+        if (peer === undefined) continue;
+        io.sendFrame(peer, 'control', buildDigest({ isLast: false }));
+      }
+    },
+    handleDigest: (frame, respond) => {
+      const { versions, isLast } = frame;
+      if (frame.digest === computeVersionsDigest(services)) {
+        if (!isLast && getCompleteUpTo() > frame.completeUpTo) respond(buildDigest({ isLast: true }));
+        return;
+      }
+      const mine = buildDigest({ isLast: versions !== undefined, versions: listVersions() });
+      if (versions === undefined) {
+        respond(mine);
+        return;
+      }
+      const newer = [...services].filter(([service, { version }]) => version > (versions[service] ?? 0));
+      sendDocuments(
+        newer.map(([service]) => service),
+        respond,
+      );
+      const lacks = Object.entries(versions).some(
+        ([service, version]) => version > (services.get(service)?.version ?? 0),
+      );
+      if (lacks && !isLast) respond(mine);
+    },
+  };
+}
+
+function buildBatches(
+  names: readonly string[],
+  services: ReadonlyMap<string, ConfigurationEntry>,
+): AcceptedDocument[][] {
+  const batches: AcceptedDocument[][] = [];
+  let bytes = Infinity;
+  for (const service of names) {
+    const entry = services.get(service);
+    if (entry === undefined) continue;
+    const size = JSON.stringify(entry.document).length;
+    if (bytes + size > MAX_BATCH_BYTES) {
+      batches.push([]);
+      bytes = 0;
+    }
+    bytes += size;
+    batches.at(-1)?.push({ service, ...entry });
+  }
+  return batches;
+}
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,6 +1,6 @@
 import 'reflect-metadata';
 import { createHmac, randomBytes, randomInt } from 'node:crypto';
-import type { ReadLog } from '../control/context.js';
+import type { AppendLog, ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
 import { CallerController } from '../http/callerController.js';
@@ -18,6 +18,9 @@
 import { createPeerClient } from '../transport/peerClient.js';
 import { createPeerCredentials } from '../transport/peerCredentials.js';
 import { startPeerServer } from '../transport/peerServer.js';
+import type { PeerServer } from '../transport/peerServer.js';
+import { createTrafficCounters } from '../transport/trafficCounters.js';
+import type { TrafficCounters } from '../transport/trafficCounters.js';
 import { createLogger } from './logger.js';
 
 export interface DaemonAddresses {
@@ -36,6 +39,8 @@
 const TOKEN_BYTES = 18;
 const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
+/** Longer than the reading loop waits, so that the late answer of a slow log is still used. */
+const LOG_TIMEOUT_MS = 30_000;
 const MAX_SEED = 2 ** 31;
 
 /**
@@ -48,7 +53,10 @@
   const clock = createSystemClock();
   const credentials = createPeerCredentials(settings);
   const targetClient = createTargetClient({ connections: serviceConfigurationDefaults.connectionLimit });
+  const counters = createTrafficCounters();
   const peerClient = createPeerClient({
+    random: createRandom(randomInt(MAX_SEED)),
+    counters,
     host: settings.host,
     credentials: credentials.client,
     clock,
@@ -63,27 +71,35 @@
       logger.debug(message);
     },
   });
+  const peerStreams: Pick<PeerServer, 'sendAccepted'> = { sendAccepted: () => false };
   const node: Node = createNode({
     settings,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
     computeTicketMac: createTicketMac(),
-    sendFrame: peerClient.sendFrame,
+    sendFrame: (peer, lane, frame) => {
+      // Neighbours keep one connection for both directions.
+      if (lane === 'control' && !peerClient.hasLink(peer, lane) && peerStreams.sendAccepted(peer, lane, frame))
+        return true;
+      return peerClient.sendFrame(peer, lane, frame);
+    },
     callTarget: targetClient.callTarget,
     probeTarget: targetClient.probeTarget,
-    ...(settings.logUrl === undefined ? {} : { readLog: createLogReader(settings.logUrl) }),
+    ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
-  const servers = await startServers(settings, node);
+  const servers = await startServers(settings, node, counters);
   const peerServer = await startPeerServer({
     listen: settings.peerListen,
     credentials: credentials.server,
+    counters,
     receiveFrame: node.receiveFrame,
     receiveStreamEnded: node.receiveStreamEnded,
     reportFailure: ({ message, ...fields }) => {
       logger.warn(message, fields);
     },
   });
+  peerStreams.sendAccepted = peerServer.sendAccepted;
   const addresses: DaemonAddresses = {
     caller: servers.caller.address,
     local: servers.local.address,
@@ -114,7 +130,7 @@
   operator: HttpServer;
 }
 
-async function startServers(settings: Settings, node: Node): Promise<Servers> {
+async function startServers(settings: Settings, node: Node, counters: TrafficCounters): Promise<Servers> {
   const caller = await startHttpServer({
     listen: settings.callerListen,
     controllers: [CallerController],
@@ -125,7 +141,7 @@
   const operator = await startHttpServer({
     listen: settings.operatorListen,
     controllers: [OperatorController],
-    served: { node, metrics: createMetrics(node) },
+    served: { node, metrics: createMetrics(node, { traffic: counters }) },
   });
   return { caller, local, operator };
 }
@@ -136,10 +152,15 @@
   return (text) => createHmac('sha256', key).update(text).digest('base64url');
 }
 
-function createLogReader(url: string): ReadLog {
-  const log = createLogClient(url);
-  return (fromOffset, done) => {
-    void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+function createLogFunctions(url: string): { readLog: ReadLog; appendLog: AppendLog } {
+  const log = createLogClient(url, { timeoutMs: LOG_TIMEOUT_MS });
+  return {
+    readLog: (fromOffset, done) => {
+      void log.read(fromOffset, { waitMs: LOG_WAIT_MS }).then(done);
+    },
+    appendLog: (record, done) => {
+      void log.append(record).then(done);
+    },
   };
 }
 
--- a/src/node/createNode.ts
+++ b/src/node/createNode.ts
@@ -28,6 +28,7 @@
 import type { MemberRecord, TargetAnnouncement } from '../schema/member.js';
 import type { Settings } from '../schema/settings.js';
 import { dispatchFrame } from './dispatchFrame.js';
+import { createFrameStamps } from './stampFrames.js';
 
 export interface NodeOptions extends NodeIo {
   settings: Settings;
@@ -75,17 +76,19 @@
 export function createNode(options: NodeOptions): Node {
   const { settings, clock, random } = options;
   const board = createBoard<Sections, Posts>(createSections(createSelf(options)));
+  const hybridClock = createHybridClock(clock.wallTime);
+  const stamps = createFrameStamps(hybridClock, options.sendFrame);
   const context: ControllerContext = {
     settings,
     board,
     clock,
     deadlines: createDeadlineTimer(clock),
-    hybridClock: createHybridClock(clock.wallTime),
+    hybridClock,
     random,
     generateToken: options.generateToken ?? (() => generateId(random, TOKEN_DIGITS)),
     computeTicketMac: options.computeTicketMac ?? createInsecureMac(generateId(random, TOKEN_DIGITS)),
     policies: { ...defaultPolicies, ...options.policies },
-    io: options,
+    io: { ...options, sendFrame: stamps.sendFrame },
   };
   const callController = createCallController(context);
   const controllers: Controller[] = [
@@ -116,13 +119,16 @@
       board.post('target', { type: 'announce', announcement });
     },
     receiveFrame: (host, _lane, frame, respond) => {
-      dispatchFrame({ board, calls: callController, host, frame, respond });
+      stamps.receiveStamp(frame);
+      dispatchFrame({ board, calls: callController, host, frame, respond: stamps.buildRespond(respond) });
     },
     receiveLinkClosed: (host, lane) => {
       board.post('routes', { type: 'linkClosed', host });
       callController.receiveLinkClosed(host, lane);
     },
-    receiveStreamEnded: callController.receiveStreamEnded,
+    receiveStreamEnded: (respond) => {
+      callController.receiveStreamEnded(stamps.buildRespond(respond));
+    },
     start: () => {
       for (const controller of controllers) controller.start();
     },
--- a/src/schema/frame.ts
+++ b/src/schema/frame.ts
@@ -90,6 +90,13 @@
   /** Between gateways: by data centre, how long ago (in units of 100 ms) something was heard of it. */
   ages: Type.Optional(Type.Record(Type.String({ maxLength: 64 }), Type.Integer({ minimum: 0 }))),
 });
+/** Data centres of which a gateway hears nothing; spread within its own data centre. */
+export const silenceFrameSchema = Type.Object({
+  type: Type.Literal('silence'),
+  newsId: Type.String({ maxLength: 300 }),
+  host: Type.String({ maxLength: 255 }),
+  dataCenters: Type.Array(Type.String({ maxLength: 64 }), { maxItems: 256 }),
+});
 /** What one watcher of a node tells the others. */
 export const suspicionFrameSchema = Type.Object({
   type: Type.Literal('suspicion'),
@@ -108,6 +115,18 @@
   appliedOffset: Type.Integer({ minimum: 0 }),
   documents: Type.Array(acceptedDocumentSchema),
 });
+export type ConfigurationFrame = Static<typeof configurationFrameSchema>;
+/** Compares the versions in force at two nodes; `versions` are sent once the digests differ. */
+export const configurationDigestFrameSchema = Type.Object({
+  type: Type.Literal('configurationDigest'),
+  digest: Type.String({ maxLength: 64 }),
+  versions: Type.Optional(Type.Record(Type.String(), Type.Integer({ minimum: 1 }))),
+  /** Log offset at which exactly the versions of the digest were in force; 0 when the sender cannot tell. */
+  completeUpTo: Type.Integer({ minimum: 0 }),
+  /** True when the receiver sends what it has newer and asks for nothing more. */
+  isLast: Type.Boolean(),
+});
+export type ConfigurationDigestFrame = Static<typeof configurationDigestFrameSchema>;
 export const crashReportFrameSchema = Type.Object({
   type: Type.Literal('crashReport'),
   reportId: Type.String({ maxLength: 64 }),
@@ -138,8 +157,8 @@
   }),
 });
 
-/** Every message between two nodes. */
-export const frameSchema = Type.Union([
+/** Every message between two nodes, without what all of them carry. */
+const messageSchema = Type.Union([
   callFrameSchema,
   answerFrameSchema,
   refusalFrameSchema,
@@ -148,12 +167,17 @@
   heartbeatFrameSchema,
   membersFrameSchema,
   configurationFrameSchema,
+  configurationDigestFrameSchema,
   crashReportFrameSchema,
   digestFrameSchema,
   pullFrameSchema,
+  silenceFrameSchema,
   suspicionFrameSchema,
   versionsFrameSchema,
 ]);
+/** Hybrid time of the sender as wall ms and counter: a pair, since an object would add its key names to every frame. */
+const sentAtSchema = Type.Tuple([Type.Number(), Type.Integer({ minimum: 0 })]);
+export const frameSchema = Type.Intersect([messageSchema, Type.Object({ sentAt: Type.Optional(sentAtSchema) })]);
 export type Frame = Static<typeof frameSchema>;
 export type CrashReportFrame = Static<typeof crashReportFrameSchema>;
 export type CallFrame = Static<typeof callFrameSchema>;
@@ -161,6 +185,7 @@
 export type RefusalFrame = Static<typeof refusalFrameSchema>;
 export type HelloFrame = Static<typeof helloFrameSchema>;
 export type HeartbeatFrame = Static<typeof heartbeatFrameSchema>;
+export type SilenceFrame = Static<typeof silenceFrameSchema>;
 export type SuspicionFrame = Static<typeof suspicionFrameSchema>;
 export type MembersFrame = Static<typeof membersFrameSchema>;
 export type DigestFrame = Static<typeof digestFrameSchema>;
@@ -168,5 +193,5 @@
 export type VersionsFrame = Static<typeof versionsFrameSchema>;
 /** The frames by which nodes keep their member records. */
 export type MembershipFrame =
-  HelloFrame | HeartbeatFrame | SuspicionFrame | MembersFrame | DigestFrame | PullFrame | VersionsFrame;
+  HelloFrame | HeartbeatFrame | SilenceFrame | SuspicionFrame | MembersFrame | DigestFrame | PullFrame | VersionsFrame;
 export type ReplyFrame = AnswerFrame | RefusalFrame;
