Aim the fuzzed faults at busy hosts

Of 9,000 runs none stopped a node while calls from peers ran there, so a stop that cuts them off was not found. Four commands choose among the hosts at work.

--- a/src/fuzz/callCommands.ts
+++ b/src/fuzz/callCommands.ts
@@ -42,6 +42,17 @@
   );
 }
 
+/** A command on one of the hosts whose target is at work, since faults matter most there. */
+function createBusyCommand(name: string, run: (world: CallWorld, chosen: string) => void): fc.Arbitrary<CallCommand> {
+  return fc.nat({ max: 3 }).map((position) =>
+    createCommand(`${name} busy ${position}`, (world) => {
+      const busy = FUZZ_HOSTS.filter((name) => (world.fleet.hosts.get(name)?.target?.busySlots ?? 0) > 0);
+      const chosen = busy[position % Math.max(1, busy.length)];
+      if (chosen !== undefined) run(world, chosen);
+    }),
+  );
+}
+
 const sendNew = fc.tuple(host, fc.constantFrom('order', 'browse'), fc.boolean()).map(([chosen, operation, hasTicket]) =>
   createCommand(`send ${operation} ${chosen}${hasTicket ? ' ticket' : ''}`, (world) => {
     world.sendNew(chosen, operation as 'order' | 'browse', { hasTicket: hasTicket && operation === 'order' });
@@ -113,6 +124,18 @@
     createHostCommand('stop', (world, chosen) => {
       world.stopHost(chosen);
     }),
+    createBusyCommand('stop', (world, chosen) => {
+      world.stopHost(chosen);
+    }),
+    createBusyCommand('kill', (world, chosen) => {
+      world.killHost(chosen);
+    }),
+    createBusyCommand('drain', (world, chosen) => {
+      world.drainTarget(chosen);
+    }),
+    createBusyCommand('pause', (world, chosen) => {
+      world.pauseHost(chosen);
+    }),
   ],
   { maxCommands: MAX_COMMANDS, size: 'max' },
 );
--- a/src/fuzz/callWorld.ts
+++ b/src/fuzz/callWorld.ts
@@ -40,6 +40,13 @@
 
 /** Starts the fleet of one fuzz run. */
 export function createCallWorld(seed: number): CallWorld {
+  const state = { getNow: (): number => 0 };
+  // Nodes send frames while the fleet is being created, which is at time 0.
+  const oracle = createCallOracle({
+    getNow: () => state.getNow(),
+    retryAllowance: RETRY_ALLOWANCE,
+    drainBoundMs: DRAIN_BOUND_MS,
+  });
   const fleet = createOrderFleet({
     seed,
     dataCenters: FUZZ_DATA_CENTERS,
@@ -52,11 +59,7 @@
     },
   });
   const { clock, hosts, network } = fleet;
-  const oracle = createCallOracle({
-    getNow: clock.now,
-    retryAllowance: RETRY_ALLOWANCE,
-    drainBoundMs: DRAIN_BOUND_MS,
-  });
+  state.getNow = clock.now;
   const hostOptions = new Map<string, FakeHostOptions>([...hosts].map(([name, { options }]) => [name, options]));
   const requests: FuzzRequest[] = [];
   const open = new Map<FuzzSend, { entry: FakeHost; cancel: CancelCall }>();
@@ -66,14 +69,17 @@
     if (entry === undefined) return undefined;
     const sent: FuzzSend = { request, host, sentAtMs: clock.now(), results: [], isGivenUp: false };
     request.sends.push(sent);
-    const state = { entry, cancel: (): void => undefined };
-    open.set(sent, state);
+    const opened = { entry, cancel: (): void => undefined };
+    open.set(sent, opened);
     const options = request.ticket === undefined ? {} : { idempotencyKey: request.ticket };
     entry.process.runWhenAwake(() => {
-      state.cancel = entry.node.handleCallerCall(buildOrderCall(request.operation, request.body, options), (result) => {
-        open.delete(sent);
-        if (!sent.isGivenUp) oracle.observeResult(sent, result);
-      });
+      opened.cancel = entry.node.handleCallerCall(
+        buildOrderCall(request.operation, request.body, options),
+        (result) => {
+          open.delete(sent);
+          if (!sent.isGivenUp) oracle.observeResult(sent, result);
+        },
+      );
     });
     return sent;
   };
