--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -6,6 +6,7 @@
 import { configRaces } from './configRaces.js';
 import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
+import { crashingRequest } from './crashingRequest.js';
 import { lowPriorityFlood, urgentFlood } from './floods.js';
 import { recovery } from './recovery.js';
 import { retryBound } from './retryBound.js';
@@ -17,6 +18,7 @@
   lowPriorityFlood,
   urgentFlood,
   retryBound,
+  crashingRequest,
   atMostOnce,
   addedLatency,
   configRaces,
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -85,6 +85,7 @@
       return peerClient.sendFrame(peer, lane, frame);
     },
     callTarget: targetClient.callTarget,
+    probeTarget: targetClient.probeTarget,
     ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
   const servers = await startServers(settings, node, counters);
--- a/src/fuzz/main.ts
+++ b/src/fuzz/main.ts
@@ -1,11 +1,16 @@
 import sade from 'sade';
 import { runCallSuite, runLoadSuite } from './callSuite.js';
 import type { FuzzOptions, FuzzReport } from './callSuite.js';
+import { runControlSuite } from './controlSuite.js';
 
 const EXIT_FAILED = 1;
 const EXIT_USAGE = 2;
 
-const suites: Record<string, (options: FuzzOptions) => FuzzReport> = { calls: runCallSuite, load: runLoadSuite };
+const suites: Record<string, (options: FuzzOptions) => FuzzReport> = {
+  calls: runCallSuite,
+  load: runLoadSuite,
+  control: runControlSuite,
+};
 
 interface FuzzArguments {
   seed: number;
@@ -32,7 +37,7 @@
   .describe('Checks the invariants on random sequences of calls and faults.')
   .option('--seed', 'Seed of all random choices', 1)
   .option('--runs', 'Number of runs', 100)
-  .option('--suite', 'calls (I1, I3 to I7) or load (I2)', 'calls')
+  .option('--suite', 'calls (I1, I3 to I7), load (I2) or control (I8)', 'calls')
   .option('--path', 'Path of one run in an earlier report, to run it again')
   .example('--seed 7 --runs 1000')
   .action(runFuzz)
--- a/src/policy/policies.ts
+++ b/src/policy/policies.ts
@@ -1,6 +1,7 @@
 import { computeLoan } from './allowance.js';
 import { adjustLimit } from './limit.js';
 import { chooseWaiting, computeQueueTimeBound, isUnreachable } from './queueOrder.js';
+import { resolveSuspect } from './quarantine.js';
 import { isRetryGranted } from './retry.js';
 import { chooseRoute } from './routing.js';
 import { adjustFraction } from './shedding.js';
@@ -15,6 +16,7 @@
   chooseWaiting: typeof chooseWaiting;
   computeQueueTimeBound: typeof computeQueueTimeBound;
   isUnreachable: typeof isUnreachable;
+  resolveSuspect: typeof resolveSuspect;
 }
 
 export const defaultPolicies: Policies = {
@@ -26,4 +28,5 @@
   chooseWaiting,
   computeQueueTimeBound,
   isUnreachable,
+  resolveSuspect,
 };
