--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,9 +1,26 @@
 import type { Scenario } from '../scenario.js';
+import { addedLatency } from './addedLatency.js';
 import { atMostOnce } from './atMostOnce.js';
 import { chainOverload } from './chainOverload.js';
 import { churn } from './churn.js';
+import { configRaces } from './configRaces.js';
 import { configSpread } from './configSpread.js';
 import { controlCost } from './controlCost.js';
+import { lowPriorityFlood, urgentFlood } from './floods.js';
+import { recovery } from './recovery.js';
+import { retryBound } from './retryBound.js';
 
 /** All benches, in the order of the list. */
-export const scenarios: readonly Scenario[] = [chainOverload, atMostOnce, configSpread, churn, controlCost];
+export const scenarios: readonly Scenario[] = [
+  chainOverload,
+  recovery,
+  lowPriorityFlood,
+  urgentFlood,
+  retryBound,
+  atMostOnce,
+  addedLatency,
+  configRaces,
+  configSpread,
+  churn,
+  controlCost,
+];
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -22,6 +22,7 @@
 import { createTrafficCounters } from '../transport/trafficCounters.js';
 import type { TrafficCounters } from '../transport/trafficCounters.js';
 import { createLogger } from './logger.js';
+import { createTokenSource } from './tokenSource.js';
 
 export interface DaemonAddresses {
   caller: string;
@@ -36,7 +37,6 @@
   stop(): Promise<void>;
 }
 
-const TOKEN_BYTES = 18;
 const TICKET_KEY_BYTES = 32;
 const LOG_WAIT_MS = 2000;
 /** Longer than the reading loop waits, so that the late answer of a slow log is still used. */
@@ -76,7 +76,7 @@
     settings,
     clock,
     random: createRandom(randomInt(MAX_SEED)),
-    generateToken: () => randomBytes(TOKEN_BYTES).toString('base64url'),
+    generateToken: createTokenSource(),
     computeTicketMac: createTicketMac(),
     sendFrame: (peer, lane, frame) => {
       // Neighbours keep one connection for both directions.
