--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -3,6 +3,7 @@
 import { lowPriorityFlood, urgentFlood } from './floods.js';
 import { recovery } from './recovery.js';
 import { retryBound } from './retryBound.js';
+import { unequalTargets } from './unequalTargets.js';
 
 /** All benches, in the order of the list. */
 // prettier-ignore
@@ -12,4 +13,5 @@
   lowPriorityFlood,
   urgentFlood,
   retryBound,
+  unequalTargets,
 ];
