--- a/src/bench/fakes/fakeFleet.ts
+++ b/src/bench/fakes/fakeFleet.ts
@@ -9,7 +9,7 @@
 import { parseSettings } from '../../schema/settings.js';
 import type { ServiceConfiguration } from '../../schema/serviceConfiguration.js';
 import { createFakeNetwork } from './fakeNetwork.js';
-import type { FakeNetwork } from './fakeNetwork.js';
+import type { FakeNetwork, FrameObserver } from './fakeNetwork.js';
 import { createProcessClock } from './fakeProcess.js';
 import type { ProcessClock } from './fakeProcess.js';
 import { createFakeTarget } from './fakeTarget.js';
@@ -38,6 +38,10 @@
   node?: Partial<Pick<NodeOptions, 'policies' | 'readLog' | 'appendLog'>>;
   localDelayMs?: number;
   remoteDelayMs?: number;
+  /** Called before the first host starts, for links that are cut from the beginning. */
+  prepareNetwork?: (network: FakeNetwork) => void;
+  /** Sees every frame that a host sends. */
+  observeFrame?: FrameObserver;
 }
 
 export interface FakeFleet {
@@ -69,6 +73,7 @@
     clock,
     ...(localDelayMs === undefined ? {} : { localDelayMs }),
     ...(remoteDelayMs === undefined ? {} : { remoteDelayMs }),
+    ...(options.observeFrame === undefined ? {} : { observeFrame: options.observeFrame }),
   });
   const hosts = new Map<string, FakeHost>();
   const documents: AcceptedDocument[] = options.documents.map((document, index) => {
@@ -110,6 +115,7 @@
       operatorListen: listen,
       peerListen: listen,
       seeds,
+      allowPlainText: true,
     });
     const node = createNode({
       ...options.node,
@@ -142,12 +148,18 @@
     const announce = (): void => {
       if (target.isDown) return;
       const incarnation = `${firstIncarnation}-${target.starts}`;
-      node.announceTarget({ service, address: 'http://target', state: 'ready', incarnation });
+      node.announceTarget({
+        service,
+        address: 'http://target',
+        state: target.isDraining ? 'draining' : 'ready',
+        incarnation,
+      });
     };
     announce();
     scheduleRepeated(process, ANNOUNCE_PERIOD_MS, announce);
   };
 
+  options.prepareNetwork?.(network);
   for (const host of options.hosts) startHost(host);
   return {
     clock,
--- a/src/bench/load/accounting.ts
+++ b/src/bench/load/accounting.ts
@@ -1,6 +1,6 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
-import type { TargetRequest } from '../../control/context.js';
+import type { TargetRequest } from '../../schema/call.js';
 
 /** Counts of one priority in one bucket of time, by the time at which the request was first sent. */
 export interface TimeBucket {
--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -1,12 +1,17 @@
 import type { Scenario } from '../scenario.js';
+import { addedLatency } from './addedLatency.js';
+import { atMostOnce } from './atMostOnce.js';
 import { chainOverload } from './chainOverload.js';
+import { churn } from './churn.js';
+import { configRaces } from './configRaces.js';
+import { configSpread } from './configSpread.js';
+import { controlCost } from './controlCost.js';
 import { lowPriorityFlood, urgentFlood } from './floods.js';
 import { recovery } from './recovery.js';
 import { retryBound } from './retryBound.js';
 import { unequalTargets } from './unequalTargets.js';
 
 /** All benches, in the order of the list. */
-// prettier-ignore
 export const scenarios: readonly Scenario[] = [
   chainOverload,
   recovery,
@@ -14,4 +19,10 @@
   urgentFlood,
   retryBound,
   unequalTargets,
+  atMostOnce,
+  addedLatency,
+  configRaces,
+  configSpread,
+  churn,
+  controlCost,
 ];
--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -1,4 +1,5 @@
 import { computeShareFactor, isAdmitted } from '../policy/shedding.js';
+import type { CallResult, TargetOutcome } from '../schema/call.js';
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, LoadHint } from '../schema/frame.js';
@@ -7,8 +8,8 @@
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import { updateActive } from './activeTime.js';
 import { addWaiting, findLeastWorth, findOldest, removeWaiting, takeWaiting } from './callQueue.js';
-import type { AllowanceAccount, CallReply, CallResult, CancelCall, RunningCall } from './calls.js';
-import type { ControllerContext, TargetOutcome } from './context.js';
+import type { AllowanceAccount, CallReply, CancelCall, RunningCall } from './calls.js';
+import type { ControllerContext } from './context.js';
 import { describeCall } from './dispatchCalls.js';
 import type { Sections } from './sections.js';
 
@@ -19,6 +20,8 @@
   admit: AdmitCall;
   /** Starts waiting calls while the limit allows. */
   startWaiting(): void;
+  /** Refuses all calls that have not started; they certainly did not run. */
+  refuseWaiting(): void;
   getLoad(): LoadHint;
 }
 
@@ -288,6 +291,12 @@
       };
     },
     startWaiting,
+    refuseWaiting: () => {
+      for (const entry of [...queue.filled]) {
+        for (let call = findOldest(entry); call !== undefined; call = findOldest(entry))
+          fail(call, createCallFailure('noTarget', `node ${settings.host} was paused`, { retry: 'elsewhere' }));
+      }
+    },
     getLoad: () => ({ limit: board.read('limits').concurrency, inFlight: calls.inFlight, queued: queue.length }),
   };
 }
--- a/src/http/operatorController.ts
+++ b/src/http/operatorController.ts
@@ -1,8 +1,9 @@
 import { Controller, Get, Header, Inject, Query, Res } from '@nestjs/common';
 import type { FastifyReply } from 'fastify';
 import type { Node } from '../node/createNode.js';
-import type { TimelineEvent } from '../schema/event.js';
-import type { NodeStatus } from '../schema/status.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { EventPage, NodeStatus } from '../schema/status.js';
+import { sendFailure } from './callReply.js';
 import { SERVED } from './httpServer.js';
 import type { MetricsRegistry } from './metrics.js';
 
@@ -31,13 +32,14 @@
   @Get('status')
   getStatus(): NodeStatus {
     const { board } = this.served.node;
-    const { services, appliedOffset } = board.read('configuration');
+    const { services, appliedOffset, log } = board.read('configuration');
     const limits = board.read('limits');
     const calls = board.read('calls');
     return {
       host: board.read('members').self.id,
       members: [...board.read('members').byId.values()],
       appliedOffset,
+      log: { ...log },
       versions: Object.fromEntries([...services].map(([service, entry]) => [service, entry.version])),
       limits: { ...limits },
       inFlight: calls.inFlight,
@@ -48,10 +50,15 @@
   }
 
   @Get('events')
-  getEvents(@Query('from') from: string | undefined): { next: number; events: TimelineEvent[] } {
+  getEvents(@Query('from') from: string | undefined, @Res() reply: FastifyReply): void {
     const { ring } = this.served.node.board.read('events');
     const start = Number(from ?? 0);
-    return { next: ring.end, events: ring.listFrom(Number.isFinite(start) ? start : 0) };
+    if (!Number.isInteger(start) || start < 0) {
+      sendFailure(reply, createCallFailure('requestMalformed', `from is "${from}" and must be an integer from 0`));
+      return;
+    }
+    const page: EventPage = { next: ring.end, events: ring.listFrom(start) };
+    void reply.send(page);
   }
 
   @Get('metrics')
--- a/src/node/dispatchFrame.ts
+++ b/src/node/dispatchFrame.ts
@@ -1,7 +1,6 @@
 import type { CallController } from '../control/callController.js';
 import type { NodeBoard } from '../control/sections.js';
 import type { Frame } from '../schema/frame.js';
-import type { AcceptedDocument } from '../schema/logRecord.js';
 
 export interface FrameDelivery {
   board: NodeBoard;
@@ -13,6 +12,7 @@
 
 /** Hands a frame to the section or controller that it is for. */
 export function dispatchFrame({ board, calls, host, frame, respond }: FrameDelivery): void {
+  board.post('links', { type: 'heard', host });
   switch (frame.type) {
     case 'call':
       calls.receiveCall(host, frame, respond);
@@ -25,35 +25,27 @@
       calls.receiveCancel(host, frame.callId);
       return;
     case 'hello':
-      board.post('members', { type: 'merge', records: [frame.member] });
-      respond({ type: 'members', records: [...board.read('members').byId.values()] });
-      respond({
-        type: 'configuration',
-        appliedOffset: board.read('configuration').appliedOffset,
-        documents: listDocuments(board),
-      });
-      return;
-    case 'members':
-      board.post('members', { type: 'merge', records: frame.records });
+      board.post('members', { type: 'receive', host, frame, respond });
       return;
     case 'configuration':
-      board.post('configuration', { documents: frame.documents });
+      board.post('configuration', { documents: frame.documents, from: host });
+      return;
+    case 'configurationDigest':
+      board.post('configuration', { digest: frame, respond });
       return;
     case 'heartbeat':
-    case 'crashReport':
+      board.post('links', { type: 'heartbeat', host, frame, respond });
+      board.post('members', { type: 'receive', host, frame, respond });
+      return;
+    case 'members':
+    case 'silence':
+    case 'suspicion':
     case 'digest':
+    case 'versions':
     case 'pull':
+      board.post('members', { type: 'receive', host, frame, respond });
+      return;
+    case 'crashReport':
       return;
   }
 }
-
-function listDocuments(board: NodeBoard): AcceptedDocument[] {
-  const { services } = board.read('configuration');
-  return [...services].map(([service, { version, document }]) => ({
-    service,
-    version,
-    changeId: '',
-    operator: '',
-    document,
-  }));
-}
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -45,6 +45,12 @@
       },
     ),
     logUrl: Type.Optional(Type.String({ pattern: '^https?://', description: "the URL of the platform's log" })),
+    logRetentionMs: Type.Integer({
+      minimum: 60_000,
+      maximum: 31_536_000_000,
+      default: 3_600_000,
+      description: "an integer from 60000 to 31536000000 (ms): how long the platform's log keeps a record",
+    }),
     tls: Type.Optional(tlsSchema),
     allowPlainText: Type.Boolean({ default: false, description: 'true or false' }),
     maxCallerConnections: Type.Integer({
@@ -114,5 +120,14 @@
       allowed: 'a loopback address, or tls, or allowPlainText',
     });
   }
-  return faults;
+  return [...faults, ...checkSeeds(settings)];
+}
+
+function checkSeeds(settings: Settings): Fault[] {
+  if (settings.tls !== undefined || settings.allowPlainText) return [];
+  return settings.seeds.flatMap((seed, index) => {
+    if (isLoopback(seed.slice(0, seed.lastIndexOf(':')))) return [];
+    const allowed = 'a loopback address, or tls, or allowPlainText';
+    return [{ path: `seeds.${index}`, found: `"${seed}" without tls`, allowed }];
+  });
 }
