--- a/src/bench/scenarios/index.ts
+++ b/src/bench/scenarios/index.ts
@@ -10,6 +10,7 @@
 import { lowPriorityFlood, urgentFlood } from './floods.js';
 import { recovery } from './recovery.js';
 import { retryBound } from './retryBound.js';
+import { unequalTargets } from './unequalTargets.js';
 
 /** All benches, in the order of the list. */
 export const scenarios: readonly Scenario[] = [
@@ -17,6 +18,7 @@
   recovery,
   lowPriorityFlood,
   urgentFlood,
+  unequalTargets,
   retryBound,
   crashingRequest,
   atMostOnce,
