Shed urgent requests only where their own demand holds them up

Cause: in the demonstration (4 slots a target, some 6 calls in 100 ms) a queue of browse calls cut the fraction of orders as well, and a chance dip of the throughput was taken for a lost capacity. Ruled out: CPU starvation alone; on a quiet machine orders were still shed (106 of 569 refused). Change: a priority is held up by waiting calls of its own or more worth only, and within the capacity only by a queue at its bound; a loss of capacity must exceed chance.

--- a/src/control/sheddingController.ts
+++ b/src/control/sheddingController.ts
@@ -67,11 +67,16 @@
     capacity = adjustCapacity(capacity, started - lastStarted, throughput, isSaturated);
     lastStarted = started;
   };
+  /** Time in which the waiting calls of at least this worth will have started (ms). */
+  const computeQueueTimeMs = (leastWorth: number): number => {
+    let length = 0;
+    for (const entry of board.read('queue').filled) if (entry.worth >= leastWorth) length += entry.length;
+    return (length / Math.max(0.1, throughput, capacity)) * ADJUST_PERIOD_MS;
+  };
   const computeQueueTimes = (): { queueTimeMs: number; wantedQueueTimeMs: number } => {
     const { costFactor, meanCostMs } = board.read('limits');
-    const queueTimeMs = (board.read('queue').length / Math.max(0.1, throughput, capacity)) * ADJUST_PERIOD_MS;
     return {
-      queueTimeMs,
+      queueTimeMs: computeQueueTimeMs(-Infinity),
       wantedQueueTimeMs: WANTED_QUEUE_SHARE * policies.computeQueueTimeBound(costFactor * meanCostMs),
     };
   };
@@ -81,6 +86,13 @@
     for (const { headArrivedAtMs } of board.read('queue').filled) arrivedAtMs = Math.min(arrivedAtMs, headArrivedAtMs);
     return clock.now() - arrivedAtMs;
   };
+  // Urgent calls that arrive slower than they are served queue for a moment only, by chance; shedding them would be lost work.
+  const isHeldUp = (worth: number, wantedQueueTimeMs: number): boolean => {
+    let demand = 0;
+    for (const state of local.values()) if (state.worth >= worth) demand += state.demand;
+    const toleratedMs = demand > capacity ? wantedQueueTimeMs : wantedQueueTimeMs / WANTED_QUEUE_SHARE;
+    return computeQueueTimeMs(worth) > toleratedMs;
+  };
   const adjustLocal = (): void => {
     updateThroughput();
     const { queueTimeMs, wantedQueueTimeMs } = computeQueueTimes();
@@ -98,6 +110,7 @@
       demand: state.demand,
       worth: state.worth,
       guaranteedShare: getShare(priority),
+      isHeldUp: isHeldUp(state.worth, wantedQueueTimeMs),
     }));
     const load = { throughput, capacity, inFlight, limit, queueTimeMs, wantedQueueTimeMs };
     const hasSpare = hasSpareCapacity(load);
--- a/src/policy/shedding.ts
+++ b/src/policy/shedding.ts
@@ -9,6 +9,10 @@
 const LEAST_CORRECTION = 0.3;
 const CAPACITY_SMOOTHING = 0.07;
 const CAPACITY_LOSS = 0.6;
+/** A target with few slots takes some 6 calls per interval, and often 3 by chance. */
+const LOSS_DEVIATIONS = 3;
+/** Variance of the smoothed throughput as a share of that of a single interval, for a smoothing factor of 0.5. */
+const THROUGHPUT_VARIANCE = 1 / 3;
 /**
  * Time in which the queue settles at its wanted length (ms). A change of a fraction shows in the queue some 0.3 s later,
  * so a queue that is corrected faster than about twice that swings.
@@ -32,6 +36,8 @@
   worth: number;
   /** Share of the capacity that this priority keeps in a surge of others, in [0, 1]. */
   guaranteedShare: number;
+  /** False when calls of the same or more worth hardly wait, so that the queue is no reason to shed this priority. */
+  isHeldUp?: boolean;
 }
 
 /** Surplus on guaranteed shares, as far as they leave room: what is admitted exactly at a share ends below it by chance. */
@@ -45,7 +51,7 @@
 
 /**
  * Allots calls per interval to priorities: guaranteed shares of the capacity first as far as there is demand, then the
- * rest of what is allowed by worth, the most worth first. When less is allowed than was guaranteed, because the queue is
+ * rest by worth, the most worth first: of the capacity to priorities that are not held up, of what is allowed to others. When less is allowed than was guaranteed, because the queue is
  * too long, only priorities that ask for more than their share give way: they filled it.
  *
  * @returns The allotted calls per interval, in the order given.
@@ -58,22 +64,40 @@
   const factor = computeShareFactor(demands.map(({ guaranteedShare }) => guaranteedShare));
   const guaranteed = demands.map(({ guaranteedShare }) => guaranteedShare * factor * capacity);
   const allotted = demands.map(({ demand }, index) => Math.min(demand, guaranteed[index] ?? 0));
-  const isOver = demands.map(({ demand }, index) => demand > (guaranteed[index] ?? 0));
+  const byWorth = demands.map((_, index) => index);
+  byWorth.sort((left, right) => (demands[right]?.worth ?? 0) - (demands[left]?.worth ?? 0));
+  const isHeldUp = (index: number): boolean => demands[index]?.isHeldUp !== false;
+  addExtra(
+    allotted,
+    capacity,
+    demands,
+    byWorth.filter((index) => !isHeldUp(index)),
+  );
+  const isOver = demands.map(({ demand }, index) => isHeldUp(index) && demand > (guaranteed[index] ?? 0));
   const overSum = allotted.reduce((sum, value, index) => sum + (isOver[index] === true ? value : 0), 0);
-  let rest = allowed - allotted.reduce((sum, value) => sum + value, 0);
+  const rest = allowed - allotted.reduce((sum, value) => sum + value, 0);
   if (rest < 0 && overSum > 0) {
     const kept = Math.max(0, overSum + rest) / overSum;
     return allotted.map((value, index) => (isOver[index] === true ? value * kept : value));
   }
-  const byWorth = demands.map((_, index) => index);
-  byWorth.sort((left, right) => (demands[right]?.worth ?? 0) - (demands[left]?.worth ?? 0));
-  for (const index of byWorth) {
+  addExtra(allotted, allowed, demands, byWorth.filter(isHeldUp));
+  return allotted;
+}
+
+/** Gives what is left of a total to priorities in the given order, as far as they have demand. */
+function addExtra(
+  allotted: number[],
+  total: number,
+  demands: readonly PriorityDemand[],
+  order: readonly number[],
+): void {
+  let rest = total - allotted.reduce((sum, value) => sum + value, 0);
+  for (const index of order) {
     const share = allotted[index] ?? 0;
     const extra = Math.max(0, Math.min(rest, (demands[index]?.demand ?? 0) - share));
     allotted[index] = share + extra;
     rest -= extra;
   }
-  return allotted;
 }
 
 /** What the calls at the local target say about its load. */
@@ -112,7 +136,8 @@
 export function adjustCapacity(capacity: number, started: number, throughput: number, isSaturated: boolean): number {
   if (throughput > capacity) return throughput;
   if (!isSaturated) return capacity;
-  if (throughput < CAPACITY_LOSS * capacity) return throughput;
+  const noise = LOSS_DEVIATIONS * Math.sqrt(capacity * THROUGHPUT_VARIANCE);
+  if (throughput < CAPACITY_LOSS * capacity && capacity - throughput > noise) return throughput;
   return capacity + CAPACITY_SMOOTHING * (started - capacity);
 }
 
