Keep limits from collapsing under long onward calls, and guaranteed shares from one another

Cause: in low-priority-flood the limit of one contracts target fell from 55 to 2. After a trial the starts dip while calls admitted before still finish, so the time integral of active calls showed an own time near 0; its least value then made every later own time look like contention. Seen in the trace of limit changes (own times of 0 to 4 ms at a target of 10 ms). Ruled out: refusals by the target, there were none. Besides, a priority that was not held up left the whole reduction to the guaranteed shares of the others. Change: a window counts at least the own times of the calls that finished in it; shares give way first and extra capacity comes after; a priority within 70% of the capacity is held up only by a queue at its bound.

--- a/src/control/limitController.ts
+++ b/src/control/limitController.ts
@@ -31,6 +31,8 @@
   const costs = new Map<string, LearnedCost>();
   let cursor = samples.end;
   let window = createWindow();
+  /** Own times of the calls that finished in the window (ms). */
+  let finishedOwnMs = 0;
   let lastActiveMs = 0;
   let lastAtMs = clock.now();
   let stopTimer = (): void => undefined;
@@ -49,6 +51,7 @@
     });
     costs.clear();
     window = createWindow();
+    finishedOwnMs = 0;
     limits.publishChange();
   };
   limits.handlePosts((post) => {
@@ -104,6 +107,7 @@
       return;
     }
     window.count++;
+    finishedOwnMs += sample.ownTimeMs;
     window.declaredCostMs += updateCost(sample, declaredCostMs);
     const { ownTimeMs } = limits.section;
     const known = ownTimeMs[sample.operation] ?? sample.ownTimeMs;
@@ -121,8 +125,12 @@
     const before = Math.floor(section.concurrency);
     updateCostScale();
     if (window.count > 0) section.meanCostMs = window.declaredCostMs / window.count;
+    // Where calls wait long for onward calls, those that finish now were worked on in earlier windows. After a dip of the
+    // starts the time integral alone would show an own time near 0, and its least value would then shrink the limit.
+    window.activeMs = Math.max(window.activeMs, finishedOwnMs);
     Object.assign(section, policies.adjustLimit(section, window));
     window = createWindow();
+    finishedOwnMs = 0;
     const after = Math.floor(section.concurrency);
     if (after === before) return;
     limits.publishChange();
--- a/src/control/sheddingController.ts
+++ b/src/control/sheddingController.ts
@@ -15,6 +15,8 @@
 const DOWNSTREAM_DECAY_MS = 500;
 const RAISE_FACTOR = 1.25;
 const MIN_EVENT_CHANGE = 0.1;
+/** Demand, as a share of the capacity, up to which a queue is taken for chance; both are estimates. */
+const SAFE_DEMAND = 0.7;
 
 /** Writes the admitted fractions: of the local target from its demand, of called operations from replies. */
 export function createSheddingController(context: ControllerContext): Controller {
@@ -90,8 +92,7 @@
   const isHeldUp = (worth: number, wantedQueueTimeMs: number): boolean => {
     let demand = 0;
     for (const state of local.values()) if (state.worth >= worth) demand += state.demand;
-    const toleratedMs = demand > capacity ? wantedQueueTimeMs : wantedQueueTimeMs / WANTED_QUEUE_SHARE;
-    return computeQueueTimeMs(worth) > toleratedMs;
+    return demand > SAFE_DEMAND * capacity || computeQueueTimeMs(worth) > wantedQueueTimeMs / WANTED_QUEUE_SHARE;
   };
   const adjustLocal = (): void => {
     updateThroughput();
--- a/src/policy/shedding.ts
+++ b/src/policy/shedding.ts
@@ -51,8 +51,9 @@
 
 /**
  * Allots calls per interval to priorities: guaranteed shares of the capacity first as far as there is demand, then the
- * rest by worth, the most worth first: of the capacity to priorities that are not held up, of what is allowed to others. When less is allowed than was guaranteed, because the queue is
- * too long, only priorities that ask for more than their share give way: they filled it.
+ * rest by worth, the most worth first: of the capacity to priorities that are not held up, of what is allowed to others.
+ * When less is allowed than was guaranteed, because the queue is too long, priorities that ask for more than their share
+ * give way: they filled it.
  *
  * @returns The allotted calls per interval, in the order given.
  *
@@ -61,29 +62,28 @@
  * // [30, 70]
  */
 export function splitCapacity(allowed: number, capacity: number, demands: readonly PriorityDemand[]): number[] {
-  const factor = computeShareFactor(demands.map(({ guaranteedShare }) => guaranteedShare));
-  const guaranteed = demands.map(({ guaranteedShare }) => guaranteedShare * factor * capacity);
-  const allotted = demands.map(({ demand }, index) => Math.min(demand, guaranteed[index] ?? 0));
+  const allotted = splitShares(allowed, capacity, demands);
   const byWorth = demands.map((_, index) => index);
   byWorth.sort((left, right) => (demands[right]?.worth ?? 0) - (demands[left]?.worth ?? 0));
   const isHeldUp = (index: number): boolean => demands[index]?.isHeldUp !== false;
-  addExtra(
-    allotted,
-    capacity,
-    demands,
-    byWorth.filter((index) => !isHeldUp(index)),
-  );
-  const isOver = demands.map(({ demand }, index) => isHeldUp(index) && demand > (guaranteed[index] ?? 0));
-  const overSum = allotted.reduce((sum, value, index) => sum + (isOver[index] === true ? value : 0), 0);
-  const rest = allowed - allotted.reduce((sum, value) => sum + value, 0);
-  if (rest < 0 && overSum > 0) {
-    const kept = Math.max(0, overSum + rest) / overSum;
-    return allotted.map((value, index) => (isOver[index] === true ? value * kept : value));
-  }
+  const notHeldUp = byWorth.filter((index) => !isHeldUp(index));
+  addExtra(allotted, capacity, demands, notHeldUp);
   addExtra(allotted, allowed, demands, byWorth.filter(isHeldUp));
   return allotted;
 }
 
+function splitShares(allowed: number, capacity: number, demands: readonly PriorityDemand[]): number[] {
+  const factor = computeShareFactor(demands.map(({ guaranteedShare }) => guaranteedShare));
+  const guaranteed = demands.map(({ guaranteedShare }) => guaranteedShare * factor * capacity);
+  const allotted = demands.map(({ demand }, index) => Math.min(demand, guaranteed[index] ?? 0));
+  const isOver = demands.map(({ demand }, index) => demand > (guaranteed[index] ?? 0));
+  const overSum = allotted.reduce((sum, value, index) => sum + (isOver[index] === true ? value : 0), 0);
+  const missing = allotted.reduce((sum, value) => sum + value, 0) - allowed;
+  if (missing <= 0 || overSum === 0) return allotted;
+  const kept = Math.max(0, overSum - missing) / overSum;
+  return allotted.map((value, index) => (isOver[index] === true ? value * kept : value));
+}
+
 /** Gives what is left of a total to priorities in the given order, as far as they have demand. */
 function addExtra(
   allotted: number[],
--- /dev/null
+++ b/tests/load/ownTimeAfterDip.test.ts
@@ -0,0 +1,28 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { ownDecisions } from '../../src/bench/load/baselines.js';
+import { createKaltfracht } from '../../src/bench/load/deployments.js';
+import { findLeastUrgent, measureFlood } from '../../src/bench/scenarios/floods.js';
+import { createStreams, measureRun, WARM_UP_MS } from '../../src/bench/load/measureRun.js';
+
+describe('limit of a target that waits long for onward calls', () => {
+  it('should not shrink far below its slots after a trial in a flood', () => {
+    const deployment = createKaltfracht();
+    const flooded = findLeastUrgent(deployment);
+    const streams = createStreams(deployment, (atMs, priority) =>
+      priority !== flooded ? 240 : atMs < WARM_UP_MS + 3000 ? 240 : 12_000,
+    );
+    const { fleet } = measureRun({ seed: 1, deployment, variant: ownDecisions, streams, untilMs: WARM_UP_MS + 9000 });
+    const limits = [...fleet.hosts]
+      .filter(([host]) => host.endsWith('-contracts'))
+      .map(([, { node }]) => node.board.read('limits').concurrency);
+    for (const limit of limits) expect(limit).toBeGreaterThan(20);
+  });
+
+  it('should complete every urgent request in a flood of the least urgent', () => {
+    const deployment = createKaltfracht();
+    const outcome = measureFlood(deployment, findLeastUrgent(deployment), ownDecisions, { seed: 2, floodMs: 5000 });
+    const account = outcome.accounting.byPriority.get('order');
+    expect((account?.completed ?? 0) / (account?.offered ?? 1)).toBeGreaterThanOrEqual(0.999);
+  });
+});
--- a/tests/load/shedding.test.ts
+++ b/tests/load/shedding.test.ts
@@ -65,3 +65,23 @@
     expect(adjustFraction(0.1, 1000, 10, false)).toEqual(0.01);
   });
 });
+
+describe('shedding of a priority that is not held up', () => {
+  it('should not shed urgent work because of a queue of less worth', () => {
+    const demands = [
+      { demand: 60, worth: 9, guaranteedShare: 0.4, isHeldUp: false },
+      { demand: 500, worth: 1, guaranteedShare: 0.1, isHeldUp: true },
+    ];
+    const [urgent = 0] = splitCapacity(30, 100, demands);
+    expect(urgent).toEqual(60);
+  });
+
+  it('should not take the guaranteed share of others for a priority that is not held up', () => {
+    const demands = [
+      { demand: 90, worth: 9, guaranteedShare: 0.4, isHeldUp: false },
+      { demand: 50, worth: 1, guaranteedShare: 0.2, isHeldUp: true },
+    ];
+    const [, other = 0] = splitCapacity(40, 100, demands);
+    expect(other).toBeGreaterThan(10);
+  });
+});
