Serve the platform path through one process per host

Ruled out: whole requests over the grpc streams (3.3 ms of processor a call, bodies whole only); HTTP between nodes (text headers between data centres, no way to ask for an outcome after a broken connection). Change: routes as a product feature, request nodes (entry, link, run, target, members, routes, budgets), frames on plain TCP with a resume of what was under way, the store client and names of the platform in platform/.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -71,7 +71,7 @@
             ...(barred.length > 0
               ? [
                   {
-                    regex: `^\\.\\./(${barred.join('|')})/`,
+                    regex: `^(\\.\\./)+(${barred.join('|')})/`,
                     message: `src/${folder} may import only: ${folders[folder].join(', ') || 'itself'}.`,
                   },
                 ]
@@ -85,12 +85,12 @@
 }
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'out/'] },
+  { ignores: ['dist/', 'node_modules/', 'out/', 'target/'] },
   js.configs.recommended,
   ...tseslint.configs.strict,
   ...tseslint.configs.stylistic,
   {
-    files: ['src/**/*.ts', 'tests/**/*.ts'],
+    files: ['src/**/*.ts', 'tests/**/*.ts', 'platform/**/*.ts'],
     languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
     rules: {
       '@typescript-eslint/consistent-type-imports': ['error', { fixStyle: 'separate-type-imports' }],
--- /dev/null
+++ b/src/control/requests/candidates.ts
@@ -0,0 +1,25 @@
+import type { TargetCandidate } from '../../policy/targetChoice.js';
+import { chooseLane } from './context.js';
+import { readOwnLoad } from './ownLoad.js';
+import type { RequestBoard } from './sections.js';
+
+/** Lists the nodes whose target can take a request of a service now. */
+export function listCandidates(
+  board: RequestBoard,
+  question: { service: string; priority: number; nowMs: number },
+): TargetCandidate[] {
+  const { service, priority, nowMs } = question;
+  const { self, byHost: members } = board.read('members');
+  const candidates: TargetCandidate[] = [];
+  const own = readOwnLoad(board, nowMs);
+  if (own.phase === 'ready' && own.service === service) {
+    candidates.push({ host: self.host, isOwnHost: true, isLocalDataCenter: true, load: own, sentSinceReport: 0 });
+  }
+  const lane = chooseLane(priority);
+  for (const { host, load, lanes, sentSinceReport } of board.read('links').byHost.values()) {
+    if (load.service !== service || load.phase !== 'ready' || lanes[lane].phase !== 'up') continue;
+    const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
+    candidates.push({ host, isOwnHost: false, isLocalDataCenter, load, sentSinceReport });
+  }
+  return candidates;
+}
--- /dev/null
+++ b/src/control/requests/incomingRuns.ts
@@ -0,0 +1,153 @@
+import type { Clock } from '../../core/clock.js';
+import type {
+  AnswerFrame,
+  FailedFrame,
+  HelloFrame,
+  LinkFrame,
+  LoadReport,
+  RunRequest,
+} from '../../schema/linkFrame.js';
+import type { LinkConnection } from './context.js';
+import type { RunAttempt, RunEvents } from './runPort.js';
+
+/** Answers kept for a peer whose connection broke while they were under way. */
+const KEPT_ANSWERS = 64;
+const KEPT_ANSWER_MS = 2000;
+const KEPT_BYTES = 256 * 1024;
+/** Time in which a peer whose connection broke may come back for its requests (ms). */
+const RETURN_MS = 1000;
+
+type FinalFrame = AnswerFrame | FailedFrame;
+
+interface KeptAnswer {
+  frame: FinalFrame;
+  bytes: number;
+  untilMs: number;
+}
+
+export interface IncomingRunsOptions {
+  host: string;
+  clock: Clock;
+  /** Hands a request to the local target; sets its handle. */
+  accept: (attempt: RunAttempt) => void;
+  readLoad: () => LoadReport;
+}
+
+/** The requests that one process of a peer sent over one lane, over all connections of that lane. */
+export interface IncomingRuns {
+  readonly openCount: number;
+  /** Takes a new connection. Frames of earlier ones are no longer taken, so that nothing arrives twice. */
+  attach(connection: LinkConnection, hello: HelloFrame): void;
+  detach(connection: LinkConnection): void;
+  /** True when frames of this connection are to be taken. */
+  isCurrent(connection: LinkConnection): boolean;
+  receive(frame: LinkFrame): void;
+  /** Sends a frame that is about no request. */
+  send(frame: LinkFrame): void;
+}
+
+/** Creates the receiving side of one lane. */
+export function createIncomingRuns(options: IncomingRunsOptions): IncomingRuns {
+  const { host, clock } = options;
+  const open = new Map<number, RunAttempt>();
+  const kept: KeptAnswer[] = [];
+  let keptBytes = 0;
+  let connection: LinkConnection | undefined;
+  let incarnation = '';
+  let highestId = -1;
+
+  const keep = (frame: FinalFrame): void => {
+    const bytes = frame.type === 'answer' ? frame.body.length : 0;
+    kept.push({ frame, bytes, untilMs: clock.now() + KEPT_ANSWER_MS });
+    keptBytes += bytes;
+    while (kept.length > KEPT_ANSWERS || keptBytes > KEPT_BYTES || (kept[0]?.untilMs ?? Infinity) < clock.now()) {
+      keptBytes -= kept.shift()?.bytes ?? 0;
+    }
+  };
+  const finish = (id: number, frame: FinalFrame): void => {
+    if (!open.delete(id)) return;
+    keep(frame);
+    connection?.send(frame);
+  };
+  const buildEvents = (id: number): RunEvents => ({
+    answer: ({ status, headers, body, isStreamed }) => {
+      const frame: AnswerFrame = { type: 'answer', id, status, headers, body, isStreamed, load: options.readLoad() };
+      if (isStreamed) connection?.send(frame);
+      else finish(id, frame);
+    },
+    part: (data, isLast) => {
+      if (!open.has(id)) return;
+      if (isLast) open.delete(id);
+      connection?.send({ type: 'part', id, data, isLast });
+    },
+    fail: (failure) => {
+      finish(id, { type: 'failed', id, failure, load: options.readLoad() });
+    },
+    grantBody: (bytes) => {
+      if (open.has(id)) connection?.send({ type: 'grant', id, bytes });
+    },
+  });
+  const accept = (id: number, request: RunRequest): void => {
+    highestId = Math.max(highestId, id);
+    const attempt: RunAttempt = { host, request, events: buildEvents(id), handle: undefined };
+    open.set(id, attempt);
+    options.accept(attempt);
+  };
+  const cancel = (id: number): void => {
+    const attempt = open.get(id);
+    open.delete(id);
+    attempt?.handle?.cancel();
+  };
+  const cancelAll = (): void => {
+    for (const id of [...open.keys()]) cancel(id);
+  };
+  const resume = (id: number): void => {
+    if (open.has(id)) return;
+    const answer = kept.find(({ frame }) => frame.id === id);
+    if (answer !== undefined) {
+      connection?.send(answer.frame);
+      return;
+    }
+    const hasArrived = id <= highestId;
+    const detail = hasArrived ? 'its outcome is no longer known' : 'it never arrived';
+    const failure = { kind: 'linkLost' as const, ran: hasArrived ? ('unknown' as const) : ('no' as const), hasArrived };
+    connection?.send({ type: 'failed', id, failure: { ...failure, detail }, load: options.readLoad() });
+  };
+  return {
+    get openCount() {
+      return open.size;
+    },
+    attach: (opened, { member, pending }) => {
+      const previous = connection;
+      connection = opened;
+      previous?.close();
+      if (member.incarnation !== incarnation) {
+        cancelAll();
+        kept.length = 0;
+        keptBytes = 0;
+        highestId = -1;
+        incarnation = member.incarnation;
+      }
+      const wanted = new Set(pending);
+      for (const id of [...open.keys()]) if (!wanted.has(id)) cancel(id);
+      for (const id of pending) resume(id);
+    },
+    detach: (closed) => {
+      if (connection !== closed) return;
+      connection = undefined;
+      clock.schedule(RETURN_MS, () => {
+        if (connection === undefined) cancelAll();
+      });
+    },
+    isCurrent: (candidate) => connection === candidate,
+    receive: (frame) => {
+      if (frame.type === 'run') accept(frame.id, frame.request);
+      else if (frame.type === 'cancel') cancel(frame.id);
+      else if (frame.type === 'part') open.get(frame.id)?.handle?.sendBody(frame.data, frame.isLast);
+      else if (frame.type === 'grant') open.get(frame.id)?.handle?.grantAnswer(frame.bytes);
+    },
+    send: (frame) => {
+      connection?.send(frame);
+    },
+  };
+}
--- /dev/null
+++ b/src/control/requests/nodeController.ts
@@ -0,0 +1,48 @@
+import { scheduleRepeated } from '../../core/clock.js';
+import type { Controller } from '../context.js';
+import type { RequestContext } from './context.js';
+
+/** Longest time that a new node waits for its links before it takes requests (ms). */
+const LINK_WAIT_MS = 600;
+const CHECK_MS = 20;
+
+/** Writes whether this node is ready: it has a configuration, knows the other nodes, and tried to reach them. */
+export function createNodeController({ board, clock }: RequestContext): Controller {
+  const node = board.claim('node', 'nodeController');
+  const { section } = node;
+  let knownSinceMs: number | undefined;
+  let stopChecks = (): void => undefined;
+
+  const enter = (phase: 'ready' | 'stopping'): void => {
+    section.phase = phase;
+    stopChecks();
+    const inputs = {
+      configuration: board.read('routes').version,
+      members: board.read('members').byHost.size,
+      sinceStartMs: Math.round(clock.now() - section.startedAtMs),
+    };
+    board.post('decisions', { kind: 'nodeChanged', outcome: phase, inputs });
+    node.publishChange();
+  };
+  const hasTriedLinks = (): boolean => {
+    for (const { lanes } of board.read('links').byHost.values()) if (lanes.routine.phase === 'dialling') return false;
+    return true;
+  };
+  const check = (): void => {
+    if (board.read('routes').table === undefined || !board.read('members').isComplete) return;
+    knownSinceMs ??= clock.now();
+    if (hasTriedLinks() || clock.now() - knownSinceMs > LINK_WAIT_MS) enter('ready');
+  };
+  node.handlePosts(() => {
+    if (section.phase !== 'stopping') enter('stopping');
+  });
+  return {
+    start: () => {
+      board.post('decisions', { kind: 'nodeChanged', outcome: 'starting' });
+      stopChecks = scheduleRepeated(clock, CHECK_MS, check);
+    },
+    stop: () => {
+      stopChecks();
+    },
+  };
+}
--- /dev/null
+++ b/src/control/requests/routeController.ts
@@ -0,0 +1,54 @@
+import type { Controller } from '../context.js';
+import { buildRouteTable } from '../../policy/routeTable.js';
+import { compileSchema } from '../../schema/validate.js';
+import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
+import type { RequestContext } from './context.js';
+import { startFollower } from './storeFollower.js';
+
+/** A change is applied as soon as it is read; the next read follows at once. */
+const READ_PAUSE_MS = 20;
+
+const validator = compileSchema(routeConfigurationSchema);
+
+/** Writes the routes in force: the configuration with the greatest version that was read from the store or a peer. */
+export function createRouteController(context: RequestContext): Controller {
+  const { board, clock, io } = context;
+  const routes = board.claim('routes', 'routeController');
+  let stopFollower = (): void => undefined;
+
+  routes.handlePosts(({ configuration, source }) => {
+    const { section } = routes;
+    const { version } = configuration;
+    if (version <= section.version) return;
+    const inputs = { previous: section.version, routes: configuration.routes.length, source };
+    section.table = buildRouteTable(configuration);
+    section.version = version;
+    section.appliedAtMs = clock.now();
+    board.post('decisions', { kind: 'configurationApplied', outcome: `version ${version}`, inputs });
+    routes.publishChange();
+  });
+  return {
+    start: () => {
+      stopFollower = startFollower(context, {
+        topic: io.configurationTopic,
+        pauseMs: READ_PAUSE_MS,
+        apply: (records) => {
+          for (const { value, offset } of records) {
+            if (validator.isValid(value)) {
+              board.post('routes', { configuration: value, source: 'store' });
+            } else if (value !== undefined) {
+              const [fault] = validator.listFaults(value);
+              const inputs = { offset, path: fault?.path ?? '', found: fault?.found ?? '' };
+              board.post('decisions', { kind: 'configurationIgnored', outcome: 'not a configuration', inputs });
+            }
+          }
+        },
+        // The member topic reports the store, so that one dependency is not logged twice.
+        reportStore: () => undefined,
+      });
+    },
+    stop: () => {
+      stopFollower();
+    },
+  };
+}
--- /dev/null
+++ b/src/control/requests/runController.ts
@@ -0,0 +1,210 @@
+import { addDuration } from '../../policy/durationEstimate.js';
+import { computeRunLimit } from '../../policy/runLimit.js';
+import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
+import type { Controller } from '../context.js';
+import type { RequestContext } from './context.js';
+import { readOwnPhase } from './ownLoad.js';
+import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
+import type { Run } from './sections.js';
+
+/** Time past its deadline after which a running request is abandoned, so that the target's own end comes first (ms). */
+const ABANDON_AFTER_MS = 15;
+/** Weight of one result in the smoothed share of failures. */
+const FAILURE_WEIGHT = 0.05;
+/** Failures that mean that the target as a whole does not work. */
+const shunning: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
+/** Requests in a row that ran out of time without any answer, after which the target counts as silent. */
+const SILENT_RUNS = 5;
+
+/** Writes the requests that wait for and run at the local target: admits, orders, starts and ends them. */
+export function createRunController(context: RequestContext): Controller {
+  const { board, clock, deadlines, io } = context;
+  const runs = board.claim('runs', 'runController');
+  const { section } = runs;
+  const { queue, running, duration, counts } = section;
+  let silentInRow = 0;
+
+  const recordResult = (result: string): void => {
+    counts.set(result, (counts.get(result) ?? 0) + 1);
+  };
+  const refuse = (events: RunEvents, kind: RunFailureKind, detail: string): void => {
+    recordResult(kind);
+    events.fail({ kind, ran: 'no', hasArrived: false, detail });
+  };
+  const reportRun = (run: Run, outcome: string, detail: string): void => {
+    const nowMs = clock.now();
+    const { requestId, service, route } = run.request;
+    const { id: target, phase } = board.read('target');
+    const inputs = {
+      service,
+      route,
+      target,
+      targetPhase: phase,
+      waitedMs: Math.round((run.startedAtMs || nowMs) - run.arrivedAtMs),
+      ranMs: run.startedAtMs === 0 ? 0 : Math.round(nowMs - run.startedAtMs),
+      running: running.size,
+      queued: queue.length,
+      detail,
+    };
+    board.post('decisions', {
+      kind: outcome === 'answered' ? 'runEnded' : 'runFailed',
+      id: requestId,
+      outcome,
+      inputs,
+    });
+  };
+  const end = (run: Run, outcome: string, detail: string): void => {
+    run.phase = 'ended';
+    run.cancelDeadline();
+    running.delete(run);
+    recordResult(outcome);
+    reportRun(run, outcome, detail);
+    startWaiting();
+  };
+  const noteResult = (isFailure: boolean): void => {
+    section.failureShare += FAILURE_WEIGHT * ((isFailure ? 1 : 0) - section.failureShare);
+  };
+  const endAnswered = (run: Run): void => {
+    addDuration(duration, clock.now() - run.startedAtMs);
+    end(run, 'answered', '');
+  };
+  const receiveAnswer = (run: Run, answer: RunAnswer): void => {
+    if (run.phase !== 'running') return;
+    silentInRow = 0;
+    noteResult(false);
+    board.post('target', { type: 'heard' });
+    if (!answer.isStreamed) endAnswered(run);
+    run.events.answer(answer);
+  };
+  const fail = (run: Run, failure: RunFailure): void => {
+    if (run.phase !== 'running') return;
+    noteResult(failure.kind !== 'timedOut');
+    if (shunning.has(failure.kind)) board.post('target', { type: 'shun', reason: failure.detail });
+    end(run, failure.kind, failure.detail);
+    run.events.fail(failure);
+  };
+  const start = (run: Run): void => {
+    const { address, id } = board.read('target');
+    run.phase = 'running';
+    run.startedAtMs = clock.now();
+    running.add(run);
+    const request = { ...run.request, timeLeftMs: run.deadlineAtMs - run.startedAtMs };
+    run.target = io.sendToTarget(
+      { address, targetId: id, request },
+      {
+        answer: (answer) => {
+          receiveAnswer(run, answer);
+        },
+        part: (data, isLast) => {
+          if (run.phase !== 'running') return;
+          if (isLast) endAnswered(run);
+          run.events.part(data, isLast);
+        },
+        fail: (failure) => {
+          fail(run, failure);
+        },
+        grantBody: (bytes) => {
+          run.events.grantBody(bytes);
+        },
+      },
+    );
+  };
+  const startWaiting = (): void => {
+    const limit = computeRunLimit(board.read('target').slots);
+    while (running.size < limit) {
+      const run = queue.takeNext(clock.now(), duration.meanMs);
+      if (run === undefined) return;
+      start(run);
+    }
+  };
+  const expire = (run: Run): void => {
+    if (run.phase === 'queued') {
+      queue.drop(run);
+      run.phase = 'ended';
+      recordResult('tooLate');
+      reportRun(run, 'tooLate', 'its time passed while it waited');
+      run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'its time passed while it waited' });
+      return;
+    }
+    run.cancelDeadline = deadlines.add(run.deadlineAtMs + ABANDON_AFTER_MS, () => {
+      abandon(run);
+    });
+  };
+  const abandon = (run: Run): void => {
+    if (run.phase !== 'running') return;
+    silentInRow++;
+    if (silentInRow >= SILENT_RUNS)
+      board.post('target', { type: 'shun', reason: `${silentInRow} runs without answer` });
+    run.target?.cancel();
+    fail(run, { kind: 'timedOut', ran: 'unknown', hasArrived: true, detail: 'no answer in time' });
+  };
+  const cancel = (run: Run): void => {
+    if (run.phase === 'queued') {
+      queue.drop(run);
+      run.phase = 'ended';
+      run.cancelDeadline();
+      recordResult('cancelled');
+    } else if (run.phase === 'running' && run.request.isIdempotent) {
+      run.target?.cancel();
+      end(run, 'cancelled', 'nobody waits any more');
+    }
+  };
+  const accept = (attempt: RunAttempt): void => {
+    const { request, events } = attempt;
+    const nowMs = clock.now();
+    const { service, id } = board.read('target');
+    const phase = readOwnPhase(board, nowMs);
+    if (service !== request.service || phase === 'none' || phase === 'left') {
+      refuse(events, 'noTarget', `the target ${id} is ${phase} and serves ${service}`);
+      return;
+    }
+    if (phase === 'draining') {
+      refuse(events, 'leaving', `the target ${id} is leaving`);
+      return;
+    }
+    const run: Run = {
+      request,
+      priority: request.priority,
+      arrivedAtMs: nowMs,
+      deadlineAtMs: nowMs + request.timeLeftMs,
+      worthUntilMs: nowMs + request.worthLeftMs,
+      events,
+      phase: 'queued',
+      startedAtMs: 0,
+      isDropped: false,
+      target: undefined,
+      cancelDeadline: () => undefined,
+    };
+    run.cancelDeadline = deadlines.add(run.deadlineAtMs, () => {
+      expire(run);
+    });
+    attempt.handle = {
+      cancel: () => {
+        cancel(run);
+      },
+      grantAnswer: (bytes) => run.target?.grantAnswer(bytes),
+      sendBody: (data, isLast) => run.target?.sendBody(data, isLast),
+    };
+    queue.add(run);
+    startWaiting();
+  };
+  const refuseWaiting = (): void => {
+    const phase = readOwnPhase(board, clock.now());
+    if (phase === 'ready') return;
+    for (const run of queue.takeAll()) {
+      run.phase = 'ended';
+      run.cancelDeadline();
+      refuse(run.events, phase === 'draining' ? 'leaving' : 'noTarget', `the target is ${phase}`);
+    }
+  };
+  runs.handlePosts((post) => {
+    accept(post.attempt);
+  });
+  return {
+    start: () => {
+      board.subscribe('target', refuseWaiting);
+      board.subscribe('node', refuseWaiting);
+    },
+    stop: () => undefined,
+  };
+}
--- /dev/null
+++ b/src/control/requests/sections.ts
@@ -0,0 +1,186 @@
+import type { Board } from '../../core/blackboard.js';
+import type { DurationEstimate } from '../../policy/durationEstimate.js';
+import type { FleetBudget } from '../../policy/fleetBudget.js';
+import type { PartCredits } from '../../policy/partChoice.js';
+import type { RouteTable } from '../../policy/routeTable.js';
+import { createRunQueue } from '../../policy/runQueue.js';
+import type { RunQueue } from '../../policy/runQueue.js';
+import type { Decision } from '../../schema/decision.js';
+import type { LinkLane, LoadReport, RunRequest } from '../../schema/linkFrame.js';
+import type { Heartbeat, NodeMember, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
+import type { RequestSettings } from '../../schema/requestSettings.js';
+import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
+import type { SuspectState } from '../../schema/state.js';
+import type { RunAttempt, RunEvents, RunHandle } from './runPort.js';
+
+/** One connection to a peer on one lane. */
+export interface LinkState {
+  phase: 'down' | 'dialling' | 'up';
+  /** Monotonic time (ms) of the last frame. */
+  lastHeardMs: number;
+}
+
+/** What this node knows of another one by their links. Times are monotonic (ms). */
+export interface PeerState {
+  readonly host: string;
+  readonly lanes: Record<LinkLane, LinkState>;
+  load: LoadReport;
+  loadAtMs: number;
+  /** Requests sent since the load was reported. */
+  sentSinceReport: number;
+  /** Requests sent and not answered. */
+  outstanding: number;
+  configurationVersion: number;
+  memberCount: number;
+}
+
+/** One request at the node beside its target. Times are monotonic (ms). */
+export interface Run {
+  readonly request: RunRequest;
+  readonly priority: number;
+  readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly worthUntilMs: number;
+  /** Whom the outcome is told. */
+  readonly events: RunEvents;
+  phase: 'queued' | 'running' | 'ended';
+  startedAtMs: number;
+  isDropped: boolean;
+  /** The send to the target while the request runs. */
+  target: RunHandle | undefined;
+  cancelDeadline: () => void;
+}
+
+/** The target beside this node. Times are monotonic (ms) unless said otherwise. */
+export interface TargetState {
+  phase: TargetPhase;
+  id: string;
+  /** Unix time of its start (ms). */
+  startedAtMs: number;
+  sequence: number;
+  service: string;
+  address: string;
+  slots: number;
+  coldUntilMs: number;
+  lastHeardMs: number;
+  /** It refused connections or gave no answers lately; requests go elsewhere until then. */
+  shunnedUntilMs: number;
+}
+
+/** All shared state of a node that serves routed requests. docs/design.md names writer, readers and bound of each. */
+export interface RequestSections {
+  settings: { current: RequestSettings };
+  node: { phase: 'starting' | 'ready' | 'stopping'; startedAtMs: number };
+  routes: { table: RouteTable | undefined; version: number; appliedAtMs: number };
+  members: {
+    self: NodeMember;
+    byHost: Map<string, NodeMember>;
+    /** True once the whole list was read from the store or a peer. */
+    isComplete: boolean;
+    /** What this host's earlier process published of the target, once known. */
+    inherited: PublishedTarget | undefined;
+    /** Unix time (ms) of the start of the process that published it. */
+    inheritedFromMs: number;
+    /** Monotonic time (ms) at which the store was last heard; undefined while it is lost. */
+    storeHeardMs: number | undefined;
+  };
+  target: TargetState;
+  links: { byHost: Map<string, PeerState> };
+  runs: {
+    queue: RunQueue<Run>;
+    running: Set<Run>;
+    duration: DurationEstimate;
+    /** Smoothed share of runs that the target rejected or lost, 0 to 1. */
+    failureShare: number;
+    /** Requests that ended, by result. */
+    counts: Map<string, number>;
+  };
+  entries: {
+    open: number;
+    partCredits: Map<string, PartCredits>;
+    counts: Map<string, number>;
+  };
+  budgets: { byService: Map<string, FleetBudget> };
+  quarantine: { byFingerprint: Map<number, SuspectState>; reportIds: Set<string> };
+  decisions: {
+    /** Formatted lines that wait to be written. */
+    lines: string[];
+    /** Number of the next line. */
+    nextLine: number;
+    /** Lines that were not written since there were too many. */
+    dropped: number;
+  };
+}
+
+/** What other controllers and the edges may ask of a section's writer. */
+export interface RequestPosts {
+  settings: RequestSettings;
+  node: { type: 'stop' };
+  routes: { configuration: RouteConfiguration; source: string };
+  members:
+    | { type: 'learn'; members: readonly NodeMember[]; source: string; isComplete: boolean }
+    | { type: 'publishTarget'; target: PublishedTarget; durable?: () => void };
+  target:
+    | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
+    | { type: 'leave'; id: string; acknowledge: () => void }
+    | { type: 'shun'; reason: string }
+    | { type: 'heard' };
+  links: { type: 'send'; attempt: RunAttempt } | { type: 'crash'; reportId: string; fingerprints: readonly number[] };
+  runs: { type: 'accept'; attempt: RunAttempt };
+  entries: never;
+  budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
+  quarantine: { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string };
+  decisions: Decision;
+}
+
+export type RequestBoard = Board<RequestSections, RequestPosts>;
+
+/** The load of a node that was not heard yet. */
+export function createUnknownLoad(): LoadReport {
+  return { phase: 'none', service: '', targetId: '', running: 0, queued: 0, limit: 1, durationMs: 0, failureShare: 0 };
+}
+
+/** Creates the sections of a node that has just started. */
+export function createRequestSections(options: {
+  settings: RequestSettings;
+  self: NodeMember;
+  nowMs: number;
+}): RequestSections {
+  return {
+    settings: { current: options.settings },
+    node: { phase: 'starting', startedAtMs: options.nowMs },
+    routes: { table: undefined, version: -1, appliedAtMs: options.nowMs },
+    members: {
+      self: options.self,
+      byHost: new Map(),
+      isComplete: false,
+      inherited: undefined,
+      inheritedFromMs: 0,
+      storeHeardMs: undefined,
+    },
+    target: {
+      phase: 'none',
+      id: '',
+      startedAtMs: 0,
+      sequence: -1,
+      service: '',
+      address: '',
+      slots: 1,
+      coldUntilMs: 0,
+      lastHeardMs: 0,
+      shunnedUntilMs: 0,
+    },
+    links: { byHost: new Map() },
+    runs: {
+      queue: createRunQueue<Run>(),
+      running: new Set(),
+      duration: { meanMs: 0, count: 0 },
+      failureShare: 0,
+      counts: new Map(),
+    },
+    entries: { open: 0, partCredits: new Map(), counts: new Map() },
+    budgets: { byService: new Map() },
+    quarantine: { byFingerprint: new Map(), reportIds: new Set() },
+    decisions: { lines: [], nextLine: 0, dropped: 0 },
+  };
+}
--- /dev/null
+++ b/src/control/requests/storeFollower.ts
@@ -0,0 +1,63 @@
+import type { KeyedRecord, StoreRead } from '../../schema/keyedStore.js';
+import type { KeyedTopic, RequestContext } from './context.js';
+
+/** Longest wait of one read for a new record (ms). */
+const POLL_WAIT_MS = 25_000;
+/** Pause before the next read of a store that did not answer (ms). */
+const RETRY_PAUSE_MS = 1000;
+
+export interface FollowerOptions {
+  topic: KeyedTopic;
+  /** Takes new records; `isComplete` when they are the newest of all keys. */
+  apply: (records: readonly KeyedRecord[], isComplete: boolean) => void;
+  /** Tells whether the store answers. */
+  reportStore: (detail: string | undefined) => void;
+  /** Pause after a read that found records, so that many changes cost few reads (ms). */
+  pauseMs: number;
+}
+
+/**
+ * Follows a topic of the platform's store: the newest records first, then what is appended, and the newest ones again
+ * after the store deleted what was not read. Returns a function that stops.
+ */
+export function startFollower({ clock, random }: RequestContext, options: FollowerOptions): () => void {
+  let isStopped = false;
+  let cancelRead = (): void => undefined;
+  let next: number | undefined;
+
+  const schedule = (pauseMs: number): void => {
+    if (!isStopped) clock.schedule(pauseMs, read);
+  };
+  const receive = (outcome: StoreRead, isComplete: boolean): void => {
+    if (isStopped) return;
+    if (outcome.type === 'records') {
+      next = outcome.next;
+      options.reportStore(undefined);
+      if (outcome.records.length > 0 || isComplete) options.apply(outcome.records, isComplete);
+      schedule(outcome.records.length > 0 && !isComplete ? options.pauseMs : 0);
+    } else if (outcome.type === 'compacted') {
+      next = undefined;
+      schedule(0);
+    } else {
+      options.reportStore(outcome.detail);
+      schedule(RETRY_PAUSE_MS * (0.5 + random()));
+    }
+  };
+  const read = (): void => {
+    if (isStopped) return;
+    if (next === undefined) {
+      options.topic.readNewest((outcome) => {
+        receive(outcome, true);
+      });
+    } else {
+      cancelRead = options.topic.readFrom(next, POLL_WAIT_MS, (outcome) => {
+        receive(outcome, false);
+      });
+    }
+  };
+  read();
+  return () => {
+    isStopped = true;
+    cancelRead();
+  };
+}
--- /dev/null
+++ b/src/http/controlServer.ts
@@ -0,0 +1,97 @@
+import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import { FailureError } from '../schema/failure.js';
+import { heartbeatSchema } from '../schema/nodeMember.js';
+import type { Heartbeat } from '../schema/nodeMember.js';
+import { parseAddress } from '../schema/requestSettings.js';
+import { compileSchema, formatFault } from '../schema/validate.js';
+
+const heartbeatValidator = compileSchema(heartbeatSchema);
+const MAX_HEARTBEAT_BYTES = 64 * 1024;
+
+export interface ControlServerOptions {
+  targetListen: string;
+  readyListen: string;
+  metricsListen: string;
+  isReady: () => boolean;
+  /** Turns what the target sent into the fields of a heartbeat; what is missing is found by the check after it. */
+  decodeHeartbeat: (body: unknown) => unknown;
+  /** Heartbeats of the local target; `acknowledge` is called once. */
+  receiveHeartbeat: (id: string, heartbeat: Heartbeat, acknowledge: () => void) => void;
+  receiveLeave: (id: string, acknowledge: () => void) => void;
+  reportFault: (outcome: string, inputs: Record<string, string>) => void;
+  renderMetrics: () => Promise<string>;
+}
+
+export interface ControlServers {
+  stop(): Promise<void>;
+}
+
+/**
+ * Starts the listeners for the target's heartbeats, for readiness and for metrics.
+ *
+ * @throws FailureError `listenFailed`.
+ */
+export async function startControlServers(options: ControlServerOptions): Promise<ControlServers> {
+  const servers: FastifyInstance[] = [];
+  const openServer = async (address: string, add: (server: FastifyInstance) => void): Promise<void> => {
+    const server = Fastify({ bodyLimit: MAX_HEARTBEAT_BYTES, forceCloseConnections: true });
+    add(server);
+    servers.push(server);
+    try {
+      await server.listen(parseAddress(address));
+    } catch (error) {
+      throw new FailureError({ kind: 'listenFailed', message: `cannot listen: ${String(error)}`, address });
+    }
+  };
+  await Promise.all([
+    openServer(options.targetListen, (server) => {
+      addTargetRoutes(server, options);
+    }),
+    openServer(options.readyListen, (server) => {
+      server.get('/v1/ready', (_request, reply) => reply.code(options.isReady() ? 200 : 503).send());
+    }),
+    openServer(options.metricsListen, (server) => {
+      server.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.renderMetrics()));
+    }),
+  ]);
+  return {
+    stop: async () => {
+      await Promise.all(servers.map((server) => server.close()));
+    },
+  };
+}
+
+function addTargetRoutes(server: FastifyInstance, options: ControlServerOptions): void {
+  server.removeAllContentTypeParsers();
+  server.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
+    done(null, body);
+  });
+  server.post<{ Params: { id: string } }>('/v1/targets/:id/heartbeat', (request, reply) => {
+    const { id } = request.params;
+    const value = options.decodeHeartbeat(parseBody(request.body));
+    if (heartbeatValidator.isValid(value)) {
+      options.receiveHeartbeat(id, value, () => {
+        void reply.send({});
+      });
+      return reply;
+    }
+    const fault = heartbeatValidator.listFaults(value).map(formatFault)[0] ?? 'not JSON';
+    options.reportFault('heartbeat that cannot be read', { target: id, fault });
+    return reply.code(400).send({ fault });
+  });
+  server.post<{ Params: { id: string } }>('/v1/targets/:id/leave', (request, reply) => {
+    options.receiveLeave(request.params.id, () => {
+      void reply.send({});
+    });
+    return reply;
+  });
+}
+
+function parseBody(body: unknown): unknown {
+  try {
+    return typeof body === 'string' ? JSON.parse(body) : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/node/createRequestNode.ts
@@ -0,0 +1,129 @@
+import { createBudgetController } from '../control/requests/budgetController.js';
+import { createDecisionController } from '../control/requests/decisionController.js';
+import { createEntryController } from '../control/requests/entryController.js';
+import type { EntryController } from '../control/requests/entryController.js';
+import type { RequestContext, RequestIo } from '../control/requests/context.js';
+import { createLinkController } from '../control/requests/linkController.js';
+import type { LinkController } from '../control/requests/linkController.js';
+import { createMemberController } from '../control/requests/memberController.js';
+import { createNodeController } from '../control/requests/nodeController.js';
+import { createQuarantineController } from '../control/requests/quarantineController.js';
+import { createRouteController } from '../control/requests/routeController.js';
+import { createRunController } from '../control/requests/runController.js';
+import { createRequestSections } from '../control/requests/sections.js';
+import type { RequestBoard, RequestPosts, RequestSections } from '../control/requests/sections.js';
+import { createSettingsController } from '../control/requests/settingsController.js';
+import { createTargetController } from '../control/requests/targetController.js';
+import type { Controller } from '../control/context.js';
+import { createBoard } from '../core/blackboard.js';
+import type { Clock } from '../core/clock.js';
+import { createDeadlineTimer } from '../core/deadlineTimer.js';
+import { generateId } from '../core/random.js';
+import type { Random } from '../core/random.js';
+import type { Heartbeat, NodeMember } from '../schema/nodeMember.js';
+import type { RequestSettings } from '../schema/requestSettings.js';
+
+export interface RequestNodeOptions extends RequestIo {
+  settings: RequestSettings;
+  clock: Clock;
+  random: Random;
+}
+
+/** A node for routed requests as functions, without any I/O of its own. */
+export interface RequestNode extends Pick<EntryController, 'acceptRequest'>, Pick<LinkController, 'acceptLink'> {
+  readonly board: RequestBoard;
+  receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void): void;
+  receiveLeave(id: string, acknowledge: () => void): void;
+  start(): void;
+  /** Takes no new work for the local target; calls back when nothing is in flight, or the grace time is almost over. */
+  stop(done: () => void): void;
+  /** Ends all controllers. */
+  close(): void;
+}
+
+const INCARNATION_DIGITS = 12;
+/** Clients learn from readiness within two questions, a second apart, that the node leaves (ms). */
+const LINGER_MS = 2600;
+const STOP_CHECK_MS = 50;
+/** Part of the grace time that is left for closing (ms). */
+const CLOSE_MS = 400;
+
+/**
+ * Creates a node over functions for its effects, so that the daemon and the tests run the same decisions.
+ *
+ * @example
+ * const node = createRequestNode({ settings, clock: createSystemClock(), random, ...io });
+ * node.start();
+ */
+export function createRequestNode(options: RequestNodeOptions): RequestNode {
+  const { settings, clock, random } = options;
+  const sections = createRequestSections({ settings, self: createSelf(options), nowMs: clock.now() });
+  const board = createBoard<RequestSections, RequestPosts>(sections);
+  const context: RequestContext = { board, clock, random, deadlines: createDeadlineTimer(clock), io: options };
+  const links = createLinkController(context);
+  const entries = createEntryController(context);
+  const controllers: Controller[] = [
+    createDecisionController(context),
+    createSettingsController(context),
+    createNodeController(context),
+    createTargetController(context),
+    createRunController(context),
+    createBudgetController(context),
+    createQuarantineController(context),
+    entries,
+    links,
+    createRouteController(context),
+    createMemberController(context),
+  ];
+  const waitIdle = (untilMs: number, notBeforeMs: number, done: () => void): void => {
+    const isIdle =
+      board.read('entries').open === 0 &&
+      board.read('runs').running.size === 0 &&
+      board.read('runs').queue.length === 0;
+    const nowMs = clock.now();
+    if (nowMs >= untilMs || (isIdle && nowMs >= notBeforeMs)) {
+      done();
+      return;
+    }
+    clock.schedule(STOP_CHECK_MS, () => {
+      waitIdle(untilMs, notBeforeMs, done);
+    });
+  };
+  return {
+    board,
+    acceptRequest: entries.acceptRequest,
+    acceptLink: links.acceptLink,
+    receiveHeartbeat: (id, heartbeat, acknowledge) => {
+      board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge });
+    },
+    receiveLeave: (id, acknowledge) => {
+      board.post('target', { type: 'leave', id, acknowledge });
+    },
+    start: () => {
+      for (const controller of controllers) controller.start();
+    },
+    stop: (done) => {
+      const { graceSeconds } = board.read('settings').current.bounds;
+      const nowMs = clock.now();
+      board.post('node', { type: 'stop' });
+      waitIdle(nowMs + graceSeconds * 1000 - CLOSE_MS, nowMs + LINGER_MS, done);
+    },
+    close: () => {
+      for (const controller of [...controllers].reverse()) controller.stop();
+    },
+  };
+}
+
+function createSelf({ settings, clock, random }: RequestNodeOptions): NodeMember {
+  const { host, dataCenter, region, service, linkListen } = settings;
+  return {
+    host,
+    dataCenter,
+    region,
+    service,
+    linkAddress: linkListen,
+    incarnation: generateId(random, INCARNATION_DIGITS),
+    startedAtMs: Math.round(clock.wallTime()),
+    revision: 0,
+  };
+}
--- /dev/null
+++ b/src/policy/attemptOutcome.ts
@@ -0,0 +1,55 @@
+import type { RunFailure } from '../schema/linkFrame.js';
+import type { Refusal } from '../schema/refusal.js';
+
+/** What is known when an attempt failed. */
+export interface FailedAttempt {
+  failure: RunFailure;
+  isIdempotent: boolean;
+  /** True when the request can be sent again: its whole body is at hand and no answer began. */
+  isRepeatable: boolean;
+  /** Attempts that may have reached a target, this one included. */
+  arrivals: number;
+  maxAttempts: number;
+  /** Nodes that refused the request without reaching a target. */
+  offers: number;
+  hasRetryToken: boolean;
+  timeLeftMs: number;
+  /** Least time that another attempt takes (ms). */
+  expectedMs: number;
+}
+
+/** `offer`: to another node at no cost; `retry`: to another target, which costs a token; else the final answer. */
+export type NextStep = { type: 'offer' } | { type: 'retry' } | { type: 'refuse'; refusal: Refusal };
+
+/** Nodes that may refuse a request before its client is told. */
+const MAX_OFFERS = 4;
+/** Time after which a client that was refused may find room (ms). */
+export const RETRY_AFTER_MS = 250;
+
+/**
+ * Decides what follows a failed attempt. A request goes to another target only where it has certainly not run, or may run
+ * twice; whatever may have reached a target costs a token of the fleet's retries.
+ *
+ * @example
+ * const step = decideNextStep(attempt);
+ */
+export function decideNextStep(attempt: FailedAttempt): NextStep {
+  const { failure, isRepeatable } = attempt;
+  const hasTime = attempt.timeLeftMs > attempt.expectedMs;
+  if (!failure.hasArrived) {
+    if (isRepeatable && hasTime && attempt.offers < MAX_OFFERS) return { type: 'offer' };
+    return { type: 'refuse', refusal: buildRefusal(failure) };
+  }
+  const mayRepeat = isRepeatable && (failure.ran === 'no' || attempt.isIdempotent);
+  if (mayRepeat && hasTime && attempt.arrivals < attempt.maxAttempts && attempt.hasRetryToken) return { type: 'retry' };
+  return { type: 'refuse', refusal: buildRefusal(failure) };
+}
+
+function buildRefusal(failure: RunFailure): Refusal {
+  const { kind, detail, ran } = failure;
+  if (ran !== 'no') return { kind: kind === 'timedOut' ? 'timedOut' : 'failed', detail: `${kind}: ${detail}` };
+  if (kind === 'tooLate') return { kind: 'tooLate', detail, retryAfterMs: RETRY_AFTER_MS };
+  if (kind === 'quarantined') return { kind: 'quarantined', detail };
+  const isRejected = kind === 'rejected' || kind === 'misdirected';
+  return { kind: isRejected ? 'rejected' : 'overloaded', detail: `${kind}: ${detail}`, retryAfterMs: RETRY_AFTER_MS };
+}
--- /dev/null
+++ b/src/policy/partChoice.ts
@@ -0,0 +1,32 @@
+import type { RoutePart } from '../schema/routeConfiguration.js';
+
+/** Credit of each service of one route; the sum stays 0. */
+export type PartCredits = Map<string, number>;
+
+/**
+ * Chooses the service of the next request of a route so that any run of requests is divided as the weights say: each
+ * service gains its weight, the one with most credit is chosen and pays the sum of the weights.
+ *
+ * @returns undefined when no part has weight.
+ * @example
+ * const service = choosePart(credits, [{ service: 'a', weight: 90 }, { service: 'b', weight: 10 }]);
+ */
+export function choosePart(credits: PartCredits, parts: readonly RoutePart[]): string | undefined {
+  const [first] = parts;
+  if (parts.length === 1) return first?.service;
+  let total = 0;
+  let best: string | undefined;
+  let bestCredit = -Infinity;
+  for (const { service, weight } of parts) {
+    if (weight <= 0) continue;
+    const credit = (credits.get(service) ?? 0) + weight;
+    credits.set(service, credit);
+    total += weight;
+    if (credit > bestCredit) {
+      best = service;
+      bestCredit = credit;
+    }
+  }
+  if (best !== undefined) credits.set(best, bestCredit - total);
+  return best;
+}
--- /dev/null
+++ b/src/policy/routeTable.ts
@@ -0,0 +1,62 @@
+import type { ReadView } from '../core/blackboard.js';
+import type { Route, RouteConfiguration } from '../schema/routeConfiguration.js';
+
+interface HostRoutes {
+  /** Lengths of the host's prefixes, longest first. */
+  lengths: number[];
+  byPrefix: Map<string, Route>;
+}
+
+/** A configuration in the form in which requests are matched against it. */
+export interface RouteTable {
+  readonly configuration: RouteConfiguration;
+  readonly byHost: ReadonlyMap<string, HostRoutes>;
+  readonly byName: ReadonlyMap<string, Route>;
+}
+
+/** Builds the table of a configuration. */
+export function buildRouteTable(configuration: RouteConfiguration): RouteTable {
+  const byHost = new Map<string, HostRoutes>();
+  const byName = new Map<string, Route>();
+  for (const route of configuration.routes) {
+    byName.set(route.name, route);
+    const host = route.host.toLowerCase();
+    let routes = byHost.get(host);
+    if (routes === undefined) byHost.set(host, (routes = { lengths: [], byPrefix: new Map() }));
+    routes.byPrefix.set(route.pathPrefix, route);
+  }
+  for (const routes of byHost.values()) {
+    const lengths = new Set([...routes.byPrefix.keys()].map((prefix) => prefix.length));
+    routes.lengths = [...lengths].sort((left, right) => right - left);
+  }
+  return { configuration, byHost, byName };
+}
+
+/**
+ * Finds the route of a request: among those of its host, the one with the longest prefix that begins its path.
+ *
+ * @param host The `Host` header as sent.
+ * @example
+ * const route = findRoute(table, 'shop.example:80', '/orders/17?full=1');
+ */
+export function findRoute(table: ReadView<RouteTable>, host: string, path: string): ReadView<Route> | undefined {
+  const routes = table.byHost.get(host) ?? table.byHost.get(normalizeHost(host));
+  if (routes === undefined) return undefined;
+  for (const length of routes.lengths) {
+    if (length > path.length) continue;
+    const route = routes.byPrefix.get(path.slice(0, length));
+    if (route !== undefined) return route;
+  }
+  return undefined;
+}
+
+function normalizeHost(host: string): string {
+  const colon = host.indexOf(':');
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
+}
+
+/** The services to which a route may send, with their weights. */
+export function listParts(route: ReadView<Route>): readonly { service: string; weight: number }[] {
+  if (route.parts !== undefined && route.parts !== null && route.parts.length > 0) return route.parts;
+  return typeof route.service === 'string' ? [{ service: route.service, weight: 1 }] : [];
+}
--- /dev/null
+++ b/src/transport/linkServer.ts
@@ -0,0 +1,56 @@
+import { createServer } from 'node:net';
+import type { Server } from 'node:net';
+import { FailureError } from '../schema/failure.js';
+import { parseAddress } from '../schema/requestSettings.js';
+import { createLinkStream } from './linkStream.js';
+import type { LinkStream, LinkStreamEvents } from './linkStream.js';
+
+export interface LinkServer {
+  /** `IP:PORT` that was bound. */
+  readonly address: string;
+  stop(): void;
+}
+
+/** Connections that may wait to be accepted when all peers connect at once. */
+const BACKLOG = 1024;
+
+/**
+ * Listens for connections of other nodes.
+ *
+ * @throws FailureError `listenFailed`.
+ */
+export async function startLinkServer(
+  listen: string,
+  accept: (stream: LinkStream) => LinkStreamEvents,
+): Promise<LinkServer> {
+  const server = createServer((socket) => {
+    const stream = createLinkStream(socket, {
+      receive: (frame) => {
+        events.receive(frame);
+      },
+      closed: (reason) => {
+        events.closed(reason);
+      },
+    });
+    const events = accept(stream);
+  });
+  const { host, port } = parseAddress(listen);
+  await openListener(server, host, port);
+  const bound = server.address();
+  return {
+    address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
+    stop: () => {
+      server.close();
+    },
+  };
+}
+
+function openListener(server: Server, host: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', (error) => {
+      const message = `cannot listen for other nodes: ${error.message}`;
+      reject(new FailureError({ kind: 'listenFailed', message, address: `${host}:${port}` }));
+    });
+    server.listen({ host, port, backlog: BACKLOG }, resolve);
+  });
+}
--- /dev/null
+++ b/src/transport/linkStream.ts
@@ -0,0 +1,117 @@
+import type { Socket } from 'node:net';
+import { Packr } from 'msgpackr';
+import { FailureError } from '../schema/failure.js';
+import { linkFrameSchema, MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
+import type { LinkFrame } from '../schema/linkFrame.js';
+import { compileSchema } from '../schema/validate.js';
+
+const LENGTH_BYTES = 4;
+const validator = compileSchema(linkFrameSchema);
+
+/** Frames over one connection: the length (4 bytes, big-endian), then one msgpack record. */
+export interface LinkStream {
+  send(frame: LinkFrame): void;
+  readonly waitingBytes: number;
+  close(): void;
+}
+
+export interface LinkStreamEvents {
+  receive(frame: LinkFrame): void;
+  /** The connection ended other than by `close`. */
+  closed(reason: string): void;
+}
+
+/**
+ * Exchanges frames over a socket. Record definitions are sent once per connection, so both ends keep them.
+ *
+ * @example
+ * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
+ * stream.send({ type: 'cancel', id: 7 });
+ */
+export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
+  const encoder = new Packr({ sequential: true });
+  const decoder = new Packr({ sequential: true });
+  let received: Buffer = Buffer.alloc(0);
+  let isCorked = false;
+  let isClosed = false;
+
+  const end = (reason: string): void => {
+    if (isClosed) return;
+    isClosed = true;
+    socket.destroy();
+    events.closed(reason);
+  };
+  const writeCorked = (): void => {
+    isCorked = false;
+    socket.uncork();
+  };
+  const receiveBytes = (chunk: Buffer): void => {
+    received = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
+    let start = 0;
+    while (!isClosed && received.length - start >= LENGTH_BYTES) {
+      const length = received.readUInt32BE(start);
+      if (length > MAX_LINK_FRAME_BYTES) {
+        end(`a frame of ${length} bytes`);
+        return;
+      }
+      const frameStart = start + LENGTH_BYTES;
+      if (received.length < frameStart + length) break;
+      start = frameStart + length;
+      receiveFrame(received.subarray(frameStart, start));
+    }
+    received = received.subarray(start);
+  };
+  const receiveFrame = (bytes: Buffer): void => {
+    let value: unknown;
+    try {
+      value = decoder.unpack(bytes);
+    } catch (error) {
+      end(`bytes that are not msgpack: ${String(error)}`);
+      return;
+    }
+    if (validator.isValid(value)) events.receive(value);
+    else end(`a frame that is not valid: ${validator.listFaults(value)[0]?.path ?? ''}`);
+  };
+  socket.setNoDelay(true);
+  socket.on('data', receiveBytes);
+  socket.on('error', (error) => {
+    end(error.message);
+  });
+  socket.on('close', () => {
+    end('the peer closed the connection');
+  });
+  socket.on('end', () => {
+    end('the peer closed the connection');
+  });
+  return {
+    send: (frame) => {
+      if (isClosed) return;
+      if (!isCorked) {
+        isCorked = true;
+        socket.cork();
+        process.nextTick(writeCorked);
+      }
+      const payload = encoder.pack(frame);
+      const length = Buffer.allocUnsafe(LENGTH_BYTES);
+      length.writeUInt32BE(payload.length);
+      socket.write(length);
+      socket.write(payload);
+    },
+    get waitingBytes() {
+      return socket.writableLength;
+    },
+    close: () => {
+      if (isClosed) return;
+      isClosed = true;
+      writeCorked();
+      socket.destroy();
+    },
+  };
+}
+
+/** Fails with `frameMalformed` when a frame of this process is not valid; for tests of senders. */
+export function checkLinkFrame(frame: unknown): asserts frame is LinkFrame {
+  if (validator.isValid(frame)) return;
+  const message = 'not a frame between nodes';
+  throw new FailureError({ kind: 'frameMalformed', message, faults: validator.listFaults(frame) });
+}
