See answers that are reset together with their last bytes as truncated

Ruled out: a wrong order of listeners; undici alone, which also treats ECONNRESET as the end of such an answer. Change: at the end of a connection a lost peer address marks it as failed. Test: 'reset at once' failed before.

--- a/src/http/targetConnections.ts
+++ b/src/http/targetConnections.ts
@@ -118,6 +118,10 @@
     }, CONNECT_TIMEOUT_MS);
     let isConnected = false;
     socket.setNoDelay(true);
+    // A reset that arrives together with the last bytes is reported as an end; only the lost peer address shows it.
+    socket.on('end', () => {
+      if (socket.remoteAddress === undefined) getConnection().hasFailed = true;
+    });
     socket.on('error', (error) => {
       clearTimeout(timer);
       getConnection().hasFailed = true;
--- /dev/null
+++ b/tests/requests/targetSender.test.ts
@@ -0,0 +1,184 @@
+import type { Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createSystemClock } from '../../src/core/clock.js';
+import { createTargetConnections } from '../../src/http/targetConnections.js';
+import { createTargetSender } from '../../src/http/targetSender.js';
+import type { RunRequest } from '../../src/schema/linkFrame.js';
+import { startRawTarget } from '../fixtures/rawTarget.js';
+import type { RawTarget } from '../fixtures/rawTarget.js';
+import { buildRunRequest, collectRun, testHeaderNames } from '../fixtures/requests.js';
+import type { RunEnd } from '../fixtures/requests.js';
+
+const OK = 'HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signature: s\r\n';
+
+describe('sending a request to a target', () => {
+  const cleanups: (() => void)[] = [];
+  afterEach(() => {
+    for (const run of cleanups.splice(0)) run();
+  });
+
+  async function startTarget(answer: (socket: Socket, chunk: string, index: number) => void): Promise<RawTarget> {
+    let index = 0;
+    const target = await startRawTarget((socket, chunk) => {
+      answer(socket, chunk, index++);
+    });
+    cleanups.push(target.stop);
+    return target;
+  }
+  function createSender(): (target: RawTarget, change?: Partial<RunRequest>) => Promise<RunEnd> {
+    const connections = createTargetConnections(createSystemClock());
+    cleanups.push(connections.stop);
+    const send = createTargetSender({ connections, names: testHeaderNames });
+    return (target, change) => {
+      const run = collectRun();
+      send({ address: target.address, targetId: 'i-1', request: buildRunRequest(change) }, run.events);
+      return run.end;
+    };
+  }
+
+  it('should pass a whole answer with its end-to-end headers on', async () => {
+    const target = await startTarget((socket) => {
+      socket.write(`${OK}test-load: 1,0,4\r\nX-Kept: yes\r\nKeep-Alive: timeout=5\r\nContent-Length: 4\r\n\r\nbody`);
+    });
+    const end = await createSender()(target);
+    expect(end).toEqual({
+      type: 'answered',
+      answer: {
+        status: 200,
+        headers: ['test-id', 'r1', 'test-signature', 's', 'X-Kept', 'yes', 'Content-Length', '4'],
+        body: expect.anything(),
+        isStreamed: false,
+      },
+      body: 'body',
+      wasStreamed: false,
+    });
+  });
+
+  it('should name the target, the caller and the time left, and nothing a client said of them', async () => {
+    const target = await startTarget((socket) => {
+      socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    await createSender()(target, { timeLeftMs: 812.6 });
+    expect(target.received[0] ?? '').toMatchRegex(/^GET \/stock\/1 HTTP\/1.1\r\n/);
+    expect(target.received[0] ?? '').toMatchRegex(/host: shop.example\r\n/i);
+    expect(target.received[0] ?? '').toMatchRegex(/test-time-left: 812\r\n/);
+    expect(target.received[0] ?? '').toMatchRegex(/test-target: i-1\r\n/);
+    expect(target.received[0] ?? '').toMatchRegex(/test-caller: orders\r\n/);
+  });
+
+  // Guards against answers that look complete to clients although the target broke off.
+  const broken: [string, (socket: Socket) => void][] = [
+    ['a length', (socket) => socket.end(`${OK}Content-Length: 9\r\n\r\npart`)],
+    [
+      'a length and a closing connection',
+      (socket) => socket.end(`${OK}Connection: close\r\nContent-Length: 9\r\n\r\npart`),
+    ],
+    ['chunks', (socket) => socket.end(`${OK}Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`)],
+    [
+      'chunks and a closing connection',
+      (socket) => socket.end(`${OK}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n`),
+    ],
+    ['half a chunk', (socket) => socket.end(`${OK}Transfer-Encoding: chunked\r\n\r\n9\r\npart`)],
+    [
+      'neither a length nor chunks, reset',
+      (socket) => {
+        socket.write(`${OK}\r\npart`);
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      },
+    ],
+    [
+      'neither a length nor chunks, reset at once',
+      (socket) => {
+        socket.write(`${OK}\r\npart`, () => socket.resetAndDestroy());
+      },
+    ],
+  ];
+  for (const [what, answer] of broken) {
+    it(`should report an answer with ${what} that breaks off as truncated`, async () => {
+      const target = await startTarget(answer);
+      const end = await createSender()(target);
+      expect(end).toEqual({
+        type: 'failed',
+        failure: { kind: 'answerTruncated', ran: 'unknown', hasArrived: true, detail: expect.a(String) },
+      });
+    });
+  }
+
+  it('should take an answer without length as whole when the target closes the connection', async () => {
+    const target = await startTarget((socket) => socket.end(`${OK}\r\nwhole`));
+    const end = await createSender()(target);
+    expect(end).toLooseEqual({ type: 'answered', answer: expect.anything(), body: 'whole', wasStreamed: false });
+  });
+
+  it('should refuse an answer to another request and close its connection', async () => {
+    const target = await startTarget((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\ntest-id: other\r\ntest-signature: s\r\nContent-Length: 0\r\n\r\n');
+    });
+    const end = await createSender()(target);
+    expect(end).toLooseEqual({
+      type: 'failed',
+      failure: { kind: 'answerInvalid', ran: 'unknown', hasArrived: true, detail: expect.a(String) },
+    });
+  });
+
+  it('should not give the second answer on a connection to the next request', async () => {
+    const target = await startTarget((socket, chunk) => {
+      const id = /test-id: (\w+)/.exec(chunk)?.[1] ?? '';
+      const answer = `HTTP/1.1 200 OK\r\ntest-id: ${id}\r\ntest-signature: s\r\nContent-Length: 2\r\n\r\n${id}`;
+      socket.write(answer);
+      setTimeout(() => socket.write(answer), 5);
+    });
+    const send = createSender();
+    const first = await send(target, { requestId: 'a1' });
+    await new Promise((resolve) => setTimeout(resolve, 30));
+    const second = await send(target, { requestId: 'a2' });
+    expect([first, second].map((end) => (end.type === 'answered' ? end.body : end.failure.kind))).toEqual(['a1', 'a2']);
+  });
+
+  it('should say that a request which the target rejected has not run', async () => {
+    const target = await startTarget((socket) => {
+      socket.write('HTTP/1.1 503 Busy\r\ntest-id: r1\r\ntest-not-run: 1\r\nContent-Length: 0\r\n\r\n');
+    });
+    const end = await createSender()(target);
+    expect(end).toLooseEqual({
+      type: 'failed',
+      failure: { kind: 'rejected', ran: 'no', hasArrived: true, detail: expect.a(String) },
+    });
+  });
+
+  it('should write an idempotent request again when its idle connection was dead', async () => {
+    const target = await startTarget((socket, _chunk, index) => {
+      if (index === 1) socket.resetAndDestroy();
+      else socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    const send = createSender();
+    await send(target);
+    const end = await send(target);
+    expect([end.type, target.connections.length]).toEqual(['answered', 2]);
+  });
+
+  it('should not write a non-idempotent request again after a reset', async () => {
+    const target = await startTarget((socket, _chunk, index) => {
+      if (index === 1) socket.resetAndDestroy();
+      else socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    const send = createSender();
+    await send(target, { isIdempotent: false });
+    const end = await send(target, { isIdempotent: false });
+    expect(end).toLooseEqual({
+      type: 'failed',
+      failure: { kind: 'connectionLost', ran: 'unknown', hasArrived: true, detail: expect.a(String) },
+    });
+    expect(target.received.join('').match(/GET/g)?.length).toEqual(2);
+  });
+
+  it('should stream a long answer', async () => {
+    const body = 'x'.repeat(100_000);
+    const target = await startTarget((socket) => {
+      socket.write(`${OK}Content-Length: ${body.length}\r\n\r\n${body}`);
+    });
+    const end = await createSender()(target);
+    expect(end.type === 'answered' && end.wasStreamed && end.body === body).toEqual(true);
+  });
+});
