Keep links and their requests when an address is reused or a connection breaks twice

The timer that gives up the requests of a broken connection fell into a later break. Change: a hello names the host that is meant; of two records with one address the later start stays and the earlier is dropped from the store; the timer belongs to one break; the first redial follows at once; a request that never arrived is offered to the same host again; the end of an accepted connection is logged. Tests: tests/requests/links.test.ts on a fake clock; 'breaks twice' fails without the fix.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -41,6 +41,8 @@
   /** Values of type `NodeMember`, by host. */
   memberTopic: KeyedTopic;
   writeMember: (member: NodeMember, done: (outcome: StoreWrite) => void) => void;
+  /** Drops the record of a host that is gone. */
+  dropMember: (host: string, done: (outcome: StoreWrite) => void) => void;
   /** Writes lines of the log; `done` when more may follow. */
   writeLines: (lines: readonly string[], done: () => void) => void;
 }
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -158,7 +158,8 @@
   const receiveFailure = (entry: Entry, attempt: RunAttempt, failure: RunFailure): void => {
     if (entry.isEnded || entry.attempt !== attempt) return;
     const { route, request, service } = entry;
-    entry.triedHosts.add(attempt.host);
+    // A request that was lost on the way to a host may be offered there again.
+    if (failure.kind !== 'linkLost' || failure.hasArrived) entry.triedHosts.add(attempt.host);
     if (failure.hasArrived) entry.arrivals++;
     else entry.offers++;
     const timeLeftMs = entry.deadlineAtMs - clock.now();
--- a/src/control/requests/incomingRuns.ts
+++ b/src/control/requests/incomingRuns.ts
@@ -55,6 +55,7 @@
   let connection: LinkConnection | undefined;
   let incarnation = '';
   let highestId = -1;
+  let detachments = 0;
 
   const keep = (frame: FinalFrame): void => {
     const bytes = frame.type === 'answer' ? frame.body.length : 0;
@@ -135,8 +136,9 @@
     detach: (closed) => {
       if (connection !== closed) return;
       connection = undefined;
+      const detachment = ++detachments;
       clock.schedule(RETURN_MS, () => {
-        if (connection === undefined) cancelAll();
+        if (connection === undefined && detachment === detachments) cancelAll();
       });
     },
     isCurrent: (candidate) => connection === candidate,
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -22,7 +22,7 @@
 const IDLE_SILENCE_MS = 3500;
 /** Time in which a broken connection may be replaced before its requests are given up (ms). */
 const REPLACE_MS = 500;
-const FIRST_REDIAL_MS = 100;
+const FIRST_REDIAL_MS = 10;
 const LONGEST_REDIAL_MS = 1000;
 /** Time that a peer may be ahead before it is asked, so that the store usually tells first (ms). */
 const PULL_AFTER_MS = 200;
@@ -41,6 +41,8 @@
   closeDial: () => void;
   redialMs: number;
   lostAtMs: number;
+  /** The peer is no longer a member. */
+  isRemoved: boolean;
   /** When requests began to wait without a break. */
   waitingSinceMs: number;
 }
@@ -106,14 +108,16 @@
   };
 
   const dial = (lane: OutgoingLane): void => {
-    if (isStopped || lane.connection !== undefined || lane.peer.lanes[lane.lane].phase !== 'down') return;
+    if (isStopped || lane.isRemoved || lane.connection !== undefined || lane.peer.lanes[lane.lane].phase !== 'down')
+      return;
     lane.peer.lanes[lane.lane].phase = 'dialling';
     lane.closeDial = io.dialLink(lane.address, {
       opened: (connection) => {
         lane.connection = connection;
         lane.peer.lanes[lane.lane].lastHeardMs = clock.now();
         const { self } = board.read('members');
-        connection.send({ type: 'hello', member: self, lane: lane.lane, pending: lane.runs.listPending() });
+        const pending = lane.runs.listPending();
+        connection.send({ type: 'hello', to: lane.peer.host, member: self, lane: lane.lane, pending });
       },
       receive: (frame) => {
         receiveOutgoing(lane, frame);
@@ -149,6 +153,7 @@
     if (lane.connection === undefined) return;
     if (member.host !== lane.peer.host) {
       replace(lane, `host ${member.host} answered at ${lane.address}`);
+      board.post('members', { type: 'learn', members: [member], source: member.host, isComplete: false });
       return;
     }
     if (lane.incarnation !== '' && lane.incarnation !== member.incarnation) {
@@ -235,6 +240,7 @@
           closeDial: () => undefined,
           redialMs: FIRST_REDIAL_MS,
           lostAtMs: 0,
+          isRemoved: false,
           waitingSinceMs: 0,
         };
         outgoing.set(key, entry);
@@ -246,9 +252,18 @@
     }
   };
   const openAll = (): void => {
-    for (const member of board.read('members').byHost.values()) openLanes(member as NodeMember);
+    const { byHost: known } = board.read('members');
+    for (const member of known.values()) openLanes(member as NodeMember);
+    for (const [key, lane] of outgoing) if (!known.has(lane.peer.host)) closeLane(key, lane);
     spreadSelf();
   };
+  const closeLane = (key: string, lane: OutgoingLane): void => {
+    outgoing.delete(key);
+    byHost.delete(lane.peer.host);
+    lane.isRemoved = true;
+    lane.closeDial();
+    lane.runs.failAll(`${lane.peer.host} is no longer a member`);
+  };
   const spreadSelf = (): void => {
     const { self } = board.read('members');
     if (self.revision === sentRevision) return;
@@ -295,7 +310,7 @@
       incoming.set(key, lane);
     }
     const { self, byHost: known } = board.read('members');
-    connection.send({ type: 'hello', member: self as NodeMember, lane: hello.lane, pending: [] });
+    connection.send({ type: 'hello', to: host, member: self as NodeMember, lane: hello.lane, pending: [] });
     const record = known.get(host);
     if (record !== undefined && record.incarnation !== hello.member.incarnation) {
       connection.send({ type: 'members', members: [record as NodeMember] });
@@ -305,22 +320,31 @@
     board.post('members', { type: 'learn', members: [hello.member], source: host, isComplete: false });
     return lane;
   };
+  /** Tells a peer that means an earlier host at this address which one is here. */
+  const refuseHello = (connection: LinkConnection, { member, to, lane }: HelloFrame): void => {
+    const { self } = board.read('members');
+    board.post('decisions', { kind: 'linkChanged', outcome: 'refused', inputs: { peer: member.host, to } });
+    connection.send({ type: 'hello', to: member.host, member: self as NodeMember, lane, pending: [] });
+  };
   const acceptLink = (connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'> => {
     accepted.add(connection);
     let lane: IncomingLane | undefined;
     return {
       receive: (frame) => {
         if (frame.type === 'hello') {
-          lane = acceptHello(connection, frame);
+          if (frame.to === board.read('members').self.host) lane = acceptHello(connection, frame);
+          else refuseHello(connection, frame);
         } else if (lane?.runs.isCurrent(connection) === true) {
           lane.usedAtMs = clock.now();
           lane.runs.receive(frame);
           receiveNews(lane.host, frame, connection);
         }
       },
-      closed: () => {
+      closed: (reason) => {
         accepted.delete(connection);
         lane?.runs.detach(connection);
+        const inputs = { peer: lane?.host, open: lane?.runs.openCount, detail: reason };
+        board.post('decisions', { kind: 'linkChanged', outcome: 'accepted one ended', inputs });
       },
     };
   };
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -19,6 +19,7 @@
   const members = board.claim('members', 'memberController');
   const { section } = members;
   const waiting: { revision: number; run: () => void }[] = [];
+  const dropped = new Set<string>();
   let writtenRevision = -1;
   let isWriting = false;
   let isStopped = false;
@@ -59,13 +60,46 @@
     // The time of day may have jumped back since the earlier process of this host started.
     if (record.startedAtMs >= section.self.startedAtMs) changeSelf({ startedAtMs: record.startedAtMs + 1 });
   };
+  const remove = (host: string, reason: string): boolean => {
+    if (!section.byHost.delete(host)) return false;
+    board.post('decisions', { kind: 'memberChanged', outcome: 'removed', inputs: { host, reason } });
+    return true;
+  };
+  /** Drops the record of an earlier host at this node's address. */
+  const dropPredecessor = (host: string): void => {
+    if (dropped.has(host)) return;
+    dropped.add(host);
+    io.dropMember(host, (outcome) => {
+      if (outcome.type !== 'written') dropped.delete(host);
+      const inputs = { host, address: section.self.linkAddress };
+      board.post('decisions', {
+        kind: 'memberChanged',
+        outcome: `earlier host at this address: ${outcome.type}`,
+        inputs,
+      });
+    });
+  };
+  /** Of two hosts with one address, only the one that started later can be there. */
+  const yieldAddress = (record: NodeMember): boolean => {
+    const { self } = section;
+    if (record.linkAddress === self.linkAddress) {
+      dropPredecessor(record.host);
+      return false;
+    }
+    for (const other of section.byHost.values()) {
+      if (other.linkAddress !== record.linkAddress || other.host === record.host) continue;
+      if (other.startedAtMs > record.startedAtMs) return false;
+      remove(other.host, `${record.host} has its address`);
+    }
+    return true;
+  };
   const learn = (record: NodeMember, source: string): boolean => {
     if (record.host === section.self.host) {
       learnSelf(record);
       return false;
     }
     const known = section.byHost.get(record.host);
-    if (!isNewerMember(record, known)) return false;
+    if (!isNewerMember(record, known) || !yieldAddress(record)) return false;
     section.byHost.set(record.host, record);
     const inputs = {
       host: record.host,
@@ -86,6 +120,11 @@
     const outcome = detail === undefined ? 'store reached' : 'store lost';
     board.post('decisions', { kind: 'storeChanged', outcome, inputs: { detail } });
   };
+  /** Takes a dropped record out, unless the host proves to be there by its link. */
+  const forget = (host: string): void => {
+    if (host === section.self.host) writtenRevision = -1;
+    else if (remove(host, 'its record was dropped')) members.publishChange();
+  };
   const learnAll = (records: readonly NodeMember[], source: string, isComplete: boolean): void => {
     let hasChanged = isComplete && !section.isComplete;
     for (const record of records) hasChanged = learn(record, source) || hasChanged;
@@ -109,6 +148,7 @@
         topic: io.memberTopic,
         pauseMs: READ_PAUSE_MS,
         apply: (records, isComplete) => {
+          for (const { key, value } of records) if (value === undefined) forget(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
           learnAll(values, 'store', isComplete);
         },
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -22,6 +22,7 @@
   configurationTopic: KeyedTopic;
   memberTopic: KeyedTopic;
   writeMember: RequestIo['writeMember'];
+  dropMember: RequestIo['dropMember'];
 }
 
 export interface RequestDaemon {
@@ -54,6 +55,7 @@
     configurationTopic: options.configurationTopic,
     memberTopic: options.memberTopic,
     writeMember: options.writeMember,
+    dropMember: options.dropMember,
     writeLines: createLineWriter(STDOUT),
   });
   const { board } = node;
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -92,6 +92,8 @@
 
 export const helloFrameSchema = Type.Object({
   type: Type.Literal('hello'),
+  /** The host that the sender means; another one may have its address by now. */
+  to: Type.String(),
   member: nodeMemberSchema,
   lane: linkLaneSchema,
   /** Runs of earlier connections for whose outcome the sender waits. */
--- /dev/null
+++ b/tests/requests/links.test.ts
@@ -0,0 +1,83 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
+import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
+
+const configuration = buildRouteConfiguration(1, [buildRoute('check', 'stock')]);
+const hosts: FleetHost[] = [
+  { host: 'a1', dataCenter: 'd1', service: 'orders' },
+  { host: 'a2', dataCenter: 'd1', service: 'stock' },
+];
+
+function listDowns(fleet: RequestFleet): unknown[] {
+  return fleet.lines.filter(({ kind, outcome }) => kind === 'linkChanged' && outcome === 'down');
+}
+
+describe('links between nodes', () => {
+  it('should deliver the answer of a request whose connection was reset meanwhile', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const sent = fleet.send('a1');
+    fleet.clock.advance(10);
+    fleet.links.reset('a1', 'a2');
+    fleet.clock.advance(100);
+    expect(Buffer.from(sent.answer?.body ?? []).toString()).toEqual('i-a2:r1');
+    expect(fleet.targets.get('a2')?.ran).toEqual(['r1']);
+  });
+
+  // Guards against the timer of an earlier break that fell into a later one.
+  it('should not cancel a running request when its connection breaks twice within a second', () => {
+    const fleet = createRequestFleet({
+      hosts,
+      configuration: buildRouteConfiguration(1, [buildRoute('check', 'stock', { timeoutMs: 5000 })]),
+    });
+    const target = fleet.targets.get('a2');
+    if (target !== undefined) target.durationMs = 1500;
+    const sent = fleet.send('a1', { timeLeftMs: 5000 });
+    fleet.clock.advance(10);
+    fleet.links.reset('a1', 'a2');
+    fleet.clock.advance(995);
+    fleet.links.reset('a1', 'a2');
+    fleet.clock.advance(2000);
+    expect(sent.answer?.status).toEqual(200);
+  });
+
+  it('should run a request once when its answer was lost with the connection', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const sent = fleet.send('a1');
+    fleet.clock.advance(21.5);
+    fleet.links.reset('a1', 'a2');
+    fleet.clock.advance(100);
+    expect(sent.answer?.status).toEqual(200);
+    expect(fleet.targets.get('a2')?.ran).toEqual(['r1']);
+  });
+
+  it('should replace a connection that went silent and go on with its requests', () => {
+    const fleet = createRequestFleet({
+      hosts,
+      configuration: buildRouteConfiguration(1, [buildRoute('check', 'stock', { timeoutMs: 5000 })]),
+    });
+    fleet.links.silence('a1', 'a2');
+    const sent = fleet.send('a1', { timeLeftMs: 5000 });
+    fleet.clock.advance(1500);
+    expect(sent.answer?.status ?? sent.refusal?.kind).toEqual(200);
+  });
+
+  // Guards against two links of one peer that void each other for ever.
+  it('should keep its links when a new host has the address of one that is gone', () => {
+    const reused: FleetHost[] = [
+      ...hosts,
+      { host: 'a3', dataCenter: 'd1', service: 'stock', linkAddress: '10.0.0.9:7000' },
+    ];
+    const fleet = createRequestFleet({ hosts: reused, configuration });
+    fleet.killNode('a3');
+    fleet.targets.delete('a3');
+    fleet.clock.advance(500);
+    fleet.startNode('a4', { linkListen: '10.0.0.9:7000' });
+    fleet.clock.advance(3000);
+    const before = listDowns(fleet).length;
+    fleet.clock.advance(5000);
+    expect(listDowns(fleet).length - before).toEqual(0);
+    expect([...(fleet.nodes.get('a1')?.board.read('links').byHost.keys() ?? [])].sort()).toEqual(['a2', 'a4']);
+    expect(fleet.store.records.members.filter(({ key }) => key === 'a3').at(-1)?.value).toEqual(undefined);
+  });
+});
