Split the links, test leaving, configuration and entry on a fake fleet

Found by the new tests, each failing first: a node that started while the store was away never became ready when a peer knew as many nodes as it did; a restarted node did not learn from its peers that its target had left while the store was away, so late heartbeats would have been believed. Change: peers are asked for members until the list is complete; a peer that dials a restarted node tells what it had published before.

--- /dev/null
+++ b/src/control/requests/incomingLinks.ts
@@ -0,0 +1,122 @@
+import type { HelloFrame, StatusFrame } from '../../schema/linkFrame.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
+import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
+import { createIncomingRuns } from './incomingRuns.js';
+import type { IncomingRuns } from './incomingRuns.js';
+import type { LinkNews } from './linkNews.js';
+import { readOwnLoad } from './ownLoad.js';
+
+/** Periods of status frames on connections with requests and without (ms). */
+const ACTIVE_STATUS_MS = 250;
+const IDLE_STATUS_MS = 1000;
+
+interface IncomingLane {
+  readonly host: string;
+  readonly runs: IncomingRuns;
+  statusAtMs: number;
+  usedAtMs: number;
+}
+
+/** The connections that other nodes opened, over which they send requests. */
+export interface IncomingLinks {
+  accept(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
+  /** Sends the status of this node to all peers, at once or where it is due. */
+  spreadStatus(options?: { isDueOnly: boolean }): void;
+  stop(): void;
+}
+
+/** Creates the accepting side of all links. */
+export function createIncomingLinks(context: RequestContext, options: { news: LinkNews }): IncomingLinks {
+  const { board, clock } = context;
+  const incoming = new Map<string, IncomingLane>();
+  const accepted = new Set<LinkConnection>();
+
+  const buildStatus = (): StatusFrame => ({
+    type: 'status',
+    load: readOwnLoad(board, clock.now()),
+    configurationVersion: board.read('routes').version,
+    memberCount: board.read('members').byHost.size + 1,
+  });
+  const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
+    lane.statusAtMs = clock.now();
+    lane.runs.send(status);
+  };
+  const getLane = ({ member: { host }, lane }: HelloFrame): IncomingLane => {
+    const key = `${lane} ${host}`;
+    let entry = incoming.get(key);
+    if (entry === undefined) {
+      const runs = createIncomingRuns({
+        host,
+        clock,
+        accept: (attempt) => {
+          board.post('runs', { type: 'accept', attempt });
+        },
+        readLoad: () => readOwnLoad(board, clock.now()),
+      });
+      entry = { host, runs, statusAtMs: 0, usedAtMs: 0 };
+      incoming.set(key, entry);
+    }
+    return entry;
+  };
+  const sendHello = (connection: LinkConnection, hello: HelloFrame): void => {
+    const { self } = board.read('members');
+    const { member, lane } = hello;
+    connection.send({ type: 'hello', to: member.host, member: self as NodeMember, lane, pending: [] });
+  };
+  const acceptHello = (connection: LinkConnection, hello: HelloFrame): IncomingLane => {
+    const { host, incarnation } = hello.member;
+    const lane = getLane(hello);
+    sendHello(connection, hello);
+    const record = board.read('members').byHost.get(host);
+    // A restarted process learns from its peers what it published before, also while the store is away.
+    if (record !== undefined && record.incarnation !== incarnation) {
+      connection.send({ type: 'members', members: [record as NodeMember] });
+    }
+    lane.runs.attach(connection, hello);
+    sendStatus(lane, buildStatus());
+    board.post('members', { type: 'learn', members: [hello.member], source: host, isComplete: false });
+    return lane;
+  };
+  /** Tells a peer that means an earlier host at this address which one is here. */
+  const refuseHello = (connection: LinkConnection, hello: HelloFrame): void => {
+    const inputs = { peer: hello.member.host, to: hello.to };
+    board.post('decisions', { kind: 'linkChanged', outcome: 'refused', inputs });
+    sendHello(connection, hello);
+  };
+  return {
+    accept: (connection) => {
+      accepted.add(connection);
+      let lane: IncomingLane | undefined;
+      return {
+        receive: (frame) => {
+          if (frame.type === 'hello') {
+            if (frame.to === board.read('members').self.host) lane = acceptHello(connection, frame);
+            else refuseHello(connection, frame);
+          } else if (lane?.runs.isCurrent(connection) === true) {
+            lane.usedAtMs = clock.now();
+            lane.runs.receive(frame);
+            options.news.receive(lane.host, frame, connection);
+          }
+        },
+        closed: (reason) => {
+          accepted.delete(connection);
+          lane?.runs.detach(connection);
+          const inputs = { peer: lane?.host, open: lane?.runs.openCount, detail: reason };
+          board.post('decisions', { kind: 'linkChanged', outcome: 'accepted one ended', inputs });
+        },
+      };
+    },
+    spreadStatus: ({ isDueOnly } = { isDueOnly: false }) => {
+      const nowMs = clock.now();
+      const status = buildStatus();
+      for (const lane of incoming.values()) {
+        const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < IDLE_STATUS_MS;
+        const periodMs = isActive ? ACTIVE_STATUS_MS : IDLE_STATUS_MS;
+        if (!isDueOnly || nowMs - lane.statusAtMs >= periodMs) sendStatus(lane, status);
+      }
+    },
+    stop: () => {
+      for (const connection of accepted) connection.close();
+    },
+  };
+}
--- /dev/null
+++ b/src/control/requests/linkNews.ts
@@ -0,0 +1,72 @@
+import type { LinkFrame } from '../../schema/linkFrame.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
+import type { LinkConnection, RequestContext } from './context.js';
+import type { PeerState } from './sections.js';
+
+/** Time that a peer may be ahead before it is asked, so that the store usually tells first (ms). */
+const PULL_AFTER_MS = 200;
+
+/** What nodes tell each other besides requests: members, configurations and crash reports. */
+export interface LinkNews {
+  /** Takes a frame with news or a question; `connection` is where it came from. */
+  receive(host: string, frame: LinkFrame, connection: LinkConnection | undefined): void;
+  /** Chooses which peers to ask for what this node lacks. */
+  listPulls(): { host: string; what: 'members' | 'configuration' }[];
+}
+
+/** Creates the exchange of news with peers. */
+export function createLinkNews({ board, clock }: RequestContext): LinkNews {
+  let behindSinceMs: number | undefined;
+
+  const respondToPull = (what: 'members' | 'configuration', connection: LinkConnection | undefined): void => {
+    const { self, byHost } = board.read('members');
+    if (what === 'members') {
+      connection?.send({ type: 'members', members: [...byHost.values(), self] as NodeMember[] });
+      return;
+    }
+    const configuration = board.read('routes').table?.configuration;
+    if (configuration !== undefined) connection?.send({ type: 'configuration', configuration: configuration as never });
+  };
+  const findAhead = (): PeerState | undefined => {
+    let ahead: PeerState | undefined;
+    for (const peer of board.read('links').byHost.values()) {
+      if (peer.lanes.routine.phase !== 'up') continue;
+      if (peer.configurationVersion > (ahead?.configurationVersion ?? board.read('routes').version)) ahead = peer;
+    }
+    return ahead;
+  };
+  const findBetterKnowing = (): PeerState | undefined => {
+    const { isComplete, storeHeardMs, byHost } = board.read('members');
+    if (isComplete && storeHeardMs !== undefined) return undefined;
+    for (const peer of board.read('links').byHost.values()) {
+      const hasMore = !isComplete || peer.memberCount > byHost.size + 1;
+      if (peer.lanes.routine.phase === 'up' && hasMore) return peer;
+    }
+    return undefined;
+  };
+  return {
+    receive: (host, frame, connection) => {
+      if (frame.type === 'members') {
+        const isComplete = frame.members.length > 1;
+        board.post('members', { type: 'learn', members: frame.members, source: host, isComplete });
+      } else if (frame.type === 'configuration') {
+        board.post('routes', { configuration: frame.configuration, source: host });
+      } else if (frame.type === 'crash') {
+        const { reportId, fingerprints } = frame;
+        board.post('quarantine', { type: 'report', reportId, fingerprints, source: host });
+      } else if (frame.type === 'pull') {
+        respondToPull(frame.what, connection);
+      }
+    },
+    listPulls: () => {
+      const pulls: ReturnType<LinkNews['listPulls']> = [];
+      const ahead = findAhead();
+      if (ahead === undefined) behindSinceMs = undefined;
+      else if ((behindSinceMs ??= clock.now()) + PULL_AFTER_MS <= clock.now())
+        pulls.push({ host: ahead.host, what: 'configuration' });
+      const better = findBetterKnowing();
+      if (better !== undefined) pulls.push({ host: better.host, what: 'members' });
+      return pulls;
+    },
+  };
+}
--- /dev/null
+++ b/src/control/requests/outgoingLinks.ts
@@ -0,0 +1,263 @@
+import type { HelloFrame, LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
+import { chooseLane } from './context.js';
+import type { LinkConnection, RequestContext } from './context.js';
+import type { LinkNews } from './linkNews.js';
+import { createOutgoingRuns } from './outgoingRuns.js';
+import type { OutgoingRuns } from './outgoingRuns.js';
+import type { RunAttempt } from './runPort.js';
+import { createUnknownLoad } from './sections.js';
+import type { PeerState, RequestSections } from './sections.js';
+
+/** Silence after which a connection with waiting requests is replaced (ms). */
+const ACTIVE_SILENCE_MS = 750;
+const IDLE_SILENCE_MS = 3500;
+/** Time in which a broken connection may be replaced before its requests are given up (ms). */
+const REPLACE_MS = 500;
+const FIRST_REDIAL_MS = 10;
+const LONGEST_REDIAL_MS = 1000;
+/** Bytes that may wait in a connection before it counts as stalled. */
+const STALLED_BYTES = 8 * 1024 * 1024;
+
+const lanes: readonly LinkLane[] = ['urgent', 'routine'];
+
+interface OutgoingLane {
+  readonly peer: PeerState;
+  readonly lane: LinkLane;
+  readonly runs: OutgoingRuns;
+  address: string;
+  connection: LinkConnection | undefined;
+  incarnation: string;
+  closeDial: () => void;
+  redialMs: number;
+  lostAtMs: number;
+  /** When requests began to wait without a break. */
+  waitingSinceMs: number;
+  /** The peer is no longer a member. */
+  isRemoved: boolean;
+}
+
+/** The connections that this node opened, over which it sends requests. */
+export interface OutgoingLinks {
+  /** Opens connections to new members, and closes those to hosts that are none any more. */
+  follow(members: ReadonlyMap<string, unknown>): void;
+  sendRun(attempt: RunAttempt): void;
+  /** Sends a frame to one peer, or to all. */
+  send(frame: LinkFrame, host?: string): void;
+  /** Replaces silent and stalled connections, gives up requests that cannot be continued. */
+  check(nowMs: number, lateMs: number): void;
+  stop(): void;
+}
+
+/** Creates the opening side of all links; writes the peers of the links section. */
+export function createOutgoingLinks(
+  context: RequestContext,
+  section: RequestSections['links'],
+  options: { news: LinkNews; publishChange: () => void },
+): OutgoingLinks {
+  const { board, clock, random, io } = context;
+  const { byHost } = section;
+  const outgoing = new Map<string, OutgoingLane>();
+  let isStopped = false;
+
+  const buildKey = (host: string, lane: LinkLane): string => `${lane} ${host}`;
+  const reportLink = (lane: OutgoingLane, outcome: string, detail: string): void => {
+    const inputs = { peer: lane.peer.host, lane: lane.lane, pending: lane.runs.pendingCount, detail };
+    board.post('decisions', { kind: 'linkChanged', outcome, inputs });
+  };
+  const dial = (lane: OutgoingLane): void => {
+    const state = lane.peer.lanes[lane.lane];
+    if (isStopped || lane.isRemoved || state.phase !== 'down') return;
+    state.phase = 'dialling';
+    lane.closeDial = io.dialLink(lane.address, {
+      opened: (connection) => {
+        lane.connection = connection;
+        state.lastHeardMs = clock.now();
+        const { self } = board.read('members');
+        const pending = lane.runs.listPending();
+        connection.send({ type: 'hello', to: lane.peer.host, member: self as NodeMember, lane: lane.lane, pending });
+      },
+      receive: (frame) => {
+        receive(lane, frame);
+      },
+      closed: (reason) => {
+        lose(lane, reason);
+      },
+    });
+  };
+  const lose = (lane: OutgoingLane, reason: string): void => {
+    const state = lane.peer.lanes[lane.lane];
+    if (state.phase === 'down') return;
+    if (state.phase === 'up') {
+      lane.lostAtMs = clock.now();
+      reportLink(lane, 'down', reason);
+    }
+    state.phase = 'down';
+    lane.connection = undefined;
+    lane.closeDial = () => undefined;
+    lane.runs.detach();
+    options.publishChange();
+    const pauseMs = lane.redialMs * (0.5 + random());
+    lane.redialMs = Math.min(LONGEST_REDIAL_MS, lane.redialMs * 2);
+    clock.schedule(pauseMs, () => {
+      dial(lane);
+    });
+  };
+  const replace = (lane: OutgoingLane, reason: string): void => {
+    lane.closeDial();
+    lose(lane, reason);
+  };
+  const receiveHello = (lane: OutgoingLane, { member }: HelloFrame): void => {
+    if (lane.connection === undefined) return;
+    if (member.host !== lane.peer.host) {
+      replace(lane, `host ${member.host} answered at ${lane.address}`);
+      board.post('members', { type: 'learn', members: [member], source: member.host, isComplete: false });
+      return;
+    }
+    if (lane.incarnation !== '' && lane.incarnation !== member.incarnation) {
+      lane.runs.failAll(`the process of ${lane.peer.host} was restarted`);
+    }
+    sendPast(lane.connection, member);
+    lane.incarnation = member.incarnation;
+    lane.redialMs = FIRST_REDIAL_MS;
+    lane.peer.lanes[lane.lane].phase = 'up';
+    lane.runs.attach(lane.connection);
+    reportLink(lane, 'up', '');
+    board.post('members', { type: 'learn', members: [member], source: lane.peer.host, isComplete: false });
+    options.publishChange();
+  };
+  /** A restarted process learns from its peers what it published before, also while the store is away. */
+  const sendPast = (connection: LinkConnection, member: NodeMember): void => {
+    const record = board.read('members').byHost.get(member.host);
+    if (record === undefined || record.incarnation === member.incarnation) return;
+    connection.send({ type: 'members', members: [record as NodeMember] });
+  };
+  const receiveStatus = (peer: PeerState, frame: StatusFrame): void => {
+    const hasChanged = peer.load.phase !== frame.load.phase || peer.load.targetId !== frame.load.targetId;
+    putLoad(peer, frame.load);
+    peer.configurationVersion = frame.configurationVersion;
+    peer.memberCount = frame.memberCount;
+    if (hasChanged) options.publishChange();
+  };
+  const putLoad = (peer: PeerState, load: PeerState['load']): void => {
+    peer.load = load;
+    peer.loadAtMs = clock.now();
+    peer.sentSinceReport = 0;
+  };
+  const receive = (lane: OutgoingLane, frame: LinkFrame): void => {
+    const { peer } = lane;
+    peer.lanes[lane.lane].lastHeardMs = clock.now();
+    if (frame.type === 'answer' || frame.type === 'failed') putLoad(peer, frame.load);
+    if (lane.runs.receive(frame)) return;
+    if (frame.type === 'hello') receiveHello(lane, frame);
+    else if (frame.type === 'status') receiveStatus(peer, frame);
+    else options.news.receive(peer.host, frame, lane.connection);
+  };
+  const getPeer = (host: string): PeerState => {
+    let peer = byHost.get(host);
+    if (peer === undefined) byHost.set(host, (peer = createPeer(host)));
+    return peer;
+  };
+  const open = (member: NodeMember): void => {
+    const peer = getPeer(member.host);
+    for (const lane of lanes) {
+      const key = buildKey(member.host, lane);
+      const known = outgoing.get(key);
+      if (known === undefined) {
+        const entry = createLane(peer, lane, member.linkAddress);
+        outgoing.set(key, entry);
+        dial(entry);
+      } else if (known.address !== member.linkAddress) {
+        known.address = member.linkAddress;
+        replace(known, 'the address changed');
+      }
+    }
+  };
+  const close = (key: string, lane: OutgoingLane): void => {
+    outgoing.delete(key);
+    byHost.delete(lane.peer.host);
+    lane.isRemoved = true;
+    lane.closeDial();
+    lane.runs.failAll(`${lane.peer.host} is no longer a member`);
+  };
+  const checkLane = (lane: OutgoingLane, nowMs: number): void => {
+    const state = lane.peer.lanes[lane.lane];
+    const { pendingCount } = lane.runs;
+    if (state.phase !== 'up') {
+      if (pendingCount > 0 && nowMs - lane.lostAtMs > REPLACE_MS) {
+        lane.runs.failAll(`${lane.peer.host} cannot be reached for ${Math.round(nowMs - lane.lostAtMs)} ms`);
+      }
+      if (lane.connection !== undefined && nowMs - state.lastHeardMs > ACTIVE_SILENCE_MS) replace(lane, 'no hello');
+      return;
+    }
+    const heardMs = Math.max(state.lastHeardMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
+    const boundMs = pendingCount > 0 ? ACTIVE_SILENCE_MS : IDLE_SILENCE_MS;
+    if (nowMs - heardMs > boundMs) replace(lane, `silent for ${Math.round(nowMs - state.lastHeardMs)} ms`);
+    else if ((lane.connection?.waitingBytes ?? 0) > STALLED_BYTES) replace(lane, 'stalled');
+  };
+  return {
+    follow: (members) => {
+      for (const member of members.values()) open(member as NodeMember);
+      for (const [key, lane] of outgoing) if (!members.has(lane.peer.host)) close(key, lane);
+    },
+    sendRun: (attempt) => {
+      const lane = outgoing.get(buildKey(attempt.host, chooseLane(attempt.request.priority)));
+      if (lane?.peer.lanes[lane.lane].phase !== 'up') {
+        const detail = `no connection to ${attempt.host}`;
+        attempt.events.fail({ kind: 'linkLost', ran: 'no', hasArrived: false, detail });
+        return;
+      }
+      if (lane.runs.pendingCount === 0) lane.waitingSinceMs = clock.now();
+      lane.peer.outstanding++;
+      lane.peer.sentSinceReport++;
+      lane.runs.send(attempt);
+    },
+    send: (frame, host) => {
+      if (host !== undefined) {
+        outgoing.get(buildKey(host, 'routine'))?.connection?.send(frame);
+        return;
+      }
+      for (const { connection, lane } of outgoing.values()) if (lane === 'routine') connection?.send(frame);
+    },
+    check: (nowMs, lateMs) => {
+      for (const lane of outgoing.values()) {
+        // A process that did not run itself must not take its peers for silent.
+        lane.peer.lanes[lane.lane].lastHeardMs += lateMs;
+        checkLane(lane, nowMs);
+      }
+    },
+    stop: () => {
+      isStopped = true;
+      for (const lane of outgoing.values()) lane.closeDial();
+    },
+  };
+}
+
+function createPeer(host: string): PeerState {
+  return {
+    host,
+    lanes: { urgent: { phase: 'down', lastHeardMs: 0 }, routine: { phase: 'down', lastHeardMs: 0 } },
+    load: createUnknownLoad(),
+    loadAtMs: 0,
+    sentSinceReport: 0,
+    outstanding: 0,
+    configurationVersion: -1,
+    memberCount: 0,
+  };
+}
+
+function createLane(peer: PeerState, lane: LinkLane, address: string): OutgoingLane {
+  return {
+    peer,
+    lane,
+    runs: createOutgoingRuns(peer.host, () => peer.outstanding--),
+    address,
+    connection: undefined,
+    incarnation: '',
+    closeDial: () => undefined,
+    redialMs: FIRST_REDIAL_MS,
+    lostAtMs: 0,
+    waitingSinceMs: 0,
+    isRemoved: false,
+  };
+}
--- /dev/null
+++ b/tests/requests/leaving.test.ts
@@ -0,0 +1,162 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
+import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
+
+const configuration = buildRouteConfiguration(1, [buildRoute('check', 'stock')]);
+const hosts: FleetHost[] = [
+  { host: 'a1', dataCenter: 'd1', service: 'orders' },
+  { host: 'a2', dataCenter: 'd1', service: 'stock' },
+  { host: 'a3', dataCenter: 'd1', service: 'stock' },
+];
+
+/** Sends requests from one host until `forMs` have passed, one each 10 ms, and lets them end. */
+function sendFor(fleet: RequestFleet, forMs: number): void {
+  for (let sentMs = 0; sentMs < forMs; sentMs += 10) {
+    fleet.send('a1');
+    fleet.clock.advance(10);
+  }
+  fleet.clock.advance(1000);
+}
+
+function listRan(fleet: RequestFleet, host: string): readonly string[] {
+  return fleet.targets.get(host)?.ran ?? [];
+}
+
+describe('a target that leaves', () => {
+  it('should get nothing more once its leave was acknowledged', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const target = fleet.targets.get('a2');
+    if (target !== undefined) target.state = 'draining';
+    expect(fleet.sendHeartbeat('a2')).toEqual(true);
+    const before = listRan(fleet, 'a2').length;
+    sendFor(fleet, 500);
+    expect(listRan(fleet, 'a2').length).toEqual(before);
+    expect(listRan(fleet, 'a3').length).toEqual(50);
+  });
+
+  it('should serve what waited for it at other targets', () => {
+    const fleet = createRequestFleet({ hosts: [...hosts], configuration });
+    for (const host of ['a2', 'a3']) {
+      const target = fleet.targets.get(host);
+      if (target !== undefined) target.durationMs = 200;
+    }
+    const sent = Array.from({ length: 12 }, () => fleet.send('a1'));
+    fleet.clock.advance(20);
+    let isAcknowledged = false;
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+      isAcknowledged = true;
+    });
+    fleet.clock.advance(990);
+    expect([isAcknowledged, sent.filter(({ answer }) => answer?.status === 200).length]).toEqual([true, 12]);
+  });
+
+  // Guards against a process that is killed right after it acknowledged, and believes a late heartbeat afterwards.
+  for (const isStoreAway of [false, true]) {
+    it(`should stay left after a restart of its node${isStoreAway ? ' while the store is away' : ''}`, () => {
+      const fleet = createRequestFleet({ hosts, configuration });
+      if (isStoreAway) fleet.store.turnedAway.add('*');
+      let isAcknowledged = false;
+      fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+        isAcknowledged = true;
+        fleet.killNode('a2');
+      });
+      fleet.targets.delete('a2');
+      fleet.clock.advance(1000);
+      expect(isAcknowledged).toEqual(true);
+      fleet.startNode('a2');
+      fleet.clock.advance(300);
+      fleet.sendHeartbeat('a2', { id: 'i-a2', sequence: 1 });
+      fleet.sendHeartbeat('a2', { id: 'i-a2', sequence: 2 });
+      expect(fleet.nodes.get('a2')?.board.read('target').phase).not.toEqual('ready');
+    });
+  }
+
+  it('should not be believed ready by a heartbeat that was sent before its leave', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const target = fleet.targets.get('a2');
+    if (target !== undefined) target.state = 'draining';
+    fleet.sendHeartbeat('a2');
+    fleet.sendHeartbeat('a2', { sequence: 1, state: 'ready' });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('draining');
+  });
+
+  it('should be replaced by a later start under the same id', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => undefined);
+    fleet.clock.advance(1000);
+    fleet.sendHeartbeat('a2', { sequence: 1, startedAtMs: 1_900_000_000_000 });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('ready');
+  });
+
+  it('should be acknowledged within a second while nobody can be reached', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.store.turnedAway.add('*');
+    fleet.links.cut('a2', 'a1');
+    fleet.links.cut('a2', 'a3');
+    let isAcknowledged = false;
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+      isAcknowledged = true;
+    });
+    fleet.clock.advance(999);
+    expect(isAcknowledged).toEqual(true);
+  });
+});
+
+describe('a target whose node was restarted', () => {
+  it('should serve again before its next heartbeat', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.killNode('a2');
+    fleet.clock.advance(100);
+    fleet.startNode('a2');
+    fleet.clock.advance(60);
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('ready');
+  });
+
+  it('should be believed after two heartbeats in order where nothing is known', () => {
+    const fleet = createRequestFleet({
+      hosts: [{ host: 'a1', dataCenter: 'd1', service: 'stock' }],
+      settleMs: 1,
+      isBeating: false,
+    });
+    fleet.killNode('a1');
+    fleet.store.turnedAway.add('*');
+    fleet.startNode('a1');
+    const phase = (): unknown => fleet.nodes.get('a1')?.board.read('target').phase;
+    fleet.sendHeartbeat('a1', { sequence: 5 });
+    expect(phase()).toEqual('none');
+    fleet.sendHeartbeat('a1', { sequence: 4 });
+    expect(phase()).toEqual('none');
+    fleet.sendHeartbeat('a1', { sequence: 6 });
+    expect(phase()).toEqual('ready');
+  });
+});
+
+describe('a node that is stopped', () => {
+  it('should end what is in flight, refuse new work for its target, and say when it is done', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const target = fleet.targets.get('a2');
+    if (target !== undefined) target.durationMs = 500;
+    const own = fleet.send('a2');
+    let isDone = false;
+    fleet.nodes.get('a2')?.stop(() => {
+      isDone = true;
+    });
+    fleet.clock.advance(50);
+    const before = listRan(fleet, 'a2').length;
+    sendFor(fleet, 300);
+    expect(listRan(fleet, 'a2').length).toEqual(before);
+    expect([own.answer?.status, isDone]).toEqual([200, false]);
+    fleet.clock.advance(2000);
+    expect(isDone).toEqual(true);
+  });
+
+  it('should still serve its clients until they are gone', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.nodes.get('a1')?.stop(() => undefined);
+    fleet.clock.advance(1000);
+    const sent = fleet.send('a1');
+    fleet.clock.advance(100);
+    expect(sent.answer?.status).toEqual(200);
+  });
+});
