--- a/eslint.config.js
+++ b/eslint.config.js
@@ -52,6 +52,12 @@
   { selector: 'ThrowStatement > Literal', message: 'Throw FailureError with a tagged failure.' },
 ];
 
+/** Names on the platform's wire and in its files; `platform/` translates them. */
+const platformName =
+  '/x-attempt-id|x-response-seal|x-target-instance|x-not-executed|x-caller-service|x-deadline-remaining|x-server-load|' +
+  'log-append|log-read|log-newest|log-join|keyed\\.|heartbeat_url|cold_left|route_rules|weighted_targets|HEMLOCKSTACK_BOOT/i';
+const platformMessage = 'Only platform/ and deploy/ know the names of the platform.';
+
 const escapePattern = (text) => text.replace(/[/.]/g, '\\$&');
 
 function describeFolder(folder) {
@@ -108,7 +114,7 @@
     rules: { 'no-console': 'off' },
   },
   {
-    files: ['tests/**/*.ts'],
+    files: ['tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: {
       '@typescript-eslint/no-floating-promises': [
         'error',
@@ -117,6 +123,18 @@
     },
   },
   ...Object.keys(libraries).map(describeFolder),
+  {
+    files: ['src/**/*.ts'],
+    rules: {
+      'no-restricted-syntax': [
+        'error',
+        ...namingRules,
+        { selector: `Literal[value=${platformName}]`, message: platformMessage },
+        { selector: `TemplateElement[value.raw=${platformName}]`, message: platformMessage },
+        { selector: `Identifier[name=${platformName}]`, message: platformMessage },
+      ],
+    },
+  },
   {
     files: ['*.js', 'scripts/**/*.js'],
     languageOptions: { globals: { URL: 'readonly', console: 'readonly', process: 'readonly', Buffer: 'readonly' } },
--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -16,8 +16,8 @@
 
 /** Lists the compiled test files whose path contains one of the filters; all without filters. */
 function listTestFiles(filters) {
-  return readdirSync('dist/tests', { recursive: true })
-    .map((name) => join('dist/tests', String(name)))
+  return ['dist/tests', 'dist/platform/tests']
+    .flatMap((folder) => readdirSync(folder, { recursive: true }).map((name) => join(folder, String(name))))
     .filter((name) => name.endsWith('.test.js') && existsSync(formatSource(name)))
     .filter((name) => filters.length === 0 || filters.some((text) => name.includes(text)))
     .sort();
--- a/tests/requests/entry.test.ts
+++ b/tests/requests/entry.test.ts
@@ -33,7 +33,7 @@
   }
 }
 
-function sumRan(fleet: RequestFleet): number {
+function collectRan(fleet: RequestFleet): number {
   return ['a2', 'a3'].reduce((sum, host) => sum + (fleet.targets.get(host)?.ran.length ?? 0), 0);
 }
 
@@ -49,7 +49,7 @@
     failTargets(fleet, {});
     const sent = fleet.send('a1');
     fleet.clock.advance(200);
-    expect([sumRan(fleet), sent.refusal?.kind, sent.refusal?.retryAfterMs]).toEqual([1, 'failed', undefined]);
+    expect([collectRan(fleet), sent.refusal?.kind, sent.refusal?.retryAfterMs]).toEqual([1, 'failed', undefined]);
   });
 
   it('should go to another target when it is not idempotent and was rejected unrun', () => {
@@ -57,7 +57,7 @@
     failTargets(fleet, { kind: 'rejected', ran: 'no' });
     const sent = fleet.send('a1');
     fleet.clock.advance(200);
-    expect([sumRan(fleet), sent.refusal?.kind, sent.refusal?.retryAfterMs !== undefined]).toEqual([
+    expect([collectRan(fleet), sent.refusal?.kind, sent.refusal?.retryAfterMs !== undefined]).toEqual([
       2,
       'rejected',
       true,
@@ -69,7 +69,7 @@
     failTargets(fleet, {});
     const sent = fleet.send('a1');
     fleet.clock.advance(200);
-    expect([sumRan(fleet), sent.refusal?.kind]).toEqual([1, 'failed']);
+    expect([collectRan(fleet), sent.refusal?.kind]).toEqual([1, 'failed']);
   });
 
   it('should end at the timeout of its route', () => {
@@ -94,7 +94,7 @@
     const sent = Array.from({ length: 20 }, () => fleet.send('a1'));
     fleet.clock.advance(1000);
     const late = sent.filter(({ refusal }) => refusal?.kind === 'tooLate' || refusal?.kind === 'overloaded');
-    expect(late.length).toEqual(20 - sumRan(fleet));
+    expect(late.length).toEqual(20 - collectRan(fleet));
     expect(late.every(({ refusal }) => refusal?.retryAfterMs !== undefined)).toEqual(true);
   });
 
@@ -131,7 +131,7 @@
     fleet.clock.advance(20);
     waiting.handle.cancel();
     fleet.clock.advance(1500);
-    expect(sumRan(fleet)).toEqual(8);
+    expect(collectRan(fleet)).toEqual(8);
     expect(['a2', 'a3'].flatMap((host) => fleet.targets.get(host)?.ran ?? []).includes('r9')).toEqual(false);
   });
 
@@ -146,7 +146,7 @@
       fleet.clock.advance(30);
     }
     fleet.clock.advance(500);
-    expect([sumRan(fleet), fleet.targets.get('a1')?.ran.length]).toEqual([30, 10]);
+    expect([collectRan(fleet), fleet.targets.get('a1')?.ran.length]).toEqual([30, 10]);
   });
 
   it('should keep to the target of its own data centre while that costs little time', () => {
@@ -177,7 +177,7 @@
       fleet.clock.advance(10);
     }
     fleet.clock.advance(1000);
-    const repeats = sumRan(fleet) - 500;
+    const repeats = collectRan(fleet) - 500;
     expect(repeats > 10 && repeats < 0.2 * 500 + 48).toEqual(true);
   });
 });
--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -122,13 +122,13 @@
     fleet.killNode('a1');
     fleet.store.turnedAway.add('*');
     fleet.startNode('a1');
-    const phase = (): unknown => fleet.nodes.get('a1')?.board.read('target').phase;
+    const getPhase = (): unknown => fleet.nodes.get('a1')?.board.read('target').phase;
     fleet.sendHeartbeat('a1', { sequence: 5 });
-    expect(phase()).toEqual('none');
+    expect(getPhase()).toEqual('none');
     fleet.sendHeartbeat('a1', { sequence: 4 });
-    expect(phase()).toEqual('none');
+    expect(getPhase()).toEqual('none');
     fleet.sendHeartbeat('a1', { sequence: 6 });
-    expect(phase()).toEqual('ready');
+    expect(getPhase()).toEqual('ready');
   });
 });
 
