Quarantine requests that crash targets on the platform path

Cause: nothing recognized a request that crashes each target which begins to run it. Change: a lost connection to the target is probed by a connection; where it is refused, what was running is reported to all nodes, and what was seen at two crashes is refused everywhere.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -35,6 +35,8 @@
 /** What a node needs from outside: all effects are functions passed in. */
 export interface RequestIo {
   sendToTarget: SendToTarget;
+  /** Tries to connect to the local target (`IP:PORT`); false when nothing listens there. */
+  probeTarget: (address: string, done: (isUp: boolean) => void) => void;
   dialLink: DialLink;
   /** Values of type `RouteConfiguration` under one key. */
   configurationTopic: KeyedTopic;
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -232,7 +232,6 @@
     if (route === undefined) return refuseEarly(request, reply, { kind: 'noRoute', detail: 'no route matches' });
     const service = chooseService(route);
     const nowMs = clock.now();
-    const { service: callerService } = board.read('settings').current;
     const entry: Entry = {
       request,
       reply,
@@ -240,7 +239,7 @@
       service,
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
-      fingerprint: hashText(`${request.method} ${request.path} ${callerService} ${request.body?.length ?? 0}`),
+      fingerprint: computeFingerprint(request),
       triedHosts: new Set(),
       attempt: undefined,
       sentAtMs: nowMs,
@@ -284,3 +283,9 @@
   };
   return { acceptRequest, start: () => undefined, stop: () => undefined };
 }
+
+/** A request that comes again, perhaps at another host, has the same method, path and body; a streamed body is any. */
+function computeFingerprint({ method, path, body }: ClientRequest): number {
+  const bodyHash = body === undefined || body.length === 0 ? 0 : hashText(Buffer.from(body).toString('latin1'));
+  return hashText(`${method} ${path} ${bodyHash}`);
+}
--- a/src/control/requests/quarantineController.ts
+++ b/src/control/requests/quarantineController.ts
@@ -1,30 +1,55 @@
+import { generateId } from '../../core/random.js';
 import { applyCrash } from '../../policy/quarantine.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
 
 /** Time for which requests that crashed two targets are refused (ms). */
 const QUARANTINE_MS = 60_000;
+/** Requests that were lost this long before the target proved to be down were running when it crashed (ms). */
+const CRASH_WINDOW_MS = 1500;
 const MAX_FINGERPRINTS = 4096;
 const MAX_REPORTS = 4096;
+const MAX_LOST = 512;
 
 /** Writes which requests crash targets, from reports of all nodes, and spreads each report once. */
-export function createQuarantineController({ board, clock }: RequestContext): Controller {
+export function createQuarantineController({ board, clock, random }: RequestContext): Controller {
   const quarantine = board.claim('quarantine', 'quarantineController');
-  const { byFingerprint, reportIds } = quarantine.section;
+  const { byFingerprint, reportIds, lost } = quarantine.section;
 
-  quarantine.handlePosts(({ reportId, fingerprints, source }) => {
+  const dropOldest = <Key>(entries: { size: number; keys(): Iterator<Key>; delete(key: Key): boolean }): void => {
+    const first = entries.keys().next();
+    if (first.done !== true) entries.delete(first.value);
+  };
+  const receiveReport = (reportId: string, fingerprints: readonly number[], source: string): void => {
     if (reportIds.has(reportId)) return;
     reportIds.add(reportId);
-    if (reportIds.size > MAX_REPORTS) reportIds.delete([...reportIds][0] ?? '');
+    if (reportIds.size > MAX_REPORTS) dropOldest(reportIds);
     for (const fingerprint of fingerprints) {
       const state = applyCrash(byFingerprint.get(fingerprint), clock.now(), { quarantineMs: QUARANTINE_MS });
       byFingerprint.delete(fingerprint);
       byFingerprint.set(fingerprint, state);
+      if (state.phase === 'suspect') continue;
       const inputs = { fingerprint, source, reportId };
       board.post('decisions', { kind: 'quarantineChanged', outcome: state.phase, inputs });
     }
-    while (byFingerprint.size > MAX_FINGERPRINTS) byFingerprint.delete([...byFingerprint.keys()][0] ?? 0);
+    while (byFingerprint.size > MAX_FINGERPRINTS) dropOldest(byFingerprint);
     board.post('links', { type: 'crash', reportId, fingerprints });
+  };
+  const receiveCrash = (targetId: string): void => {
+    const sinceMs = clock.now() - CRASH_WINDOW_MS;
+    const fingerprints = lost.splice(0).flatMap(({ fingerprint, atMs }) => (atMs >= sinceMs ? [fingerprint] : []));
+    if (fingerprints.length === 0) return;
+    const inputs = { target: targetId, requests: fingerprints.length };
+    board.post('decisions', { kind: 'targetChanged', outcome: 'crashed', inputs });
+    receiveReport(generateId(random), fingerprints, 'own target');
+  };
+  quarantine.handlePosts((post) => {
+    if (post.type === 'report') receiveReport(post.reportId, post.fingerprints, post.source);
+    else if (post.type === 'targetCrashed') receiveCrash(post.targetId);
+    else {
+      lost.push({ fingerprint: post.fingerprint, atMs: clock.now() });
+      if (lost.length > MAX_LOST) lost.shift();
+    }
   });
   return { start: () => undefined, stop: () => undefined };
 }
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -79,7 +79,14 @@
   const fail = (run: Run, failure: RunFailure): void => {
     if (run.phase !== 'running') return;
     noteResult(failure.kind !== 'timedOut');
-    if (shunning.has(failure.kind)) board.post('target', { type: 'shun', reason: failure.detail });
+    if (failure.kind === 'connectionLost')
+      board.post('quarantine', { type: 'lost', fingerprint: run.request.fingerprint });
+    if (failure.kind === 'unreachable') {
+      board.post('quarantine', { type: 'targetCrashed', targetId: board.read('target').id });
+    }
+    if (shunning.has(failure.kind)) {
+      board.post('target', { type: 'shun', reason: failure.detail, isDown: failure.kind === 'unreachable' });
+    }
     end(run, failure.kind, failure.detail);
     run.events.fail(failure);
   };
@@ -134,7 +141,7 @@
     if (run.phase !== 'running') return;
     silentInRow++;
     if (silentInRow >= SILENT_RUNS)
-      board.post('target', { type: 'shun', reason: `${silentInRow} runs without answer` });
+      board.post('target', { type: 'shun', reason: `${silentInRow} runs without answer`, isDown: false });
     run.target?.cancel();
     fail(run, { kind: 'timedOut', ran: 'unknown', hasArrived: true, detail: 'no answer in time' });
   };
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -101,7 +101,12 @@
     counts: Map<string, number>;
   };
   budgets: { byService: Map<string, FleetBudget> };
-  quarantine: { byFingerprint: Map<number, SuspectState>; reportIds: Set<string> };
+  quarantine: {
+    byFingerprint: Map<number, SuspectState>;
+    reportIds: Set<string>;
+    /** Requests that lately ended with their connection to the local target, and when (monotonic ms). */
+    lost: { fingerprint: number; atMs: number }[];
+  };
   decisions: {
     /** Formatted lines that wait to be written. */
     lines: string[];
@@ -123,13 +128,17 @@
   target:
     | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
     | { type: 'leave'; id: string; acknowledge: () => void }
-    | { type: 'shun'; reason: string }
+    | { type: 'shun'; reason: string; isDown: boolean }
+    | { type: 'suspect' }
     | { type: 'heard' };
   links: { type: 'send'; attempt: RunAttempt } | { type: 'crash'; reportId: string; fingerprints: readonly number[] };
   runs: { type: 'accept'; attempt: RunAttempt };
   entries: never;
   budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
-  quarantine: { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string };
+  quarantine:
+    | { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string }
+    | { type: 'lost'; fingerprint: number }
+    | { type: 'targetCrashed'; targetId: string };
   decisions: Decision;
 }
 
@@ -180,7 +189,7 @@
     },
     entries: { open: 0, partCredits: new Map(), counts: new Map() },
     budgets: { byService: new Map() },
-    quarantine: { byFingerprint: new Map(), reportIds: new Set() },
+    quarantine: { byFingerprint: new Map(), reportIds: new Set(), lost: [] },
     decisions: { lines: [], nextLine: 0, dropped: 0 },
   };
 }
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -9,15 +9,18 @@
 const SILENT_PERIODS = 4;
 /** Pause until a target that refused connections or fell silent is tried again (ms). */
 const SHUN_MS = 400;
+/** Least time between two probes of a target (ms). */
+const PROBE_PAUSE_MS = 200;
 /** Time in which peers tell a new process what it published earlier (ms). */
 const INHERIT_WAIT_MS = 800;
 
 /** Writes what this node believes of its target, from heartbeats, leaves and what an earlier process published. */
 export function createTargetController(context: RequestContext): Controller {
-  const { board, clock } = context;
+  const { board, clock, io } = context;
   const target = board.claim('target', 'targetController');
   const { section } = target;
   const startedAtMs = clock.now();
+  let probedAtMs = -Infinity;
   /** A heartbeat of a start that nobody vouches for yet; the next one in order confirms it. */
   let unconfirmed: { id: string; heartbeat: Heartbeat } | undefined;
 
@@ -86,6 +89,8 @@
       }
     }
     const previousPhase = isKnown ? section.phase : 'none';
+    if (!isKnown && section.phase === 'ready')
+      board.post('quarantine', { type: 'targetCrashed', targetId: section.id });
     adopt(id, heartbeat);
     section.sequence = heartbeat.sequence;
     section.lastHeardMs = clock.now();
@@ -150,22 +155,36 @@
     enter('none', `no heartbeat for ${Math.round(silentMs)} ms`);
     publish();
   };
+  const receiveHeard = (): void => {
+    if (section.shunnedUntilMs === 0) return;
+    section.shunnedUntilMs = 0;
+    report('answers again', { target: section.id });
+    target.publishChange();
+  };
+  const shun = (reason: string, isDown: boolean): void => {
+    const wasShunned = section.shunnedUntilMs !== 0;
+    section.shunnedUntilMs = clock.now() + SHUN_MS;
+    if (!wasShunned) report('shunned', { target: section.id, reason });
+    if (isDown) board.post('quarantine', { type: 'targetCrashed', targetId: section.id });
+    checkSilence();
+    target.publishChange();
+  };
+  /** A lost connection may mean that the target crashed, which a new connection shows at once. */
+  const probe = (): void => {
+    const nowMs = clock.now();
+    if (nowMs < probedAtMs + PROBE_PAUSE_MS || section.address === '') return;
+    probedAtMs = nowMs;
+    const { id } = section;
+    io.probeTarget(section.address, (isUp) => {
+      if (!isUp && section.id === id) shun('takes no connections', true);
+    });
+  };
   target.handlePosts((post) => {
     if (post.type === 'heartbeat') receiveHeartbeat(post.id, post.heartbeat, post.acknowledge);
     else if (post.type === 'leave') receiveLeave(post.id, post.acknowledge);
-    else if (post.type === 'heard') {
-      if (section.shunnedUntilMs !== 0) {
-        section.shunnedUntilMs = 0;
-        report('answers again', { target: section.id });
-        target.publishChange();
-      }
-    } else {
-      const wasShunned = section.shunnedUntilMs !== 0;
-      section.shunnedUntilMs = clock.now() + SHUN_MS;
-      if (!wasShunned) report('shunned', { target: section.id, reason: post.reason });
-      checkSilence();
-      target.publishChange();
-    }
+    else if (post.type === 'heard') receiveHeard();
+    else if (post.type === 'suspect') probe();
+    else shun(post.reason, post.isDown);
   });
   return {
     start: () => {
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -4,6 +4,7 @@
 import { createRandom } from '../core/random.js';
 import { startControlServers } from '../http/controlServer.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
+import { openProbe } from '../http/openProbe.js';
 import { createRequestMetrics } from '../http/requestMetrics.js';
 import { startRequestServer } from '../http/requestServer.js';
 import { createTargetConnections } from '../http/targetConnections.js';
@@ -51,6 +52,9 @@
     clock,
     random: createRandom(randomInt(MAX_SEED)),
     sendToTarget: createTargetSender({ connections, names: headerNames }),
+    probeTarget: (address, done) => {
+      openProbe(`http://${address}`, done);
+    },
     dialLink,
     configurationTopic: options.configurationTopic,
     memberTopic: options.memberTopic,
--- a/src/http/targetClient.ts
+++ b/src/http/targetClient.ts
@@ -1,4 +1,3 @@
-import { connect } from 'node:net';
 import { Pool } from 'undici';
 import type { Dispatcher } from 'undici';
 import type { CallTarget, ProbeTarget } from '../control/context.js';
@@ -6,6 +5,7 @@
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailureKind, Ran } from '../schema/failure.js';
 import { MAX_ANSWER_BODY_BYTES } from '../schema/frame.js';
+import { openProbe } from './openProbe.js';
 
 export interface TargetClient {
   callTarget: CallTarget;
@@ -13,7 +13,6 @@
   stop(): Promise<void>;
 }
 
-const PROBE_TIMEOUT_MS = 200;
 const KEEP_ALIVE_MS = 60_000;
 const SERVICE_UNAVAILABLE = 503;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
@@ -62,26 +61,6 @@
   return CONTENT_TYPE.test(text) ? text : DEFAULT_CONTENT_TYPE;
 }
 
-/** A refused connection means that no process listens; other errors and silence leave it open. */
-function openProbe(address: string, done: (isUp: boolean) => void): void {
-  const { hostname, port, protocol } = new URL(address);
-  const socket = connect({ host: hostname, port: Number(port) || (protocol === 'https:' ? 443 : 80) });
-  const finish = (isUp: boolean): void => {
-    socket.destroy();
-    done(isUp);
-  };
-  socket.setTimeout(PROBE_TIMEOUT_MS);
-  socket.once('timeout', () => {
-    finish(true);
-  });
-  socket.once('connect', () => {
-    finish(true);
-  });
-  socket.once('error', (error: NodeJS.ErrnoException) => {
-    finish(error.code !== 'ECONNREFUSED');
-  });
-}
-
 function sendRequest(pool: Pool, request: TargetRequest, done: (outcome: TargetOutcome) => void): () => void {
   const state: RunningRequest = {
     isStarted: false,
