--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -79,10 +79,9 @@
   const fail = (run: Run, failure: RunFailure): void => {
     if (run.phase !== 'running') return;
     noteResult(failure.kind !== 'timedOut');
-    if (failure.kind === 'connectionLost')
+    if (failure.kind === 'connectionLost') {
       board.post('quarantine', { type: 'lost', fingerprint: run.request.fingerprint });
-    if (failure.kind === 'unreachable') {
-      board.post('quarantine', { type: 'targetCrashed', targetId: board.read('target').id });
+      board.post('target', { type: 'suspect' });
     }
     if (shunning.has(failure.kind)) {
       board.post('target', { type: 'shun', reason: failure.detail, isDown: failure.kind === 'unreachable' });
