Keep connections open after a refusal, test the listener for clients

Cause: found by the new tests: a request without body that was refused at once closed its connection, since Node marks a message as complete only after its handler ran. Change: only an unread rest of a body closes the connection. 16 tests of the listener pass.

--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -230,7 +230,8 @@
       });
     },
     refuse: (refusal) => {
-      if (!message.complete) response.shouldKeepAlive = false;
+      // What is left of a body must not be taken for the next request.
+      if (hasBody(message) && !message.complete) response.shouldKeepAlive = false;
       sendRefusal(response, refusal);
     },
     abort: () => {
--- /dev/null
+++ b/tests/requests/requestServer.test.ts
@@ -0,0 +1,237 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import type { ClientReply, ClientRequest } from '../../src/control/requests/entryController.js';
+import type { RunHandle } from '../../src/control/requests/runPort.js';
+import { createSystemClock } from '../../src/core/clock.js';
+import { startRequestServer } from '../../src/http/requestServer.js';
+import type { RequestServer } from '../../src/http/requestServer.js';
+import type { RequestLimits } from '../../src/schema/routeConfiguration.js';
+import { testHeaderNames } from '../fixtures/requests.js';
+import { waitUntil } from '../fixtures/sampleFleet.js';
+
+interface Accepted {
+  request: ClientRequest;
+  reply: ClientReply;
+  wasCancelled: boolean;
+  granted: number;
+  parts: Buffer[];
+  hasEnded: boolean;
+}
+
+const limits: RequestLimits = {
+  maxHeaderBytes: 2000,
+  maxBodyBytes: 500_000,
+  headerTimeoutMs: 3000,
+  idleTimeoutMs: 15_000,
+};
+
+describe('the listener for clients', () => {
+  const cleanups: (() => void)[] = [];
+  afterEach(() => {
+    for (const run of cleanups.splice(0)) run();
+  });
+
+  async function startServer(
+    respond: (accepted: Accepted) => void = () => undefined,
+  ): Promise<{ server: RequestServer; accepted: Accepted[] }> {
+    const accepted: Accepted[] = [];
+    const server = await startRequestServer({
+      listen: '127.0.0.1:0',
+      names: testHeaderNames,
+      clock: createSystemClock(),
+      maxConnections: 100,
+      readLimits: () => limits,
+      accept: (request, reply): RunHandle => {
+        const entry: Accepted = { request, reply, wasCancelled: false, granted: 0, parts: [], hasEnded: false };
+        accepted.push(entry);
+        respond(entry);
+        return {
+          cancel: () => {
+            entry.wasCancelled = true;
+          },
+          grantAnswer: (bytes) => {
+            entry.granted += bytes;
+          },
+          sendBody: (data, isLast) => {
+            entry.parts.push(Buffer.from(data));
+            entry.hasEnded = isLast;
+          },
+        };
+      },
+    });
+    cleanups.push(server.stop);
+    return { server, accepted };
+  }
+  function openClient(server: RequestServer): { socket: Socket; readText: () => string; isClosed: () => boolean } {
+    const [host, port] = server.address.split(':');
+    const socket = connect(Number(port), host);
+    let text = '';
+    let isClosed = false;
+    socket.on('data', (chunk) => (text += chunk.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.on('close', () => (isClosed = true));
+    cleanups.push(() => socket.destroy());
+    return { socket, readText: () => text, isClosed: () => isClosed };
+  }
+  const sendAnswer = (accepted: Accepted, body = 'ok'): void => {
+    const headers = ['test-id', accepted.request.requestId, 'test-signature', 's'];
+    accepted.reply.answer({ status: 200, headers, body: Buffer.from(body), isStreamed: false });
+  };
+
+  it('should pass method, path, host, time left and end-to-end headers on, without what only the node sets', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const client = openClient(server);
+    client.socket.write(
+      'GET /stock/1?full=1 HTTP/1.1\r\nHost: shop.example\r\ntest-id: r1\r\ntest-time-left: 750\r\n' +
+        'test-caller: forged\r\ntest-target: forged\r\nConnection: keep-alive, x-hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n',
+    );
+    await waitUntil('the answer arrived', () => client.readText().includes('ok'));
+    const { method, path, host, timeLeftMs, headers, requestId } = accepted[0]?.request ?? ({} as ClientRequest);
+    expect({ method, path, host, timeLeftMs, headers, requestId }).toEqual({
+      method: 'GET',
+      path: '/stock/1?full=1',
+      host: 'shop.example',
+      timeLeftMs: 750,
+      headers: ['Host', 'shop.example', 'X-Kept', '2'],
+      requestId: 'r1',
+    });
+  });
+
+  it('should serve many requests on one connection, also when they are sent at once', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const client = openClient(server);
+    client.socket.write(
+      'GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\n\r\n',
+    );
+    await waitUntil('both answers arrived', () => client.readText().match(/200 OK/g)?.length === 2);
+    expect(accepted.map(({ request }) => request.path)).toEqual(['/a', '/b']);
+  });
+
+  it('should hand over a short body whole, sent with a length or in chunks', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const client = openClient(server);
+    client.socket.write('POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 4\r\n\r\nbody');
+    await waitUntil('the first arrived', () => accepted.length === 1);
+    client.socket.write(
+      'POST /b HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n',
+    );
+    await waitUntil('the second arrived', () => accepted.length === 2);
+    expect(accepted.map(({ request }) => Buffer.from(request.body ?? []).toString())).toEqual(['body', 'body']);
+  });
+
+  it('should stream a long body and read no further than it was granted', async () => {
+    const { server, accepted } = await startServer();
+    const client = openClient(server);
+    const body = Buffer.alloc(400_000, 'x');
+    client.socket.write(`POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: ${body.length}\r\n\r\n`);
+    client.socket.write(body);
+    await waitUntil('the request was accepted', () => accepted.length === 1);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    const measureReceived = (): number => accepted[0]?.parts.reduce((sum, part) => sum + part.length, 0) ?? 0;
+    expect(measureReceived() < 300_000).toEqual(true);
+    for (let granted = 0; granted < 400_000; granted += 100_000) accepted[0]?.reply.grantBody(100_000);
+    await waitUntil('the body ended', () => accepted[0]?.hasEnded === true);
+    expect(measureReceived()).toEqual(body.length);
+  });
+
+  it('should cancel a request whose client left', async () => {
+    const { server, accepted } = await startServer();
+    const client = openClient(server);
+    client.socket.write('GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
+    await waitUntil('the request was accepted', () => accepted.length === 1);
+    client.socket.destroy();
+    await waitUntil('it was cancelled', () => accepted[0]?.wasCancelled === true);
+  });
+
+  it('should close the connection of an answer that broke off, so that it does not look complete', async () => {
+    const { server } = await startServer(({ reply, request }) => {
+      const headers = ['test-id', request.requestId, 'Content-Length', '100'];
+      reply.answer({ status: 200, headers, body: Buffer.from('part'), isStreamed: true });
+      setTimeout(() => {
+        reply.abort();
+      }, 20);
+    });
+    const client = openClient(server);
+    client.socket.write('GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
+    await waitUntil('the connection was closed', client.isClosed);
+    expect(client.readText().endsWith('part')).toEqual(true);
+  });
+
+  it('should frame a streamed answer without length so that its end shows', async () => {
+    const { server } = await startServer(({ reply, request }) => {
+      reply.answer({
+        status: 200,
+        headers: ['test-id', request.requestId],
+        body: Buffer.from('one'),
+        isStreamed: true,
+      });
+      reply.part(Buffer.from('two'), false);
+      reply.part(new Uint8Array(), true);
+    });
+    const client = openClient(server);
+    client.socket.write('GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
+    await waitUntil('the answer ended', () => client.readText().endsWith('0\r\n\r\n'));
+    expect(client.readText()).toMatchRegex(/transfer-encoding: chunked/i);
+  });
+
+  it('should tell when to come back where a request has not run, and only there', async () => {
+    const { server } = await startServer(({ reply, request }) => {
+      if (request.path === '/busy') reply.refuse({ kind: 'overloaded', detail: 'test', retryAfterMs: 250 });
+      else reply.refuse({ kind: 'failed', detail: 'test' });
+    });
+    const client = openClient(server);
+    client.socket.write(
+      'GET /busy HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\nGET /lost HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\n\r\n',
+    );
+    await waitUntil('both answers arrived', () => client.readText().match(/HTTP\/1.1/g)?.length === 2);
+    const [busy = '', lost = ''] = client.readText().split(/(?=HTTP\/1.1 502)/);
+    expect([/^HTTP\/1.1 503/.test(busy), /Retry-After: 0.250/.test(busy), /Retry-After/.test(lost)]).toEqual([
+      true,
+      true,
+      false,
+    ]);
+  });
+
+  const malformed: [string, string, number][] = [
+    ['without an id', 'GET /a HTTP/1.1\r\nHost: h\r\n\r\n', 400],
+    ['with a path that is none', 'GET http://x/ HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n', 400],
+    ['that is not HTTP', 'NOT HTTP\r\n\r\n', 400],
+    [
+      'with two lengths',
+      'POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+      400,
+    ],
+    [
+      'with a length and chunks',
+      'POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+      400,
+    ],
+    ['with large headers', `GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nX: ${'y'.repeat(3000)}\r\n\r\n`, 431],
+    [
+      'with a body above the limit',
+      'POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 600000\r\n\r\n',
+      413,
+    ],
+  ];
+  for (const [what, text, status] of malformed) {
+    it(`should answer a request ${what} with ${status} and close the connection`, async () => {
+      const { server, accepted } = await startServer(sendAnswer);
+      const client = openClient(server);
+      client.socket.write(text);
+      await waitUntil('the connection was closed', client.isClosed);
+      expect(client.readText()).toMatchRegex(new RegExp(`^HTTP/1.1 ${status} `));
+      expect(accepted.length).toEqual(0);
+    });
+  }
+
+  it('should close connections with the answer once a stop was announced', async () => {
+    const { server } = await startServer(sendAnswer);
+    server.announceStop();
+    const client = openClient(server);
+    client.socket.write('GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
+    await waitUntil('the connection was closed', client.isClosed);
+    expect(client.readText()).toMatchRegex(/Connection: close/);
+  });
+});
