--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -1,4 +1,4 @@
-import type { HelloFrame, StatusFrame } from '../../schema/linkFrame.js';
+import type { HelloFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
 import { createIncomingRuns } from './incomingRuns.js';
@@ -6,12 +6,16 @@
 import type { LinkNews } from './linkNews.js';
 import { readOwnLoad } from './ownLoad.js';
 
-/** Periods of status frames on connections with requests and without (ms). */
+/** Period of status frames on connections with requests (ms). */
 const ACTIVE_STATUS_MS = 250;
-const IDLE_STATUS_MS = 1000;
+/** The same on routine connections without requests; urgent ones without requests carry none. */
+const IDLE_STATUS_MS = 2000;
+/** Time after its last request for which a connection counts as one with requests (ms). */
+const ACTIVE_FOR_MS = 1000;
 
 interface IncomingLane {
   readonly host: string;
+  readonly lane: LinkLane;
   readonly runs: IncomingRuns;
   statusAtMs: number;
   usedAtMs: number;
@@ -53,7 +57,7 @@
         },
         readLoad: () => readOwnLoad(board, clock.now()),
       });
-      entry = { host, runs, statusAtMs: 0, usedAtMs: 0 };
+      entry = { host, lane, runs, statusAtMs: 0, usedAtMs: 0 };
       incoming.set(key, entry);
     }
     return entry;
@@ -110,7 +114,8 @@
       const nowMs = clock.now();
       const status = buildStatus();
       for (const lane of incoming.values()) {
-        const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < IDLE_STATUS_MS;
+        const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < ACTIVE_FOR_MS;
+        if (!isActive && lane.lane === 'urgent') continue;
         const periodMs = isActive ? ACTIVE_STATUS_MS : IDLE_STATUS_MS;
         if (!isDueOnly || nowMs - lane.statusAtMs >= periodMs) sendStatus(lane, status);
       }
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -11,7 +11,8 @@
 
 /** Silence after which a connection with waiting requests is replaced (ms). */
 const ACTIVE_SILENCE_MS = 750;
-const IDLE_SILENCE_MS = 3500;
+/** The same for a routine connection without; an urgent one without requests carries nothing. */
+const IDLE_SILENCE_MS = 5000;
 /** Time in which a broken connection may be replaced before its requests are given up (ms). */
 const REPLACE_MS = 500;
 const FIRST_REDIAL_MS = 10;
@@ -190,6 +191,7 @@
       if (lane.connection !== undefined && nowMs - state.lastHeardMs > ACTIVE_SILENCE_MS) replace(lane, 'no hello');
       return;
     }
+    if (pendingCount === 0 && lane.lane === 'urgent') return;
     const heardMs = Math.max(state.lastHeardMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
     const boundMs = pendingCount > 0 ? ACTIVE_SILENCE_MS : IDLE_SILENCE_MS;
     if (nowMs - heardMs > boundMs) replace(lane, `silent for ${Math.round(nowMs - state.lastHeardMs)} ms`);
