--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 import type { LazyOutput } from 'sade';
 import { addDiffCommand } from './commands/diff.js';
 import { addDrainCommand } from './commands/drain.js';
+import { addExplainCommand } from './commands/explain.js';
 import { addHistoryCommand } from './commands/history.js';
 import { addPublishCommand } from './commands/publish.js';
 import { addShowCommand } from './commands/show.js';
@@ -13,7 +14,7 @@
 import { EXIT_INVALID } from './commandResult.js';
 
 /** Options whose values stay texts even where they look like numbers. */
-const TEXT_OPTIONS = ['log', 'node', 'operator', 'service', 'change-id'];
+const TEXT_OPTIONS = ['log', 'node', 'operator', 'service', 'change-id', 'file'];
 
 const cli = sade('hemlockctl').version('0.1.0').option('--json', 'Print the result as JSON', false);
 addValidateCommand(cli);
@@ -25,6 +26,7 @@
 addDrainCommand(cli);
 addWaitCommand(cli);
 addTimelineCommand(cli);
+addExplainCommand(cli);
 
 // sade ends the process with 1 on wrong usage, but 1 stands for a rejection here.
 const putUsageExitCode = (code: number): void => {
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -32,6 +32,13 @@
   readFrom(offset: number, waitMs: number, done: (outcome: StoreRead) => void): () => void;
 }
 
+/** How long an answered request took at the node where it entered, or at its target. */
+export interface DurationSample {
+  place: 'entry' | 'target';
+  route: string;
+  durationMs: number;
+}
+
 /** What a node needs from outside: all effects are functions passed in. */
 export interface RequestIo {
   sendToTarget: SendToTarget;
@@ -45,6 +52,7 @@
   writeMember: (member: NodeMember, done: (outcome: StoreWrite) => void) => void;
   /** Drops the record of a host that is gone. */
   dropMember: (host: string, done: (outcome: StoreWrite) => void) => void;
+  recordDuration: (sample: DurationSample) => void;
   /** Writes lines of the log; `done` when more may follow. */
   writeLines: (lines: readonly string[], done: () => void) => void;
 }
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -69,7 +69,7 @@
 
 /** Writes the requests that entered at this node: matches, sends, repeats and answers them. */
 export function createEntryController(context: RequestContext): EntryController {
-  const { board, clock, deadlines, random } = context;
+  const { board, clock, deadlines, random, io } = context;
   const entries = board.claim('entries', 'entryController');
   const { section } = entries;
   const open = new Set<Entry>();
@@ -95,6 +95,10 @@
     open.delete(entry);
     section.open = open.size;
     section.counts.set(outcome, (section.counts.get(outcome) ?? 0) + 1);
+    if (outcome === 'answered') {
+      const durationMs = clock.now() - entry.arrivedAtMs;
+      io.recordDuration({ place: 'entry', route: entry.route.name, durationMs });
+    }
     report(entry, outcome, detail);
   };
   const refuse = (entry: Entry, refusal: Refusal): void => {
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -70,6 +70,7 @@
     let ofRoute = durationByRoute.get(run.request.route);
     if (ofRoute === undefined) durationByRoute.set(run.request.route, (ofRoute = createDurationEstimate()));
     addDuration(ofRoute, durationMs);
+    io.recordDuration({ place: 'target', route: run.request.route, durationMs });
     end(run, 'answered', '');
   };
   const receiveAnswer = (run: Run, answer: RunAnswer): void => {
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -5,7 +5,7 @@
 import { startControlServers } from '../http/controlServer.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
 import { openProbe } from '../http/openProbe.js';
-import { createRequestMetrics } from '../http/requestMetrics.js';
+import { createDurationMetrics, createRequestMetrics } from '../http/requestMetrics.js';
 import { startRequestServer } from '../http/requestServer.js';
 import { createTargetConnections } from '../http/targetConnections.js';
 import { createTargetSender } from '../http/targetSender.js';
@@ -48,6 +48,7 @@
   const { settings, headerNames } = options;
   const clock = createSystemClock();
   const connections = createTargetConnections(clock);
+  const durations = createDurationMetrics();
   const node = createRequestNode({
     settings,
     clock,
@@ -61,6 +62,7 @@
     memberTopic: options.memberTopic,
     writeMember: options.writeMember,
     dropMember: options.dropMember,
+    recordDuration: durations.record,
     writeLines: createLineWriter(STDOUT),
   });
   const { board } = node;
@@ -82,7 +84,7 @@
     reportFault: (outcome, inputs) => {
       board.post('decisions', { kind: 'faultFound', outcome, inputs });
     },
-    renderMetrics: createRequestMetrics(board).renderText,
+    renderMetrics: createRequestMetrics(board, durations).renderText,
   });
   node.start();
   return {
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -1,14 +1,58 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
 import { Gauge, Registry } from 'prom-client';
+import type { DurationSample } from '../control/requests/context.js';
 import type { RequestBoard } from '../control/requests/sections.js';
 
+export interface DurationMetrics {
+  record(sample: DurationSample): void;
+  /** Adds the quantiles to the metrics of a registry. */
+  register(registry: Registry): void;
+}
+
 export interface RequestMetrics {
   /** All metrics in the Prometheus text format. */
   renderText(): Promise<string>;
 }
 
+const QUANTILES = [0.5, 0.9, 0.99, 0.999];
+const HIGHEST_MS = 600_000;
+
+/** Creates the latency histograms of a node, one for each route and place. */
+export function createDurationMetrics(): DurationMetrics {
+  const histograms = new Map<string, { place: string; route: string; histogram: Histogram }>();
+  return {
+    record: ({ place, route, durationMs }) => {
+      const key = `${place} ${route}`;
+      let entry = histograms.get(key);
+      if (entry === undefined) {
+        const histogram = build({ highestTrackableValue: HIGHEST_MS, numberOfSignificantValueDigits: 2 });
+        histograms.set(key, (entry = { place, route, histogram }));
+      }
+      entry.histogram.recordValue(Math.min(HIGHEST_MS, Math.max(1, Math.round(durationMs))));
+    },
+    register: (registry) => {
+      new Gauge({
+        name: 'hemlock_duration_ms',
+        help: 'Duration of answered requests since the start of the process, by place, route and quantile (ms)',
+        labelNames: ['place', 'route', 'quantile'] as const,
+        registers: [registry],
+        collect() {
+          for (const { place, route, histogram } of histograms.values()) {
+            for (const quantile of QUANTILES) {
+              this.set({ place, route, quantile: String(quantile) }, histogram.getValueAtPercentile(quantile * 100));
+            }
+          }
+        },
+      });
+    },
+  };
+}
+
 /** Creates the metrics of a request node, computed from its blackboard when they are asked for. */
-export function createRequestMetrics(board: RequestBoard): RequestMetrics {
+export function createRequestMetrics(board: RequestBoard, durations: DurationMetrics): RequestMetrics {
   const registry = new Registry();
+  durations.register(registry);
   const createGauge = (name: string, help: string, read: () => number): void => {
     new Gauge({
       name,
--- a/tests/requests/entry.test.ts
+++ b/tests/requests/entry.test.ts
@@ -72,6 +72,17 @@
     expect([collectRan(fleet), sent.refusal?.kind]).toEqual([1, 'failed']);
   });
 
+  it('should be measured where it entered and at its target, and only when it was answered', () => {
+    const fleet = createFleet({ timeoutMs: 400 });
+    fleet.send('a1');
+    fleet.clock.advance(200);
+    failTargets(fleet, {});
+    fleet.send('a1');
+    fleet.clock.advance(200);
+    expect(fleet.durations.map(({ place, route }) => `${place} ${route}`)).toEqual(['target check', 'entry check']);
+    for (const { durationMs } of fleet.durations) expect(durationMs >= 20 && durationMs < 60).toEqual(true);
+  });
+
   it('should end at the timeout of its route', () => {
     const fleet = createFleet({ timeoutMs: 400 });
     for (const host of ['a2', 'a3']) {
