--- a/src/control/requests/admissionController.ts
+++ b/src/control/requests/admissionController.ts
@@ -1,6 +1,6 @@
 import { adjustCorrection, computeAdmission } from '../../policy/admission.js';
 import type { ServiceCapacity } from '../../policy/admission.js';
-import { computeCapacities, computeClientDemands } from '../../policy/fleetDemand.js';
+import { computeCapacities, computeClientDemands, weighViews } from '../../policy/fleetDemand.js';
 import type { NodeView } from '../../policy/fleetDemand.js';
 import { listParts } from '../../policy/routeTable.js';
 import type { Profile } from '../../schema/linkFrame.js';
@@ -15,15 +15,23 @@
 export function createAdmissionController({ board, clock }: RequestContext): Controller {
   const admission = board.claim('admission', 'admissionController');
   const { section } = admission;
+  const nodesByService = new Map<string, number>();
   let stopFollowing = (): void => undefined;
 
   const readViews = (): NodeView[] => {
     const own = { load: readOwnLoad(board, clock.now()), profile: board.read('demand').profile as Profile };
-    const views: NodeView[] = [own];
+    const views = [own];
     for (const { lanes, load, profile } of board.read('links').byHost.values()) {
       if (lanes.routine.phase === 'up') views.push({ load, profile: profile as Profile });
     }
-    return views;
+    return weighViews(views, nodesByService);
+  };
+  const updateNodes = (): void => {
+    const { self, byHost } = board.read('members');
+    nodesByService.clear();
+    for (const { service, target } of [self, ...byHost.values()]) {
+      if (target?.phase !== 'left') nodesByService.set(service, (nodesByService.get(service) ?? 0) + 1);
+    }
   };
   const updateFractions = (): void => {
     const { table } = board.read('routes');
@@ -61,6 +69,7 @@
   };
   return {
     start: () => {
+      board.subscribe('members', updateNodes);
       stopFollowing = board.subscribe('demand', updateFractions);
     },
     stop: () => {
--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -16,9 +16,10 @@
     const place = { host: self.host, isOwnHost: true, isLocalDataCenter: true, isUntried: false };
     candidates.push({ ...place, load: own, sentSinceReport: 0 });
   }
-  const lane = chooseLane(priority);
-  for (const { host, load, lanes, sentSinceReport, triedTargetId } of board.read('links').byHost.values()) {
-    if (load.service !== service || load.phase !== 'ready' || lanes[lane].phase !== 'up') continue;
+  for (const peer of board.read('links').byHost.values()) {
+    const { host, load, lanes, sentSinceReport, triedTargetId } = peer;
+    if (load.service !== service || load.phase !== 'ready') continue;
+    if (lanes[chooseLane(peer, priority)].phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
     const isUntried = triedTargetId !== load.targetId;
     candidates.push({ host, isOwnHost: false, isLocalDataCenter, isUntried, load, sentSinceReport });
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -1,10 +1,11 @@
+import type { ReadView } from '../../core/blackboard.js';
 import type { Clock } from '../../core/clock.js';
 import type { DeadlineTimer } from '../../core/deadlineTimer.js';
 import type { Random } from '../../core/random.js';
 import type { LinkFrame, LinkLane } from '../../schema/linkFrame.js';
 import type { StoreRead, StoreWrite } from '../../schema/keyedStore.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
-import type { RequestBoard } from './sections.js';
+import type { RequestBoard, PeerState } from './sections.js';
 import type { SendToTarget } from './runPort.js';
 
 /** One open connection to another node. */
@@ -66,7 +67,7 @@
   io: RequestIo;
 }
 
-/** The lane of a request: only the most urgent ones take the urgent one. */
-export function chooseLane(priority: number): LinkLane {
-  return priority === 0 ? 'urgent' : 'routine';
+/** The lane of a request: only the most urgent ones take the urgent one, once it is up. */
+export function chooseLane({ lanes }: ReadView<Pick<PeerState, 'lanes'>>, priority: number): LinkLane {
+  return priority === 0 && lanes.urgent.phase === 'up' ? 'urgent' : 'routine';
 }
--- a/src/control/requests/demandController.ts
+++ b/src/control/requests/demandController.ts
@@ -50,7 +50,7 @@
     const views: NodeView[] = [];
     for (const { host, profile, load } of board.read('links').byHost.values()) {
       if (members.get(host)?.dataCenter !== self.dataCenter || load.service === self.service) continue;
-      if (profile.demand.length > 0) views.push({ load, profile: profile as Profile });
+      if (profile.demand.length > 0) views.push({ load, profile: profile as Profile, weight: 1 });
     }
     return collectServiceRates(views);
   };
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -24,6 +24,8 @@
   readonly lane: LinkLane;
   readonly runs: IncomingRuns;
   statusAtMs: number;
+  /** When an answer told the load. */
+  loadAtMs: number;
   profileAtMs: number;
   /** As it was sent last. */
   profile: Profile;
@@ -50,6 +52,10 @@
     configurationVersion: board.read('routes').version,
     memberCount: board.read('members').byHost.size + 1,
   });
+  const isStatusDue = ({ statusAtMs, loadAtMs }: IncomingLane, nowMs: number, isActive: boolean): boolean => {
+    if (nowMs - statusAtMs >= IDLE_STATUS_MS) return true;
+    return isActive && nowMs - Math.max(statusAtMs, loadAtMs) >= ACTIVE_STATUS_MS;
+  };
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
     lane.statusAtMs = clock.now();
     lane.runs.send(status);
@@ -73,9 +79,23 @@
         accept: (attempt) => {
           board.post('runs', { type: 'accept', attempt });
         },
-        readLoad: () => readOwnLoad(board, clock.now()),
+        readLoad: () => {
+          // Answers carry the load, so that no status is due for a while.
+          const nowMs = clock.now();
+          if (entry !== undefined) entry.loadAtMs = nowMs;
+          return readOwnLoad(board, nowMs);
+        },
       });
-      entry = { host, lane, runs, statusAtMs: 0, profileAtMs: 0, profile: createEmptyProfile(), usedAtMs: 0 };
+      entry = {
+        host,
+        lane,
+        runs,
+        statusAtMs: 0,
+        loadAtMs: 0,
+        profileAtMs: 0,
+        profile: createEmptyProfile(),
+        usedAtMs: 0,
+      };
       incoming.set(key, entry);
     }
     return entry;
@@ -134,8 +154,7 @@
       for (const lane of incoming.values()) {
         const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < ACTIVE_FOR_MS;
         if (!isActive && lane.lane === 'urgent') continue;
-        const periodMs = isActive ? ACTIVE_STATUS_MS : IDLE_STATUS_MS;
-        if (!isDueOnly || nowMs - lane.statusAtMs >= periodMs) sendStatus(lane, status);
+        if (!isDueOnly || isStatusDue(lane, nowMs, isActive)) sendStatus(lane, status);
         if (lane.lane === 'routine') sendProfile(lane, nowMs, isActive);
       }
     },
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -26,8 +26,8 @@
   let stopTicks = (): void => undefined;
 
   const followMembers = (): void => {
-    const { self, byHost } = board.read('members');
-    outgoing.follow(byHost);
+    const { self } = board.read('members');
+    outgoing.follow();
     if (self.revision === sentRevision) return;
     sentRevision = self.revision;
     outgoing.send({ type: 'members', members: [self as NodeMember] });
@@ -55,6 +55,7 @@
     acceptLink: incoming.accept,
     start: () => {
       board.subscribe('members', followMembers);
+      board.subscribe('routes', outgoing.follow);
       board.subscribe('target', spreadStatus);
       board.subscribe('node', spreadStatus);
       stopTicks = scheduleRepeated(clock, TICK_MS, runTick);
--- /dev/null
+++ b/src/control/requests/outgoingLane.ts
@@ -0,0 +1,59 @@
+import type { LinkLane } from '../../schema/linkFrame.js';
+import type { LinkConnection } from './context.js';
+import { createOutgoingRuns } from './outgoingRuns.js';
+import type { OutgoingRuns } from './outgoingRuns.js';
+import { createEmptyProfile, createUnknownLoad } from './sections.js';
+import type { PeerState } from './sections.js';
+
+export const FIRST_REDIAL_MS = 10;
+
+/** One lane of a link that this node opened. Times are monotonic (ms). */
+export interface OutgoingLane {
+  readonly peer: PeerState;
+  readonly lane: LinkLane;
+  readonly runs: OutgoingRuns;
+  address: string;
+  connection: LinkConnection | undefined;
+  incarnation: string;
+  closeDial: () => void;
+  redialMs: number;
+  lostAtMs: number;
+  /** When requests began to wait without a break. */
+  waitingSinceMs: number;
+  /** The peer is no longer a member, or no longer one of those that this node keeps links to. */
+  isRemoved: boolean;
+}
+
+/** Creates what is known of a peer before it was heard. */
+export function createPeer(host: string): PeerState {
+  return {
+    host,
+    lanes: { urgent: { phase: 'down', lastHeardMs: 0 }, routine: { phase: 'down', lastHeardMs: 0 } },
+    load: createUnknownLoad(),
+    loadAtMs: 0,
+    sentSinceReport: 0,
+    outstanding: 0,
+    configurationVersion: -1,
+    memberCount: 0,
+    profile: createEmptyProfile(),
+    triedTargetId: '',
+  };
+}
+
+/** Creates a lane without connection. */
+export function createLane(options: { peer: PeerState; lane: LinkLane; address: string; nowMs: number }): OutgoingLane {
+  const { peer, lane, address, nowMs } = options;
+  return {
+    peer,
+    lane,
+    runs: createOutgoingRuns(peer.host, () => peer.outstanding--),
+    address,
+    connection: undefined,
+    incarnation: '',
+    closeDial: () => undefined,
+    redialMs: FIRST_REDIAL_MS,
+    lostAtMs: nowMs,
+    waitingSinceMs: 0,
+    isRemoved: false,
+  };
+}
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -1,12 +1,14 @@
 import type { HelloFrame, LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
+import type { ReadView } from '../../core/blackboard.js';
+import { choosePeers } from '../../policy/peerChoice.js';
+import { listParts } from '../../policy/routeTable.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { chooseLane } from './context.js';
 import type { LinkConnection, RequestContext } from './context.js';
 import type { LinkNews } from './linkNews.js';
-import { createOutgoingRuns } from './outgoingRuns.js';
-import type { OutgoingRuns } from './outgoingRuns.js';
+import { createLane, createPeer, FIRST_REDIAL_MS } from './outgoingLane.js';
+import type { OutgoingLane } from './outgoingLane.js';
 import type { RunAttempt } from './runPort.js';
-import { createEmptyProfile, createUnknownLoad } from './sections.js';
 import type { PeerState, RequestSections } from './sections.js';
 
 /** Silence after which a connection with waiting requests is replaced (ms). */
@@ -15,33 +17,19 @@
 const IDLE_SILENCE_MS = 5000;
 /** Time in which a broken connection may be replaced before its requests are given up (ms). */
 const REPLACE_MS = 500;
-const FIRST_REDIAL_MS = 10;
 const LONGEST_REDIAL_MS = 1000;
 /** Bytes that may wait in a connection before it counts as stalled. */
 const STALLED_BYTES = 8 * 1024 * 1024;
 
-const lanes: readonly LinkLane[] = ['urgent', 'routine'];
-
-interface OutgoingLane {
-  readonly peer: PeerState;
-  readonly lane: LinkLane;
-  readonly runs: OutgoingRuns;
-  address: string;
-  connection: LinkConnection | undefined;
-  incarnation: string;
-  closeDial: () => void;
-  redialMs: number;
-  lostAtMs: number;
-  /** When requests began to wait without a break. */
-  waitingSinceMs: number;
-  /** The peer is no longer a member. */
-  isRemoved: boolean;
-}
+/** Time without connection after which another peer is linked in place of one (ms). */
+const UNUSABLE_MS = 1500;
+/** Period in which the choice of peers is looked at again (ms). */
+const CHOICE_MS = 1000;
 
 /** The connections that this node opened, over which it sends requests. */
 export interface OutgoingLinks {
-  /** Opens connections to new members, and closes those to hosts that are none any more. */
-  follow(members: ReadonlyMap<string, unknown>): void;
+  /** Opens connections to the chosen members, and closes those to hosts that are none any more. */
+  follow(): void;
   sendRun(attempt: RunAttempt): void;
   /** Sends a frame to one peer, or to all. */
   send(frame: LinkFrame, host?: string): void;
@@ -59,6 +47,7 @@
   const { board, clock, random, io } = context;
   const { byHost } = section;
   const outgoing = new Map<string, OutgoingLane>();
+  let choiceAtMs = -Infinity;
   let isStopped = false;
 
   const buildKey = (host: string, lane: LinkLane): string => `${lane} ${host}`;
@@ -160,19 +149,48 @@
     if (peer === undefined) byHost.set(host, (peer = createPeer(host)));
     return peer;
   };
-  const open = (member: NodeMember): void => {
-    const peer = getPeer(member.host);
-    for (const lane of lanes) {
-      const key = buildKey(member.host, lane);
-      const known = outgoing.get(key);
-      if (known === undefined) {
-        const entry = createLane(peer, lane, member.linkAddress);
-        outgoing.set(key, entry);
-        dial(entry);
-      } else if (known.address !== member.linkAddress) {
-        known.address = member.linkAddress;
-        replace(known, 'the address changed');
-      }
+  const openLane = (member: ReadView<NodeMember>, lane: LinkLane): void => {
+    const key = buildKey(member.host, lane);
+    const known = outgoing.get(key);
+    if (known === undefined) {
+      const peer = getPeer(member.host);
+      const entry = createLane({ peer, lane, address: member.linkAddress, nowMs: clock.now() });
+      outgoing.set(key, entry);
+      dial(entry);
+    } else if (known.address !== member.linkAddress) {
+      known.address = member.linkAddress;
+      replace(known, 'the address changed');
+    }
+  };
+  /** Services with urgent requests, which get a lane of their own. */
+  const listUrgentServices = (): Set<string> => {
+    const routes = board.read('routes').table?.configuration.routes ?? [];
+    const urgent = routes.filter(({ priority }) => priority === 0);
+    return new Set(urgent.flatMap((route) => listParts(route).map(({ service }) => service)));
+  };
+  const isUsable = (host: string): boolean => {
+    const phase = board.read('members').byHost.get(host)?.target?.phase;
+    if (phase === 'draining' || phase === 'left') return false;
+    const lane = outgoing.get(buildKey(host, 'routine'));
+    if (lane === undefined || lane.peer.lanes.routine.phase === 'up') return true;
+    return clock.now() - lane.lostAtMs < UNUSABLE_MS;
+  };
+  const follow = (): void => {
+    const { self, byHost: members } = board.read('members');
+    const { byService } = board.read('budgets');
+    const isUsed = (service: string): boolean => byService.has(service);
+    choiceAtMs = clock.now();
+    const chosen = choosePeers({ self, members: members.values(), isUsable, isUsed });
+    const urgentServices = listUrgentServices();
+    for (const host of chosen) {
+      const member = members.get(host);
+      if (member === undefined) continue;
+      openLane(member, 'routine');
+      if (urgentServices.has(member.service)) openLane(member, 'urgent');
+    }
+    for (const [key, lane] of outgoing) {
+      const isMember = members.has(lane.peer.host);
+      if (!isMember || (!chosen.has(lane.peer.host) && lane.peer.outstanding === 0)) close(key, lane);
     }
   };
   const close = (key: string, lane: OutgoingLane): void => {
@@ -180,7 +198,7 @@
     byHost.delete(lane.peer.host);
     lane.isRemoved = true;
     lane.closeDial();
-    lane.runs.failAll(`${lane.peer.host} is no longer a member`);
+    lane.runs.failAll(`${lane.peer.host} is no longer a member or peer`);
   };
   const checkLane = (lane: OutgoingLane, nowMs: number): void => {
     const state = lane.peer.lanes[lane.lane];
@@ -199,12 +217,11 @@
     else if ((lane.connection?.waitingBytes ?? 0) > STALLED_BYTES) replace(lane, 'stalled');
   };
   return {
-    follow: (members) => {
-      for (const member of members.values()) open(member as NodeMember);
-      for (const [key, lane] of outgoing) if (!members.has(lane.peer.host)) close(key, lane);
-    },
+    follow,
     sendRun: (attempt) => {
-      const lane = outgoing.get(buildKey(attempt.host, chooseLane(attempt.request.priority)));
+      const peer = byHost.get(attempt.host);
+      const name = peer === undefined ? 'routine' : chooseLane(peer, attempt.request.priority);
+      const lane = outgoing.get(buildKey(attempt.host, name));
       if (lane?.peer.lanes[lane.lane].phase !== 'up') {
         const detail = `no connection to ${attempt.host}`;
         attempt.events.fail({ kind: 'linkLost', ran: 'no', hasArrived: false, detail });
@@ -224,6 +241,7 @@
       for (const { connection, lane } of outgoing.values()) if (lane === 'routine') connection?.send(frame);
     },
     check: (nowMs, lateMs) => {
+      if (nowMs - choiceAtMs >= CHOICE_MS) follow();
       for (const lane of outgoing.values()) {
         // A process that did not run itself must not take its peers for silent.
         lane.peer.lanes[lane.lane].lastHeardMs += lateMs;
@@ -236,34 +254,3 @@
     },
   };
 }
-
-function createPeer(host: string): PeerState {
-  return {
-    host,
-    lanes: { urgent: { phase: 'down', lastHeardMs: 0 }, routine: { phase: 'down', lastHeardMs: 0 } },
-    load: createUnknownLoad(),
-    loadAtMs: 0,
-    sentSinceReport: 0,
-    outstanding: 0,
-    configurationVersion: -1,
-    memberCount: 0,
-    profile: createEmptyProfile(),
-    triedTargetId: '',
-  };
-}
-
-function createLane(peer: PeerState, lane: LinkLane, address: string): OutgoingLane {
-  return {
-    peer,
-    lane,
-    runs: createOutgoingRuns(peer.host, () => peer.outstanding--),
-    address,
-    connection: undefined,
-    incarnation: '',
-    closeDial: () => undefined,
-    redialMs: FIRST_REDIAL_MS,
-    lostAtMs: 0,
-    waitingSinceMs: 0,
-    isRemoved: false,
-  };
-}
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -39,10 +39,10 @@
 /** Load, as a share of what is allowed, below which a service ends to limit. */
 const SAFE_LOAD = 0.85;
 /** Queue, as a share of the mean duration, that shows that the capacity is overestimated, or underestimated. */
-const LONG_QUEUE = 1;
-const SHORT_QUEUE = 0.1;
+const LONG_QUEUE = 2;
+const SHORT_QUEUE = 0.6;
 const LOWER_STEP = 0.98;
-const RAISE_STEP = 1.02;
+const RAISE_STEP = 1.04;
 const LEAST_FACTOR = 0.6;
 const GREATEST_FACTOR = 1.2;
 
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -6,6 +6,8 @@
 export interface NodeView {
   load: LoadReport;
   profile: Profile;
+  /** How many nodes like this one it stands for, since each node hears only some others. */
+  weight: number;
 }
 
 /** A route as far as its demand is concerned. */
@@ -35,15 +37,32 @@
   });
 }
 
+/**
+ * Lets the nodes that are heard stand for all nodes of their services.
+ *
+ * @param counts By service: all nodes, heard or not.
+ */
+export function weighViews(
+  views: readonly Omit<NodeView, 'weight'>[],
+  counts: ReadonlyMap<string, number>,
+): NodeView[] {
+  const heard = new Map<string, number>();
+  for (const { load } of views) heard.set(load.service, (heard.get(load.service) ?? 0) + 1);
+  return views.map((view) => {
+    const { service } = view.load;
+    return { ...view, weight: Math.max(1, (counts.get(service) ?? 0) / (heard.get(service) ?? 1)) };
+  });
+}
+
 /** Sums the targets of each service. */
 export function computeCapacities(views: readonly NodeView[]): ServiceCapacity[] {
   const byService = new Map<string, { slots: number; queued: number; perMs: number }>();
-  for (const { load } of views) {
+  for (const { load, weight } of views) {
     if (load.phase !== 'ready') continue;
     const sum = byService.get(load.service) ?? { slots: 0, queued: 0, perMs: 0 };
-    sum.slots += load.limit;
-    sum.queued += load.queued;
-    sum.perMs += load.limit / Math.max(1, load.durationMs);
+    sum.slots += weight * load.limit;
+    sum.queued += weight * load.queued;
+    sum.perMs += (weight * load.limit) / Math.max(1, load.durationMs);
     byService.set(load.service, sum);
   }
   return [...byService].map(([service, { slots, queued, perMs }]) => {
@@ -93,8 +112,8 @@
   const byService = new Map<string, NodeView[]>();
   for (const view of views) byService.set(view.load.service, [...(byService.get(view.load.service) ?? []), view]);
   return [...byService.values()].map((ofService) => {
-    const sums = collectRates(ofService);
-    return new Map([...sums].map(([route, sum]) => [route, sum / ofService.length]));
+    const nodes = ofService.reduce((sum, { weight }) => sum + weight, 0);
+    return new Map([...collectRates(ofService)].map(([route, rate]) => [route, rate / nodes]));
   });
 }
 
@@ -115,8 +134,8 @@
 
 function collectRates(views: readonly NodeView[]): Map<string, number> {
   const rates = new Map<string, number>();
-  for (const { profile } of views) {
-    for (const { route, perSecond } of profile.demand) rates.set(route, (rates.get(route) ?? 0) + perSecond);
+  for (const { profile, weight } of views) {
+    for (const { route, perSecond } of profile.demand) rates.set(route, (rates.get(route) ?? 0) + weight * perSecond);
   }
   return rates;
 }
