--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -113,12 +113,8 @@
     board.post('decisions', { kind: 'memberChanged', outcome: known === undefined ? 'joined' : 'changed', inputs });
     return true;
   };
-  const reportStore = (detail: string | undefined): void => {
-    const wasReached = section.storeHeardMs !== undefined;
-    section.storeHeardMs = detail === undefined ? clock.now() : undefined;
-    if (wasReached === (detail === undefined)) return;
-    const outcome = detail === undefined ? 'store reached' : 'store lost';
-    board.post('decisions', { kind: 'storeChanged', outcome, inputs: { detail } });
+  const noteStore = (isReached: boolean): void => {
+    section.storeHeardMs = isReached ? clock.now() : undefined;
   };
   /** Takes a dropped record out, unless the host proves to be there by its link. */
   const forget = (host: string): void => {
@@ -152,7 +148,8 @@
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
           learnAll(values, 'store', isComplete);
         },
-        reportStore,
+        noteStore,
+        name: 'members',
       });
     },
     stop: () => {
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -44,7 +44,8 @@
           }
         },
         // The member topic reports the store, so that one dependency is not logged twice.
-        reportStore: () => undefined,
+        noteStore: () => undefined,
+        name: 'configuration',
       });
     },
     stop: () => {
--- a/src/control/requests/storeFollower.ts
+++ b/src/control/requests/storeFollower.ts
@@ -8,10 +8,12 @@
 
 export interface FollowerOptions {
   topic: KeyedTopic;
+  /** What the topic holds, for the log. */
+  name: string;
   /** Takes new records; `isComplete` when they are the newest of all keys. */
   apply: (records: readonly KeyedRecord[], isComplete: boolean) => void;
-  /** Tells whether the store answers. */
-  reportStore: (detail: string | undefined) => void;
+  /** Told after each read whether the store answered. */
+  noteStore: (isReached: boolean) => void;
   /** Pause after a read that found records, so that many changes cost few reads (ms). */
   pauseMs: number;
 }
@@ -20,11 +22,19 @@
  * Follows a topic of the platform's store: the newest records first, then what is appended, and the newest ones again
  * after the store deleted what was not read. Returns a function that stops.
  */
-export function startFollower({ clock, random }: RequestContext, options: FollowerOptions): () => void {
+export function startFollower({ board, clock, random }: RequestContext, options: FollowerOptions): () => void {
   let isStopped = false;
   let cancelRead = (): void => undefined;
   let next: number | undefined;
+  let wasReached: boolean | undefined;
 
+  const noteRead = (isReached: boolean, detail?: string): void => {
+    options.noteStore(isReached);
+    if (wasReached === isReached) return;
+    wasReached = isReached;
+    const outcome = isReached ? 'store reached' : 'store lost';
+    board.post('decisions', { kind: 'storeChanged', outcome, inputs: { topic: options.name, next, detail } });
+  };
   const schedule = (pauseMs: number): void => {
     if (!isStopped) clock.schedule(pauseMs, read);
   };
@@ -32,14 +42,14 @@
     if (isStopped) return;
     if (outcome.type === 'records') {
       next = outcome.next;
-      options.reportStore(undefined);
+      noteRead(true);
       if (outcome.records.length > 0 || isComplete) options.apply(outcome.records, isComplete);
       schedule(outcome.records.length > 0 && !isComplete ? options.pauseMs : 0);
     } else if (outcome.type === 'compacted') {
       next = undefined;
       schedule(0);
     } else {
-      options.reportStore(outcome.detail);
+      noteRead(false, outcome.detail);
       schedule(RETRY_PAUSE_MS * (0.5 + random()));
     }
   };
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -123,7 +123,7 @@
   names: RequestHeaderNames,
   limits: RequestLimits | undefined,
 ): Refusal | undefined {
-  if (findHeader(rawHeaders, names.requestId) === undefined)
+  if ((findHeader(rawHeaders, names.requestId) ?? '') === '')
     return { kind: 'malformed', detail: 'a request has an id' };
   if (!url.startsWith('/')) return { kind: 'malformed', detail: 'a path begins with a slash' };
   if (limits === undefined) return undefined;
