--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -41,10 +41,9 @@
   readonly deadlineAtMs: number;
   readonly fingerprint: number;
   readonly triedHosts: Set<string>;
-  /** Attempts without an outcome; a second one only where the first is overdue. */
-  readonly openAttempts: Map<RunAttempt, { sentAtMs: number }>;
-  /** The attempt that was sent last, or whose answer is passed on. */
+  /** The attempt that was sent last. */
   attempt: RunAttempt | undefined;
+  sentAtMs: number;
   /** Attempts that may have reached a target. */
   arrivals: number;
   /** Nodes that refused it without reaching a target. */
@@ -76,8 +75,8 @@
     deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
     fingerprint: computeFingerprint(request),
     triedHosts: new Set(),
-    openAttempts: new Map(),
     attempt: undefined,
+    sentAtMs: nowMs,
     arrivals: 0,
     offers: 0,
     mayHaveRun: false,
@@ -103,7 +102,7 @@
     callerService,
     timeLeftMs: Math.max(0, deadlineAtMs - nowMs),
     worthLeftMs: arrivedAtMs + route.targetLatencyMs - nowMs,
-    isRepeat: entry.arrivals + entry.openAttempts.size > 0,
+    isRepeat: entry.arrivals > 0,
     fingerprint,
     isStreamed: request.isStreamed,
     ...(request.body === undefined ? {} : { body: request.body }),
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -23,7 +23,7 @@
 export interface EntryAttempts {
   /** Sends a request to the target that is expected to answer first; refuses it where there is none. */
   sendEntry(entry: Entry): void;
-  /** Stops all attempts that are under way. */
+  /** Stops the attempt that is under way. */
   cancelEntry(entry: Entry): void;
 }
 
@@ -75,7 +75,7 @@
       handle: undefined,
     };
     entry.attempt = attempt;
-    entry.openAttempts.set(attempt, { sentAtMs: clock.now() });
+    entry.sentAtMs = clock.now();
     if (isOwnHost) board.post('runs', { type: 'accept', attempt });
     else board.post('links', { type: 'send', attempt });
   };
@@ -91,31 +91,25 @@
     expectedMs: latencies.get(entry.route.name)?.meanMs ?? 0,
   });
   const receiveAnswer = (entry: Entry, attempt: RunAttempt, answer: RunAnswer): void => {
-    const sent = entry.openAttempts.get(attempt);
-    if (entry.isEnded || sent === undefined) return;
+    if (entry.isEnded || entry.attempt !== attempt) return;
     if (answer.status >= LEAST_FAILED_STATUS && !answer.isStreamed) {
       entry.failedAnswer = answer;
       const detail = `the target answered ${answer.status}`;
       receiveFailure(entry, attempt, { kind: 'targetFailed', ran: 'yes', hasArrived: true, detail });
       return;
     }
-    recordLatency(entry, clock.now() - sent.sentAtMs);
-    deliverAnswer(entry, attempt, answer);
+    recordLatency(entry);
+    deliverAnswer(entry, answer);
   };
-  const deliverAnswer = (entry: Entry, attempt: RunAttempt | undefined, answer: RunAnswer): void => {
-    for (const other of entry.openAttempts.keys()) if (other !== attempt) other.handle?.cancel();
-    entry.openAttempts.clear();
-    entry.attempt = attempt;
-    if (answer.isStreamed) {
-      entry.isAnswering = true;
-      if (attempt !== undefined) entry.openAttempts.set(attempt, { sentAtMs: clock.now() });
-    } else outcome.end(entry, 'answered', String(answer.status));
+  const deliverAnswer = (entry: Entry, answer: RunAnswer): void => {
+    if (answer.isStreamed) entry.isAnswering = true;
+    else outcome.end(entry, 'answered', String(answer.status));
     entry.reply.answer(answer);
   };
-  const recordLatency = ({ route }: Entry, latencyMs: number): void => {
+  const recordLatency = ({ route, sentAtMs }: Entry): void => {
     let estimate = latencies.get(route.name);
     if (estimate === undefined) latencies.set(route.name, (estimate = createDurationEstimate()));
-    addDuration(estimate, latencyMs);
+    addDuration(estimate, clock.now() - sentAtMs);
   };
   const noteFailure = (entry: Entry, attempt: RunAttempt, failure: RunFailure): void => {
     // A request that was lost on the way to a host may be offered there again.
@@ -125,24 +119,20 @@
     entry.mayHaveRun ||= failure.ran !== 'no';
   };
   const receiveFailure = (entry: Entry, attempt: RunAttempt, failure: RunFailure): void => {
-    const sent = entry.openAttempts.get(attempt);
-    if (entry.isEnded || sent === undefined) return;
-    entry.openAttempts.delete(attempt);
+    if (entry.isEnded || entry.attempt !== attempt) return;
     noteFailure(entry, attempt, failure);
-    const step =
-      entry.openAttempts.size > 0 ? { type: 'wait' as const } : decideNextStep(describeAttempt(entry, failure));
+    const step = decideNextStep(describeAttempt(entry, failure));
     const inputs = {
       route: entry.route.name,
       host: attempt.host,
       failure: failure.kind,
       ran: failure.ran,
       detail: failure.detail,
-      afterMs: Math.round(clock.now() - sent.sentAtMs),
+      afterMs: Math.round(clock.now() - entry.sentAtMs),
       timeLeftMs: Math.round(entry.deadlineAtMs - clock.now()),
       arrivals: entry.arrivals,
     };
     board.post('decisions', { kind: 'attemptFailed', id: entry.request.requestId, outcome: step.type, inputs });
-    if (step.type === 'wait') return;
     if (step.type === 'refuse') {
       abandonEntry(entry, step.refusal);
       return;
@@ -159,7 +149,7 @@
   /** A target's own failure is passed on where there is one: it says more than an answer of the node's own. */
   const abandonEntry = (entry: Entry, refusal: Refusal): void => {
     if (entry.failedAnswer === undefined || entry.isAnswering) outcome.refuse(entry, refusal);
-    else deliverAnswer(entry, undefined, entry.failedAnswer);
+    else deliverAnswer(entry, entry.failedAnswer);
   };
   /** While demand is limited, a failure is most likely one of the calls, and repeating it adds to the demand. */
   const isLimited = (): boolean => board.read('admission').fractions.size > 0;
@@ -177,8 +167,7 @@
       else send(entry, candidate);
     },
     cancelEntry: (entry) => {
-      for (const attempt of entry.openAttempts.keys()) attempt.handle?.cancel();
-      entry.openAttempts.clear();
+      entry.attempt?.handle?.cancel();
     },
   };
 }
