--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -1,4 +1,4 @@
-import { decideNextStep, RETRY_AFTER_MS } from '../../policy/attemptOutcome.js';
+import { decideNextStep, isTargetFailure, RETRY_AFTER_MS } from '../../policy/attemptOutcome.js';
 import type { FailedAttempt } from '../../policy/attemptOutcome.js';
 import { hasRetryToken } from '../../policy/fleetBudget.js';
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
@@ -27,9 +27,7 @@
   cancelEntry(entry: Entry): void;
 }
 
-/** Status from which an answer says that the target failed. */
-const LEAST_FAILED_STATUS = 500;
-/** Failures that mean that an idempotent request may do better at another target, unless that one fails as often. */
+/** Share of failures below which a target may get a request that another one failed. */
 const HEALTHY_FAILURE_SHARE = 0.15;
 
 /** Creates the sending side of entries: chooses targets, repeats attempts, and passes answers on. */
@@ -92,7 +90,7 @@
   });
   const receiveAnswer = (entry: Entry, attempt: RunAttempt, answer: RunAnswer): void => {
     if (entry.isEnded || entry.attempt !== attempt) return;
-    if (answer.status >= LEAST_FAILED_STATUS && !answer.isStreamed) {
+    if (isTargetFailure(answer) && !answer.isStreamed) {
       entry.failedAnswer = answer;
       const detail = `the target answered ${answer.status}`;
       receiveFailure(entry, attempt, { kind: 'targetFailed', ran: 'yes', hasArrived: true, detail });
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -1,3 +1,4 @@
+import { isTargetFailure } from '../../policy/attemptOutcome.js';
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
 import { addResult } from '../../policy/failureShare.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
@@ -10,8 +11,6 @@
 
 /** Time past its deadline after which a running request is abandoned, so that the target's own end comes first (ms). */
 const ABANDON_AFTER_MS = 15;
-/** Status from which an answer says that the target failed. */
-const LEAST_FAILED_STATUS = 500;
 /** Failures that mean that the target as a whole does not work. */
 const shunning: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
 /** Requests in a row that ran out of time without any answer, after which the target counts as silent. */
@@ -78,7 +77,7 @@
     if (run.phase !== 'running') return;
     silentInRow = 0;
     section.answeredAtMs = clock.now();
-    noteResult(answer.status >= LEAST_FAILED_STATUS);
+    noteResult(isTargetFailure(answer));
     board.post('target', { type: 'heard' });
     if (!answer.isStreamed) endAnswered(run);
     run.events.answer(answer);
--- a/src/policy/attemptOutcome.ts
+++ b/src/policy/attemptOutcome.ts
@@ -21,6 +21,8 @@
 /** `offer`: to another node at no cost; `retry`: to another target, which costs a token; else the final answer. */
 export type NextStep = { type: 'offer' } | { type: 'retry' } | { type: 'refuse'; refusal: Refusal };
 
+/** Status from which an answer says that the target failed. */
+const LEAST_FAILED_STATUS = 500;
 /** Nodes that may refuse a request before its client is told. */
 const MAX_OFFERS = 4;
 /** Time after which a client that was refused may find room (ms). */
@@ -40,6 +42,11 @@
   return meanMs * (0.75 + 0.5 * random);
 }
 
+/** True when a target's answer says that it failed to do the work. */
+export function isTargetFailure({ status }: { status: number }): boolean {
+  return status >= LEAST_FAILED_STATUS;
+}
+
 /**
  * Decides what follows a failed attempt. A request goes to another target only where it has certainly not run, or may run
  * twice; whatever may have reached a target costs a token of the fleet's retries.
