--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -64,14 +64,14 @@
   const noteResult = (isFailure: boolean): void => {
     addResult(section.failures, isFailure, clock.now());
   };
-  const endAnswered = (run: Run): void => {
+  const endAnswered = (run: Run, detail: string): void => {
     const durationMs = clock.now() - run.startedAtMs;
     addDuration(duration, durationMs);
     let ofRoute = durationByRoute.get(run.request.route);
     if (ofRoute === undefined) durationByRoute.set(run.request.route, (ofRoute = createDurationEstimate()));
     addDuration(ofRoute, durationMs);
     io.recordDuration({ place: 'target', route: run.request.route, durationMs });
-    end(run, 'answered', '');
+    end(run, 'answered', detail);
   };
   const receiveAnswer = (run: Run, answer: RunAnswer): void => {
     if (run.phase !== 'running') return;
@@ -79,7 +79,7 @@
     section.answeredAtMs = clock.now();
     noteResult(isTargetFailure(answer));
     board.post('target', { type: 'heard' });
-    if (!answer.isStreamed) endAnswered(run);
+    if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
     run.events.answer(answer);
   };
   const fail = (run: Run, failure: RunFailure): void => {
@@ -110,7 +110,7 @@
         },
         part: (data, isLast) => {
           if (run.phase !== 'running') return;
-          if (isLast) endAnswered(run);
+          if (isLast) endAnswered(run, 'streamed');
           run.events.part(data, isLast);
         },
         fail: (failure) => {
--- a/src/timeline/explainRequest.ts
+++ b/src/timeline/explainRequest.ts
@@ -5,7 +5,7 @@
   requestId: string;
   /** The decisions on the request, in order. */
   decisions: DecisionLine[];
-  /** Changes of belief about what these decisions name, up to `BELIEF_AGE_MS` before them, in order. */
+  /** What the processes that decided came to believe of what the decisions name, up to `BELIEF_AGE_MS` before, in order. */
   beliefs: DecisionLine[];
   /** The decision that settled the request; undefined where no line of it was written. */
   cause: DecisionLine | undefined;
@@ -29,13 +29,14 @@
  */
 export function explainRequest(lines: readonly DecisionLine[], requestId: string): RequestExplanation {
   const decisions = mergeLines(lines.filter(({ id }) => id === requestId));
+  const deciding = new Set(decisions.map(({ host }) => host));
   const named = new Set(decisions.flatMap((line) => [line.host, ...listSubjects(line)]));
   const fromMs = (decisions[0]?.timeMs ?? 0) - BELIEF_AGE_MS;
   const untilMs = decisions.at(-1)?.timeMs ?? 0;
   const beliefs = lines.filter((line) => {
     if (line.id !== undefined || line.timeMs < fromMs || line.timeMs > untilMs) return false;
-    if (general.has(line.kind)) return named.has(line.host);
-    return listSubjects(line).some((subject) => named.has(subject));
+    if (!deciding.has(line.host)) return false;
+    return general.has(line.kind) || listSubjects(line).some((subject) => named.has(subject));
   });
   return { requestId, decisions, beliefs: mergeLines(beliefs), cause: findCause(decisions) };
 }
