Share the gauge of both metrics pages, drop what second attempts left behind

Change: http/addGauge.ts serves both; chooseNext lists its candidates itself. Behaviour is unchanged.

--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -39,12 +39,10 @@
   const { outcome } = options;
   const { latencies } = options.section;
 
-  const listUntried = ({ service, route, triedHosts }: Entry): TargetCandidate[] =>
-    listCandidates(board, { service, priority: route.priority, nowMs: clock.now() }).filter(
+  const chooseNext = ({ route, service, triedHosts }: Entry): TargetCandidate | undefined => {
+    const candidates = listCandidates(board, { service, priority: route.priority, nowMs: clock.now() }).filter(
       ({ host }) => !triedHosts.has(host),
     );
-  const chooseNext = (entry: Entry, candidates = listUntried(entry)): TargetCandidate | undefined => {
-    const { route } = entry;
     const mayTry = route.kind === 'idempotent' && route.priority > 0;
     const untried = mayTry ? candidates.find(({ isUntried }) => isUntried) : undefined;
     const usefulMs = Math.min(route.targetLatencyMs, route.timeoutMs);
--- /dev/null
+++ b/src/http/addGauge.ts
@@ -0,0 +1,14 @@
+import { Gauge } from 'prom-client';
+import type { Registry } from 'prom-client';
+
+/** Adds a gauge whose value is read when the metrics are asked for. */
+export function addGauge(registry: Registry, name: string, help: string, read: () => number): void {
+  new Gauge({
+    name,
+    help,
+    registers: [registry],
+    collect() {
+      this.set(read());
+    },
+  });
+}
--- a/src/http/metrics.ts
+++ b/src/http/metrics.ts
@@ -2,6 +2,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { Node } from '../node/createNode.js';
+import { addGauge } from './addGauge.js';
 
 const QUANTILES = [50, 90, 99, 99.9];
 const HIGHEST_MS = 600_000;
@@ -39,30 +40,32 @@
     labelNames: ['role', 'service', 'priority', 'quantile'] as const,
     registers: [registry],
   });
-  const createGauge = (name: string, help: string, read: () => number): void => {
-    new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  };
-  createGauge(
+  addGauge(
+    registry,
     'hemlock_limit_concurrency',
     'Concurrency limit of the local target',
     () => board.read('limits').concurrency,
   );
-  createGauge('hemlock_calls_in_flight', 'Calls running at the local target', () => board.read('calls').inFlight);
-  createGauge('hemlock_calls_queued', 'Calls waiting for the local target', () => board.read('queue').length);
-  createGauge(
+  addGauge(
+    registry,
+    'hemlock_calls_in_flight',
+    'Calls running at the local target',
+    () => board.read('calls').inFlight,
+  );
+  addGauge(registry, 'hemlock_calls_queued', 'Calls waiting for the local target', () => board.read('queue').length);
+  addGauge(
+    registry,
     'hemlock_calls_dispatched',
     'Calls that this node answers for',
     () => board.read('calls').dispatched.size,
   );
-  createGauge('hemlock_members', 'Known nodes', () => board.read('members').byId.size);
-  createGauge('hemlock_configuration_offset', 'Log offset applied', () => board.read('configuration').appliedOffset);
+  addGauge(registry, 'hemlock_members', 'Known nodes', () => board.read('members').byId.size);
+  addGauge(
+    registry,
+    'hemlock_configuration_offset',
+    'Log offset applied',
+    () => board.read('configuration').appliedOffset,
+  );
 
   createTrafficGauges(registry, options.traffic);
 
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -3,6 +3,7 @@
 import { Gauge, Registry } from 'prom-client';
 import type { DurationSample } from '../control/requests/context.js';
 import type { RequestBoard } from '../control/requests/sections.js';
+import { addGauge } from './addGauge.js';
 
 export interface DurationMetrics {
   record(sample: DurationSample): void;
@@ -53,16 +54,6 @@
 export function createRequestMetrics(board: RequestBoard, durations: DurationMetrics): RequestMetrics {
   const registry = new Registry();
   durations.register(registry);
-  const createGauge = (name: string, help: string, read: () => number): void => {
-    new Gauge({
-      name,
-      help,
-      registers: [registry],
-      collect() {
-        this.set(read());
-      },
-    });
-  };
   const createCounts = (name: string, help: string, read: () => ReadonlyMap<string, number>): void => {
     new Gauge({
       name,
@@ -80,12 +71,27 @@
     () => board.read('entries').counts,
   );
   createCounts('hemlock_runs', 'Requests at the local target that ended, by result', () => board.read('runs').counts);
-  createGauge('hemlock_requests_open', 'Requests that entered here and are open', () => board.read('entries').open);
-  createGauge('hemlock_runs_running', 'Requests at the local target', () => board.read('runs').running.size);
-  createGauge('hemlock_runs_queued', 'Requests that wait for the local target', () => board.read('runs').queue.length);
-  createGauge('hemlock_run_duration_ms', 'Smoothed duration of runs (ms)', () => board.read('runs').duration.meanMs);
-  createGauge('hemlock_configuration_version', 'Version in force', () => board.read('routes').version);
-  createGauge('hemlock_members', 'Other nodes known', () => board.read('members').byHost.size);
-  createGauge('hemlock_log_lines_dropped', 'Lines not written', () => board.read('decisions').dropped);
+  addGauge(
+    registry,
+    'hemlock_requests_open',
+    'Requests that entered here and are open',
+    () => board.read('entries').open,
+  );
+  addGauge(registry, 'hemlock_runs_running', 'Requests at the local target', () => board.read('runs').running.size);
+  addGauge(
+    registry,
+    'hemlock_runs_queued',
+    'Requests that wait for the local target',
+    () => board.read('runs').queue.length,
+  );
+  addGauge(
+    registry,
+    'hemlock_run_duration_ms',
+    'Smoothed duration of runs (ms)',
+    () => board.read('runs').duration.meanMs,
+  );
+  addGauge(registry, 'hemlock_configuration_version', 'Version in force', () => board.read('routes').version);
+  addGauge(registry, 'hemlock_members', 'Other nodes known', () => board.read('members').byHost.size);
+  addGauge(registry, 'hemlock_log_lines_dropped', 'Lines not written', () => board.read('decisions').dropped);
   return { renderText: () => registry.metrics() };
 }
