Keep one timer for all deadlines

Cause: each deadline had a timer of its own that fired also after it was cancelled, so every finished request woke its two processes three times more. Change: only the earliest deadline has a timer; a cancelled one leaves its bucket.

--- a/src/core/deadlineTimer.ts
+++ b/src/core/deadlineTimer.ts
@@ -10,7 +10,8 @@
 }
 
 /**
- * Creates a deadline timer. Deadlines are rounded up to the granularity, so that calls share timers.
+ * Creates a deadline timer. Deadlines are rounded up to the granularity, so that calls share timers. Only the earliest
+ * deadline has a timer: most deadlines are cancelled long before, and a timer for each would wake the process for nothing.
  *
  * @example
  * const deadlines = createDeadlineTimer(clock);
@@ -19,28 +20,44 @@
 export function createDeadlineTimer(clock: Clock, options: { granularityMs?: number } = {}): DeadlineTimer {
   const granularityMs = options.granularityMs ?? 5;
   const buckets = new Map<number, Set<() => void>>();
+  let wakeSlot = Infinity;
+  let cancelWake = (): void => undefined;
 
-  const runBucket = (slot: number): void => {
-    const due = buckets.get(slot);
-    buckets.delete(slot);
-    for (const run of due ?? []) run();
+  const scheduleWake = (slot: number): void => {
+    cancelWake();
+    wakeSlot = slot;
+    cancelWake = clock.schedule(slot * granularityMs - clock.now(), runDue);
+  };
+  const findEarliest = (): number => {
+    let earliest = Infinity;
+    for (const slot of buckets.keys()) if (slot < earliest) earliest = slot;
+    return earliest;
+  };
+  const runDue = (): void => {
+    wakeSlot = Infinity;
+    const nowMs = clock.now();
+    for (let slot = findEarliest(); slot * granularityMs <= nowMs; slot = findEarliest()) {
+      const due = buckets.get(slot);
+      buckets.delete(slot);
+      for (const run of due ?? []) run();
+    }
+    const earliest = findEarliest();
+    if (earliest < wakeSlot) scheduleWake(earliest);
   };
   return {
     add: (atMs, run) => {
       const slot = Math.ceil(atMs / granularityMs);
       let bucket = buckets.get(slot);
-      if (bucket === undefined) {
-        bucket = new Set();
-        buckets.set(slot, bucket);
-        clock.schedule(slot * granularityMs - clock.now(), () => {
-          runBucket(slot);
-        });
-      }
+      if (bucket === undefined) buckets.set(slot, (bucket = new Set()));
       const runEntry = (): void => {
         run();
       };
-      bucket.add(runEntry);
-      return () => bucket.delete(runEntry);
+      const entries = bucket.add(runEntry);
+      if (slot < wakeSlot) scheduleWake(slot);
+      return () => {
+        entries.delete(runEntry);
+        if (entries.size === 0 && buckets.get(slot) === entries) buckets.delete(slot);
+      };
     },
   };
 }
