--- a/eslint.config.js
+++ b/eslint.config.js
@@ -148,4 +148,11 @@
     files: ['*.js', 'scripts/**/*.js'],
     languageOptions: { globals: { URL: 'readonly', console: 'readonly', process: 'readonly', Buffer: 'readonly' } },
   },
+  {
+    files: ['scripts/**/*.cjs'],
+    languageOptions: {
+      globals: { require: 'readonly', module: 'writable', __dirname: 'readonly', process: 'readonly' },
+    },
+    rules: { '@typescript-eslint/no-require-imports': 'off' },
+  },
 );
--- /dev/null
+++ b/scripts/undiciClients.cjs
@@ -0,0 +1,8 @@
+// The parts of undici that the program uses, put together as its main file does.
+const Dispatcher = require('../node_modules/undici/lib/dispatcher/dispatcher.js');
+
+Object.assign(Dispatcher.prototype, require('../node_modules/undici/lib/api/index.js'));
+module.exports = {
+  Client: require('../node_modules/undici/lib/dispatcher/client.js'),
+  Pool: require('../node_modules/undici/lib/dispatcher/pool.js'),
+};
