Serve both HTTP ends on Node's parser, without message objects

Change: messageParser.ts on Node's llhttp, clientConnection.ts and responseWriter.ts for clients, targetConnection.ts for targets. A second answer to the request before is passed over where it used to fail the next request. A client may read its refusal while it still sends a body. Fingerprints are computed only where a target was lost or something is quarantined.

--- a/src/control/requests/decisionController.ts
+++ b/src/control/requests/decisionController.ts
@@ -1,5 +1,5 @@
 import { scheduleRepeated } from '../../core/clock.js';
-import type { Decision, DecisionKind, DecisionLine } from '../../schema/decision.js';
+import type { Decision, DecisionKind } from '../../schema/decision.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
 
@@ -28,16 +28,13 @@
   let tokens = BURST_LINES;
   let droppedBefore = 0;
   let isWriting = false;
+  const hostText = JSON.stringify(board.read('members').self.host);
   let stopFlushes = (): void => undefined;
 
   const add = (decision: Decision): void => {
-    const line: DecisionLine = {
-      timeMs: clock.wallTime(),
-      host: board.read('members').self.host,
-      line: section.nextLine++,
-      ...decision,
-    };
-    section.lines.push(JSON.stringify(line));
+    // Fields of a `DecisionLine`, put together as text, which costs less than copying the decision.
+    const head = `{"timeMs":${clock.wallTime()},"host":${hostText},"line":${section.nextLine++},`;
+    section.lines.push(head + JSON.stringify(decision).slice(1));
   };
   const drainLines = (): void => {
     if (section.dropped > droppedBefore) {
--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -1,5 +1,4 @@
 import type { ReadView } from '../../core/blackboard.js';
-import { hashText } from '../../core/hash.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
 import type { Route } from '../../schema/routeConfiguration.js';
@@ -39,7 +38,6 @@
   readonly service: string;
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
-  readonly fingerprint: number;
   readonly triedHosts: Set<string>;
   /** The attempt that was sent last. */
   attempt: RunAttempt | undefined;
@@ -73,7 +71,6 @@
     service,
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
-    fingerprint: computeFingerprint(request),
     triedHosts: new Set(),
     attempt: undefined,
     sentAtMs: nowMs,
@@ -89,7 +86,7 @@
 
 /** Builds what the node beside the target gets. */
 export function buildRun(entry: Entry, callerService: string, nowMs: number): RunRequest {
-  const { request, route, service, arrivedAtMs, deadlineAtMs, fingerprint } = entry;
+  const { request, route, service, arrivedAtMs, deadlineAtMs } = entry;
   return {
     requestId: request.requestId,
     service,
@@ -103,14 +100,7 @@
     timeLeftMs: Math.max(0, deadlineAtMs - nowMs),
     worthLeftMs: arrivedAtMs + route.targetLatencyMs - nowMs,
     isRepeat: entry.arrivals > 0,
-    fingerprint,
     isStreamed: request.isStreamed,
     ...(request.body === undefined ? {} : { body: request.body }),
   };
 }
-
-/** A request that comes again, perhaps at another host, has the same method, path and body; a streamed body is any. */
-function computeFingerprint({ method, path, body }: ClientRequest): number {
-  const bodyHash = body === undefined || body.length === 0 ? 0 : hashText(Buffer.from(body).toString('latin1'));
-  return hashText(`${method} ${path} ${bodyHash}`);
-}
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,5 +1,6 @@
 import { hashToUnit } from '../../core/hash.js';
 import { computeShedRetry, RETRY_AFTER_MS } from '../../policy/attemptOutcome.js';
+import { computeFingerprint } from '../../policy/fingerprint.js';
 import { choosePart } from '../../policy/partChoice.js';
 import { resolveSuspect } from '../../policy/quarantine.js';
 import { findRoute, listParts } from '../../policy/routeTable.js';
@@ -102,8 +103,7 @@
     return buildHandle(entry);
   };
   const startEntry = (entry: Entry): void => {
-    const suspect = board.read('quarantine').byFingerprint.get(entry.fingerprint);
-    if (resolveSuspect(suspect, clock.now()) === 'refuse') {
+    if (isQuarantined(entry.request)) {
       refuse(entry, { kind: 'quarantined', detail: 'requests like this one crash their targets' });
       return;
     }
@@ -119,6 +119,11 @@
     }
     attempts.sendEntry(entry);
   };
+  const isQuarantined = (request: ClientRequest): boolean => {
+    const { byFingerprint } = board.read('quarantine');
+    if (byFingerprint.size === 0) return false;
+    return resolveSuspect(byFingerprint.get(computeFingerprint(request)), clock.now()) === 'refuse';
+  };
   const buildHandle = (entry: Entry): RunHandle => ({
     cancel: () => {
       if (entry.isEnded) return;
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -1,6 +1,7 @@
 import { isTargetFailure } from '../../policy/attemptOutcome.js';
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
 import { addResult } from '../../policy/failureShare.js';
+import { computeFingerprint } from '../../policy/fingerprint.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
 import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
 import type { Controller } from '../context.js';
@@ -86,7 +87,7 @@
     if (run.phase !== 'running') return;
     noteResult(failure.kind !== 'timedOut');
     if (failure.kind === 'connectionLost') {
-      board.post('quarantine', { type: 'lost', fingerprint: run.request.fingerprint });
+      board.post('quarantine', { type: 'lost', fingerprint: computeFingerprint(run.request) });
       board.post('target', { type: 'suspect' });
     }
     if (shunning.has(failure.kind)) {
--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -58,9 +58,14 @@
   return undefined;
 }
 
+/** True for the lower-case name of a header that concerns one connection only. */
+export function isHopByHop(name: string): boolean {
+  return hopByHop.has(name);
+}
+
 /** Headers that the `Connection` header names as belonging to this connection. */
-function listConnectionTokens(rawHeaders: readonly string[]): Set<string> | undefined {
+export function listConnectionTokens(rawHeaders: readonly string[]): Set<string> | undefined {
   const value = findHeader(rawHeaders, 'connection');
-  if (value === undefined) return undefined;
+  if (value === undefined || value === 'keep-alive' || value === 'close') return undefined;
   return new Set(value.split(',').map((token) => token.trim().toLowerCase()));
 }
--- /dev/null
+++ b/src/http/responseWriter.ts
@@ -0,0 +1,123 @@
+import { STATUS_CODES } from 'node:http';
+import type { Socket } from 'node:net';
+import type { RunAnswer } from '../control/requests/runPort.js';
+import { refusalStatus } from '../schema/refusal.js';
+import type { Refusal } from '../schema/refusal.js';
+import { findHeader } from './requestHeaders.js';
+
+/** Writes the one answer of a request to its connection. */
+export interface ResponseWriter {
+  /** Some of the answer was written. */
+  readonly hasBegun: boolean;
+  /** All of it was written. */
+  readonly hasEnded: boolean;
+  /** Writes a target's answer, whole or its begin. */
+  answer(answer: RunAnswer): void;
+  /** Writes a part of a streamed answer. */
+  part(data: Uint8Array, isLast: boolean): void;
+  /** Writes an answer of the node's own; nothing once an answer has begun. */
+  refuse(refusal: Refusal): void;
+}
+
+export interface ResponseOptions {
+  socket: Socket;
+  /** Of the request; an answer to HEAD has no body. */
+  method: string;
+  /** HTTP/1.0 knows no chunks. */
+  minorVersion: number;
+  /** The headers that say whether the connection stays open, each with its line end. */
+  formatConnection: () => string;
+  /** Bytes of a streamed answer that the client took. */
+  grant: (bytes: number) => void;
+  /** The whole answer was written. */
+  ended: () => void;
+}
+
+/** Longest body that is written together with its head. */
+const SHORT_BODY_BYTES = 16 * 1024;
+const LAST_CHUNK = '0\r\n\r\n';
+
+/** Creates the writer of one answer. */
+export function createResponseWriter(options: ResponseOptions): ResponseWriter {
+  const { socket, method, minorVersion } = options;
+  let hasBegun = false;
+  let hasEnded = false;
+  let isChunked = false;
+
+  const end = (): void => {
+    hasEnded = true;
+    options.ended();
+  };
+  const writeWhole = (head: string, body: Uint8Array): void => {
+    if (body.length > SHORT_BODY_BYTES) {
+      socket.write(head, 'latin1');
+      socket.write(body);
+    } else {
+      // As text it is joined to the head, so that one write carries both.
+      socket.write(head + Buffer.from(body.buffer, body.byteOffset, body.byteLength).toString('latin1'), 'latin1');
+    }
+    end();
+  };
+  const writePart = (data: Uint8Array, isLast: boolean): void => {
+    if (hasEnded || !socket.writable) return;
+    if (data.length > 0) {
+      if (isChunked) socket.write(`${data.length.toString(16)}\r\n`, 'latin1');
+      socket.write(data, () => {
+        options.grant(data.length);
+      });
+      if (isChunked) socket.write('\r\n', 'latin1');
+    }
+    if (!isLast) return;
+    if (isChunked) socket.write(LAST_CHUNK, 'latin1');
+    end();
+  };
+  const writeAnswer = ({ status, headers, body, isStreamed }: RunAnswer): void => {
+    if (hasBegun || !socket.writable) return;
+    hasBegun = true;
+    const hasBody = method !== 'HEAD' && status !== 204 && status !== 304;
+    const isFramed = !hasBody || findHeader(headers, 'content-length') !== undefined;
+    const head = formatHead(status, headers);
+    if (!isStreamed) {
+      const length = isFramed ? '' : `Content-Length: ${body.length}\r\n`;
+      writeWhole(`${head}${length}${options.formatConnection()}\r\n`, hasBody ? body : new Uint8Array());
+      return;
+    }
+    isChunked = !isFramed && minorVersion > 0;
+    const framing = isChunked ? 'Transfer-Encoding: chunked\r\n' : '';
+    const connection = isFramed || isChunked ? options.formatConnection() : 'Connection: close\r\n';
+    socket.write(`${head}${framing}${connection}\r\n`, 'latin1');
+    writePart(body, false);
+  };
+  return {
+    get hasBegun() {
+      return hasBegun;
+    },
+    get hasEnded() {
+      return hasEnded;
+    },
+    answer: writeAnswer,
+    part: writePart,
+    refuse: (refusal) => {
+      if (hasBegun || !socket.writable) return;
+      hasBegun = true;
+      const { head, body } = formatRefusal(refusal);
+      socket.write(`${head}${options.formatConnection()}\r\n${body}`);
+      end();
+    },
+  };
+}
+
+/** Formats an answer of the node's own; its head lacks the connection's headers and the empty line. */
+export function formatRefusal({ kind, detail, retryAfterMs }: Refusal): { head: string; body: string } {
+  const body = JSON.stringify({ failure: kind, detail });
+  const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
+  if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
+  return { head: formatHead(refusalStatus[kind], headers), body };
+}
+
+function formatHead(status: number, headers: readonly string[]): string {
+  let text = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n`;
+  for (let index = 0; index + 1 < headers.length; index += 2)
+    text += `${headers[index] ?? ''}: ${headers[index + 1] ?? ''}\r\n`;
+  return text;
+}
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -1,44 +1,46 @@
-import type { Dispatcher } from 'undici';
 import type { RunEvents, SendToTarget, TargetSend } from '../control/requests/runPort.js';
 import type { Ran } from '../schema/failure.js';
 import { STREAM_WINDOW_BYTES, WHOLE_BODY_BYTES } from '../schema/linkFrame.js';
 import type { RunFailureKind } from '../schema/linkFrame.js';
 import { findAnswerFault, isUnframed, parseKeepAlive } from './answerCheck.js';
-import { createBodySource } from './bodySource.js';
-import type { BodySource } from './bodySource.js';
 import { findHeader, selectEndToEnd } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
-import type { TargetConnection, TargetConnections } from './targetConnections.js';
+import type { TargetConnection } from './targetConnection.js';
+import type { TargetConnections } from './targetConnections.js';
 
 /** Longest idle time of a connection that carries a request that must not run twice (ms). */
 const FRESH_IDLE_MS = 250;
 /** Share of the target's own idle limit for which a connection is kept. */
 const IDLE_SHARE = 0.6;
 const MISDIRECTED = 421;
+const LAST_CHUNK = Buffer.from('0\r\n\r\n');
 
 export interface TargetSenderOptions {
   connections: TargetConnections;
   names: RequestHeaderNames;
 }
 
-/** One use of a connection for a request. */
+/** One request on its way to the target. */
 interface Send {
   readonly target: TargetSend;
   readonly events: RunEvents;
-  readonly body: BodySource;
+  /** It may be written once more where an idle connection proves dead. */
+  mayRepeat: boolean;
   connection: TargetConnection;
-  isStarted: boolean;
   /** The outcome was told. */
   isSettled: boolean;
+  /** The connection may carry another request by now. */
+  isOver: boolean;
+  /** 0 until an answer began. */
   status: number;
   headers: string[];
   isUnframed: boolean;
+  /** The streamed body goes in chunks. */
+  isChunked: boolean;
   chunks: Buffer[];
   bytes: number;
   isStreaming: boolean;
   creditBytes: number;
-  resume: () => void;
-  abort: () => void;
 }
 
 /**
@@ -51,7 +53,6 @@
   const fail = (send: Send, kind: RunFailureKind, ran: Ran, detail: string): void => {
     if (send.isSettled) return;
     send.isSettled = true;
-    send.body.stop();
     send.events.fail({ kind, ran, hasArrived: kind !== 'unreachable', detail });
   };
   const settle = (send: Send): void => {
@@ -66,23 +67,27 @@
     const body = chunks.length === 1 && only !== undefined ? only : Buffer.concat(chunks);
     send.events.answer({ status, headers, body, isStreamed: false });
   };
-  const receiveHead = (send: Send, status: number, rawHeaders: readonly string[]): void => {
+  const receiveHead = (send: Send, status: number, rawHeaders: string[]): 'take' | 'skip' => {
     const { request, address } = send.target;
+    const { connection } = send;
     const head = { status, rawHeaders };
+    // An answer may come a second time, in front of the one to the next request.
+    if (findHeader(rawHeaders, names.requestId) === connection.lastRequestId) return 'skip';
     send.status = status;
     const fault = findAnswerFault(head, request.requestId, names);
     if (fault !== undefined) {
       fail(send, 'answerInvalid', 'unknown', fault);
-      send.abort();
-      return;
+      connection.destroy();
+      return 'skip';
     }
     send.headers = selectEndToEnd(rawHeaders, droppedFromAnswer);
     send.isUnframed = isUnframed(head, request.method);
     const keepAliveMs = parseKeepAlive(head);
-    if (keepAliveMs !== undefined) send.connection.idleLimitMs = keepAliveMs * IDLE_SHARE;
+    if (keepAliveMs !== undefined) connection.idleLimitMs = keepAliveMs * IDLE_SHARE;
     if (status === MISDIRECTED) fail(send, 'misdirected', 'no', `another target has the address ${address}`);
     else if (findHeader(rawHeaders, names.notRun) !== undefined)
       fail(send, 'rejected', 'no', `the target answered ${status}`);
+    return 'take';
   };
   const receiveData = (send: Send, chunk: Buffer): boolean => {
     // What follows a failure is read to its end, so that the connection can be used again.
@@ -101,109 +106,105 @@
     return true;
   };
   const finish = (send: Send): void => {
-    if (send.isUnframed && send.connection.hasFailed) {
-      receiveError(send, 'reset before its end', false);
-      return;
-    }
     settle(send);
-    if (send.isUnframed) connections.discard(send.connection);
-    else connections.release(send.target.address, send.connection);
+    send.isOver = true;
+    const { connection, target } = send;
+    connection.lastRequestId = target.request.requestId;
+    if (send.isUnframed || !connection.isReusable) connection.destroy();
+    else connections.release(target.address, connection);
   };
-  const receiveError = (send: Send, detail: string, mayRepeat: boolean): void => {
-    connections.discard(send.connection);
+  const receiveFailure = (send: Send, detail: string): void => {
+    const { connection, target } = send;
     if (send.isSettled) return;
-    if (!send.isStarted) fail(send, 'unreachable', 'no', detail);
+    if (!connection.isConnected) fail(send, 'unreachable', 'no', detail);
     else if (send.status !== 0) fail(send, 'answerTruncated', 'unknown', `the answer broke off: ${detail}`);
-    else if (mayRepeat && send.connection.isReused) {
-      send.connection = connections.take(send.target.address, FRESH_IDLE_MS);
-      dispatchSend(send, false);
+    else if (send.mayRepeat && connection.isReused) {
+      send.mayRepeat = false;
+      send.connection = connections.take(target.address, FRESH_IDLE_MS);
+      start(send);
     } else fail(send, 'connectionLost', 'unknown', `no answer: ${detail}`);
   };
-  /** Writes the request; one that may be repeated is written once more when its idle connection proves dead. */
-  const dispatchSend = (send: Send, mayRepeat: boolean): void => {
+  const start = (send: Send): void => {
     const { connection } = send;
-    const { request, targetId } = send.target;
-    send.isStarted = false;
-    const handler: Dispatcher.DispatchHandler = {
-      onConnect: (abort) => {
-        send.isStarted = true;
-        send.abort = abort;
-        if (send.isSettled) abort();
-      },
-      onHeaders: (status, rawHeaders, resume) => {
-        send.resume = resume;
-        const headers = rawHeaders.map((value) => value.toString('latin1'));
-        if (status >= 200) receiveHead(send, status, headers);
-        return true;
-      },
-      onData: (chunk) => receiveData(send, chunk),
-      onComplete: () => {
+    const { request } = send.target;
+    connection.watch({
+      head: (status, rawHeaders) => receiveHead(send, status, rawHeaders),
+      data: (chunk) => receiveData(send, chunk),
+      end: () => {
         finish(send);
       },
-      onError: (error) => {
-        receiveError(send, error.message, mayRepeat);
+      fail: (detail) => {
+        receiveFailure(send, detail);
       },
+    });
+    const { method, body, isStreamed } = request;
+    connection.start({ head: formatHead(send), method, body, isStreamed });
+  };
+  const formatHead = ({ target, isChunked }: Send): string => {
+    const { request, targetId } = target;
+    const { method, path, headers, body } = request;
+    let text = `${method} ${path} HTTP/1.1\r\n`;
+    for (let index = 0; index + 1 < headers.length; index += 2)
+      text += `${headers[index] ?? ''}: ${headers[index + 1] ?? ''}\r\n`;
+    text += `${names.requestId}: ${request.requestId}\r\n`;
+    text += `${names.timeLeft}: ${Math.max(1, Math.floor(request.timeLeftMs))}\r\n`;
+    text += `${names.callerService}: ${request.callerService}\r\n${names.targetId}: ${targetId}\r\n`;
+    if (isChunked) text += 'Transfer-Encoding: chunked\r\n';
+    else if (body !== undefined && findHeader(headers, 'content-length') === undefined)
+      text += `Content-Length: ${body.length}\r\n`;
+    return `${text}\r\n`;
+  };
+  const sendBody = (send: Send, data: Uint8Array, isLast: boolean): void => {
+    const { connection, isChunked, events } = send;
+    if (send.isSettled) return;
+    const grant = (): void => {
+      events.grantBody(data.length);
     };
-    const timeLeft = String(Math.max(1, Math.floor(request.timeLeftMs)));
-    const own = [
-      names.requestId,
-      request.requestId,
-      names.timeLeft,
-      timeLeft,
-      names.callerService,
-      request.callerService,
-      names.targetId,
-      targetId,
-    ];
-    const { method, path } = request;
-    const options = {
-      method: method as Dispatcher.HttpMethod,
-      path,
-      headers: [...request.headers, ...own],
-      body: send.body.read(),
-    };
-    try {
-      connection.client.dispatch(options, handler);
-    } catch (error) {
-      connections.discard(connection);
-      fail(send, 'unreachable', 'no', `the request cannot be written: ${String(error)}`);
+    if (!isChunked) {
+      connection.writeBody(data, isLast, grant);
+      return;
+    }
+    if (data.length > 0) {
+      const chunk = Buffer.concat([Buffer.from(`${data.length.toString(16)}\r\n`), data, Buffer.from('\r\n')]);
+      connection.writeBody(chunk, false, grant);
     }
+    if (isLast) connection.writeBody(LAST_CHUNK, true, () => undefined);
   };
   return (target, events) => {
     const { request } = target;
-    const body = createBodySource(request.body, request.isStreamed, events.grantBody);
     const mayRepeat = request.isIdempotent && !request.isStreamed;
     const send: Send = {
       target,
       events,
-      body,
+      mayRepeat,
       connection: connections.take(target.address, mayRepeat ? Infinity : FRESH_IDLE_MS),
-      isStarted: false,
       isSettled: false,
+      isOver: false,
       status: 0,
       headers: [],
       isUnframed: false,
+      isChunked: request.isStreamed && findHeader(request.headers, 'content-length') === undefined,
       chunks: [],
       bytes: 0,
       isStreaming: false,
       creditBytes: STREAM_WINDOW_BYTES,
-      resume: () => undefined,
-      abort: () => undefined,
     };
-    dispatchSend(send, mayRepeat);
+    start(send);
     return {
       cancel: () => {
+        if (send.isOver) return;
         send.isSettled = true;
-        body.stop();
-        send.abort();
-        if (!send.isStarted) connections.discard(send.connection);
+        send.isOver = true;
+        send.connection.destroy();
       },
       grantAnswer: (bytes) => {
         const wasPaused = send.creditBytes <= 0;
         send.creditBytes += bytes;
-        if (wasPaused && send.creditBytes > 0) send.resume();
+        if (wasPaused && send.creditBytes > 0) send.connection.resume();
+      },
+      sendBody: (data, isLast) => {
+        sendBody(send, data, isLast);
       },
-      sendBody: body.add,
     };
   };
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -37,8 +37,6 @@
   worthLeftMs: Type.Number(),
   /** True for every attempt after the first that may have reached a target. */
   isRepeat: Type.Boolean(),
-  /** Hash of method, path and body, by which a request that crashes targets is recognized. */
-  fingerprint: Type.Integer(),
   /** The whole body; absent when there is none or when it follows in parts. */
   body: Type.Optional(Type.Uint8Array()),
   /** True when the body follows in parts. */
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -92,10 +92,10 @@
         process.nextTick(writeCorked);
       }
       const payload = encoder.pack(frame);
-      const length = Buffer.allocUnsafe(LENGTH_BYTES);
-      length.writeUInt32BE(payload.length);
-      socket.write(length);
-      socket.write(payload);
+      const bytes = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
+      bytes.writeUInt32BE(payload.length);
+      payload.copy(bytes, LENGTH_BYTES);
+      socket.write(bytes);
     },
     get waitingBytes() {
       return socket.writableLength;
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -5,6 +5,7 @@
 import type { ClientReply, ClientRequest } from '../../src/control/requests/entry.js';
 import type { RunHandle } from '../../src/control/requests/runPort.js';
 import { createSystemClock } from '../../src/core/clock.js';
+import { createFakeClock } from '../../src/core/fakeClock.js';
 import { startRequestServer } from '../../src/http/requestServer.js';
 import type { RequestServer } from '../../src/http/requestServer.js';
 import type { RequestLimits } from '../../src/schema/routeConfiguration.js';
@@ -226,6 +227,79 @@
     });
   }
 
+  // A reset would take an answer away that the client has not read yet.
+  it('should let a client read its refusal while it still sends a body that nobody wants', async () => {
+    const { server } = await startServer();
+    const client = openClient(server);
+    client.socket.write('POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 600000\r\n\r\n');
+    client.socket.write(Buffer.alloc(600_000));
+    await waitUntil('the connection was closed', client.isClosed);
+    expect(client.readText()).toMatchRegex(/^HTTP\/1.1 413 /);
+  });
+
+  it('should answer requests that were sent at once in their order', async () => {
+    const { server, accepted } = await startServer();
+    const client = openClient(server);
+    client.socket.write(
+      'GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\nPOST /b HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\n' +
+        'Content-Length: 2\r\n\r\nokGET /c HTTP/1.1\r\nHost: h\r\ntest-id: r3\r\n\r\n',
+    );
+    for (const index of [0, 1, 2]) {
+      await waitUntil('the next one was accepted', () => accepted.length === index + 1);
+      await new Promise((resolve) => setTimeout(resolve, 10));
+      expect(accepted.length).toEqual(index + 1);
+      const entry = accepted[index];
+      if (entry !== undefined) sendAnswer(entry, entry.request.path);
+    }
+    await waitUntil('all answers arrived', () => client.readText().endsWith('/c'));
+    expect(client.readText().match(/\/[abc]$|\/[abc](?=HTTP)/g)).toEqual(['/a', '/b', '/c']);
+  });
+
+  it('should close idle connections and refuse heads that do not arrive', async () => {
+    const clock = createFakeClock();
+    const server = await startRequestServer({
+      listen: '127.0.0.1:0',
+      names: testHeaderNames,
+      clock,
+      maxConnections: 100,
+      readLimits: () => limits,
+      accept: () => ({ cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined }),
+    });
+    cleanups.push(server.stop);
+    const idle = openClient(server);
+    const slow = openClient(server);
+    slow.socket.write('GET /a HTTP/1.1\r\nHost: h\r\n');
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    clock.advance(limits.headerTimeoutMs + 1000);
+    await waitUntil('the slow one was refused', () => slow.readText().startsWith('HTTP/1.1 408 '));
+    expect(idle.isClosed()).toEqual(false);
+    clock.advance(limits.idleTimeoutMs);
+    await waitUntil('the idle one was closed', idle.isClosed);
+    expect(idle.readText()).toEqual('');
+  });
+
+  it('should ask for a body whose client waits to be asked', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const client = openClient(server);
+    const head = 'POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n';
+    client.socket.write(head);
+    await waitUntil('it was asked for', () => client.readText().startsWith('HTTP/1.1 100 Continue\r\n\r\n'));
+    client.socket.write('body');
+    await waitUntil('the answer arrived', () => client.readText().endsWith('ok'));
+    expect(Buffer.from(accepted[0]?.request.body ?? []).toString()).toEqual('body');
+  });
+
+  it('should read every method and more headers than one event of the parser carries', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const client = openClient(server);
+    const methods = ['GET', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'PURGE', 'REPORT', 'LINK'];
+    const many = Array.from({ length: 60 }, (_, index) => `X-${index}: ${index}\r\n`).join('');
+    for (const method of methods) client.socket.write(`${method} /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n${many}\r\n`);
+    await waitUntil('all were accepted', () => accepted.length === methods.length);
+    expect(accepted.map(({ request }) => request.method)).toEqual(methods);
+    expect(accepted.map(({ request }) => request.headers.length)).toEqual(methods.map(() => 122));
+  });
+
   it('should close connections with the answer once a stop was announced', async () => {
     const { server } = await startServer(sendAnswer);
     server.announceStop();
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -8,6 +8,7 @@
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import type { RawTarget } from '../fixtures/rawTarget.js';
 import { buildRunRequest, collectRun, testHeaderNames } from '../fixtures/requests.js';
+import { waitUntil } from '../fixtures/sampleFleet.js';
 import type { RunEnd } from '../fixtures/requests.js';
 
 const OK = 'HTTP/1.1 200 OK\r\ntest-id: r1\r\ntest-signature: s\r\n';
@@ -136,6 +137,78 @@
     expect([first, second].map((end) => (end.type === 'answered' ? end.body : end.failure.kind))).toEqual(['a1', 'a2']);
   });
 
+  // An answer that a target sends twice may arrive just in front of the answer to the next request.
+  it('should pass over a second answer to the request before and take the one that follows', async () => {
+    let first = '';
+    const target = await startTarget((socket, chunk, index) => {
+      const id = /test-id: (\w+)/.exec(chunk)?.[1] ?? '';
+      const answer = `HTTP/1.1 200 OK\r\ntest-id: ${id}\r\ntest-signature: s\r\nContent-Length: 2\r\n\r\n${id}`;
+      if (index === 0) first = answer;
+      socket.write(index === 0 ? answer : first + answer);
+    });
+    const send = createSender();
+    await send(target, { requestId: 'a1' });
+    const second = await send(target, { requestId: 'a2', isIdempotent: false });
+    expect(second).toLooseEqual({ type: 'answered', answer: expect.anything(), body: 'a2', wasStreamed: false });
+    expect(target.connections.length).toEqual(1);
+  });
+
+  it('should not use a connection again on which bytes follow an answer', async () => {
+    const target = await startTarget((socket) => {
+      socket.write(`${OK}Content-Length: 0\r\n\r\nHTTP/1.1 2`);
+    });
+    const send = createSender();
+    await send(target);
+    const second = await send(target);
+    expect([second.type, target.connections.length]).toEqual(['answered', 2]);
+  });
+
+  // The target reads on later and would take the next request for the rest of the body.
+  it('should not use a connection again whose target answered before it had the whole body', async () => {
+    const target = await startTarget((socket, _chunk, index) => {
+      if (index === 0) socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    const connections = createTargetConnections(createSystemClock());
+    cleanups.push(connections.stop);
+    const send = createTargetSender({ connections, names: testHeaderNames });
+    const change = { method: 'POST', isStreamed: true, headers: ['Host', 'h', 'Content-Length', '200000'] };
+    const run = collectRun();
+    const sent = { address: target.address, targetId: 'i-1', request: buildRunRequest(change) };
+    send(sent, run.events).sendBody(Buffer.alloc(50_000), false);
+    expect((await run.end).type).toEqual('answered');
+    send({ ...sent, request: buildRunRequest() }, collectRun().events);
+    await waitUntil('another connection was opened', () => target.connections.length === 2);
+    await waitUntil('the request was written there', () => target.received[1]?.startsWith('GET') === true);
+    expect(target.received[0]?.includes('GET')).toEqual(false);
+  });
+
+  it('should send a streamed body in chunks where its length is not known', async () => {
+    const target = await startTarget((socket, chunk) => {
+      if (chunk.includes('0\r\n\r\n')) socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    const connections = createTargetConnections(createSystemClock());
+    cleanups.push(connections.stop);
+    const send = createTargetSender({ connections, names: testHeaderNames });
+    const run = collectRun();
+    const request = buildRunRequest({ method: 'POST', isStreamed: true });
+    const handle = send({ address: target.address, targetId: 'i-1', request }, run.events);
+    handle.sendBody(Buffer.from('seals'), false);
+    handle.sendBody(new Uint8Array(), true);
+    expect((await run.end).type).toEqual('answered');
+    expect(target.received[0] ?? '').toMatchRegex(/Transfer-Encoding: chunked\r\n\r\n5\r\nseals\r\n0\r\n\r\n$/);
+    expect(run.granted).toEqual([5]);
+  });
+
+  it('should say that a request has not run when nothing listens at the target', async () => {
+    const target = await startTarget(() => undefined);
+    target.stop();
+    const end = await createSender()(target);
+    expect(end).toLooseEqual({
+      type: 'failed',
+      failure: { kind: 'unreachable', ran: 'no', hasArrived: false, detail: expect.a(String) },
+    });
+  });
+
   it('should say that a request which the target rejected has not run', async () => {
     const target = await startTarget((socket) => {
       socket.write('HTTP/1.1 503 Busy\r\ntest-id: r1\r\ntest-not-run: 1\r\nContent-Length: 0\r\n\r\n');
