Split the modules that admit and dispatch calls

Change: what describes a call and its samples stands in describeCall.ts, the type of admission with the other call types; both files built the same sample by hand. Conclusion: no circle left between the two; behaviour unchanged.

--- a/src/control/admitCalls.ts
+++ b/src/control/admitCalls.ts
@@ -8,14 +8,11 @@
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import { updateActive } from './activeTime.js';
 import { addWaiting, findLeastWorth, findOldest, removeWaiting, takeWaiting } from './callQueue.js';
-import type { AllowanceAccount, CallReply, CancelCall, RunningCall } from './calls.js';
+import type { AdmitCall, AllowanceAccount, CallReply, RunningCall } from './calls.js';
 import type { ControllerContext } from './context.js';
-import { describeCall } from './dispatchCalls.js';
+import { buildSample, describeCall } from './describeCall.js';
 import type { Sections } from './sections.js';
 
-/** Takes a call for the local target; the reply is made once unless the returned function is called first. */
-export type AdmitCall = (envelope: CallEnvelope, account: AllowanceAccount, reply: CallReply) => CancelCall;
-
 export interface Admission {
   admit: AdmitCall;
   /** Starts waiting calls while the limit allows. */
@@ -155,26 +152,12 @@
   };
 
   const recordRun = (call: RunningCall, failure: CallFailure | undefined): void => {
-    const nowMs = clock.now();
-    const { service, operation, priority, fingerprint } = call.envelope;
-    const openOnwardMs = call.onwardOpen > 0 ? nowMs - call.onwardSinceMs : 0;
-    const totalTimeMs = nowMs - call.startedAtMs;
-    samples.ring.add({
-      role: 'run',
-      atMs: nowMs,
-      host: settings.host,
-      service,
-      operation,
-      priority,
-      fingerprint,
-      result: failure === undefined ? 'answered' : 'failed',
-      ran: failure?.ran ?? 'yes',
-      retry: failure?.retry ?? 'never',
-      failureKind: failure?.kind ?? '',
-      totalTimeMs,
-      ownTimeMs: totalTimeMs - call.onwardTimeMs - openOnwardMs,
-      concurrency: call.concurrencyAtStart,
-    });
+    const atMs = clock.now();
+    const openOnwardMs = call.onwardOpen > 0 ? atMs - call.onwardSinceMs : 0;
+    const totalTimeMs = atMs - call.startedAtMs;
+    const ownTimeMs = totalTimeMs - call.onwardTimeMs - openOnwardMs;
+    const run = { atMs, host: settings.host, totalTimeMs, ownTimeMs, concurrency: call.concurrencyAtStart };
+    samples.ring.add(buildSample(call.envelope, failure, { role: 'run', ...run }));
   };
 
   const expire = (call: RunningCall): void => {
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -9,6 +9,9 @@
 /** Tells the call path that its caller no longer waits. */
 export type CancelCall = () => void;
 
+/** Takes a call for the local target; the reply is made once unless the returned function is called first. */
+export type AdmitCall = (envelope: CallEnvelope, account: AllowanceAccount, reply: CallReply) => CancelCall;
+
 /** The extra attempts that one request may still make from this node; shared by all children of one call. */
 export interface AllowanceAccount {
   remaining: number;
--- a/src/control/dispatchCalls.ts
+++ b/src/control/dispatchCalls.ts
@@ -1,4 +1,3 @@
-import { generateId } from '../core/random.js';
 import { isAdmitted } from '../policy/shedding.js';
 import { mergeRan } from '../policy/ran.js';
 import type { RouteCandidate } from '../policy/routing.js';
@@ -7,9 +6,9 @@
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope, ReplyFrame } from '../schema/frame.js';
 import type { MemberRecord } from '../schema/member.js';
-import type { AdmitCall } from './admitCalls.js';
-import type { AllowanceAccount, Attempt, CallReply, DispatchedCall, RunningCall } from './calls.js';
+import type { AdmitCall, AllowanceAccount, Attempt, CallReply, DispatchedCall, RunningCall } from './calls.js';
 import type { ControllerContext } from './context.js';
+import { buildSample, describeCall, formatFractionKey } from './describeCall.js';
 import type { Sections } from './sections.js';
 
 /** Refusals of a host that leaves; further calls to it would each use up a retry until its record arrives. */
@@ -178,24 +177,17 @@
 
   const recordAttempt = (call: DispatchedCall, attempt: Attempt, result: CallResult): void => {
     const failure = result.type === 'refusal' ? result.failure : undefined;
-    const { service, operation, priority, fingerprint } = call.envelope;
-    const totalTimeMs = clock.now() - attempt.startedAtMs;
-    samples.ring.add({
+    const atMs = clock.now();
+    const totalTimeMs = atMs - attempt.startedAtMs;
+    const run = {
       role: 'attempt',
-      atMs: clock.now(),
+      atMs,
       host: attempt.host,
-      service,
-      operation,
-      priority,
-      fingerprint,
-      result: failure === undefined ? 'answered' : 'failed',
-      ran: failure?.ran ?? 'yes',
-      retry: failure?.retry ?? 'never',
-      failureKind: failure?.kind ?? '',
       totalTimeMs,
       ownTimeMs: totalTimeMs,
       concurrency: 0,
-    });
+    } as const;
+    samples.ring.add(buildSample(call.envelope, failure, run));
   };
 
   const recordFraction = (call: DispatchedCall, result: CallResult): void => {
@@ -291,24 +283,3 @@
     },
   };
 }
-
-/** The key under which the fraction of a called operation is kept for one priority. */
-export function formatFractionKey(envelope: CallEnvelope): string {
-  return `${envelope.service}/${envelope.operation}/${envelope.priority}`;
-}
-
-/** The fields that every event about a call carries. */
-export function describeCall(envelope: CallEnvelope): {
-  requestId: string;
-  service: string;
-  operation: string;
-  priority: string;
-} {
-  const { requestId, service, operation, priority } = envelope;
-  return { requestId, service, operation, priority };
-}
-
-/** Generates the id of a request that enters the system here. */
-export function generateRequestId(random: () => number): string {
-  return generateId(random, 16);
-}
--- a/src/control/entryCalls.ts
+++ b/src/control/entryCalls.ts
@@ -7,7 +7,7 @@
 import type { CallReply, CancelCall } from './calls.js';
 import type { CallerCall, CallResult } from '../schema/call.js';
 import type { ControllerContext } from './context.js';
-import { describeCall, generateRequestId } from './dispatchCalls.js';
+import { describeCall, generateRequestId } from './describeCall.js';
 import type { Dispatcher } from './dispatchCalls.js';
 import { createForwarder } from './forwardCalls.js';
 import type { HomeCalls } from './homeCalls.js';
--- a/src/control/gateSuspects.ts
+++ b/src/control/gateSuspects.ts
@@ -1,8 +1,7 @@
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope } from '../schema/frame.js';
-import type { AdmitCall } from './admitCalls.js';
-import type { CallReply } from './calls.js';
+import type { AdmitCall, CallReply } from './calls.js';
 import type { ControllerContext } from './context.js';
 
 const ignore = (): void => undefined;
