Serve the metrics of request nodes

Cause: the handler of /metrics passed a promise to the reply, which fastify answers with 500. Ruled out: a fault in the registry; its text is rendered correctly. Change: the handler awaits the text. Result: the new test scrapes the address over HTTP; it received 500 before and receives 200 with the counters now.

--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -54,7 +54,10 @@
       server.get('/v1/ready', (_request, reply) => reply.code(options.isReady() ? 200 : 503).send());
     }),
     openServer(options.metricsListen, (server) => {
-      server.get('/metrics', (_request, reply) => reply.type('text/plain').send(options.renderMetrics()));
+      server.get('/metrics', async (_request, reply) => {
+        const text = await options.renderMetrics();
+        return reply.type('text/plain').send(text);
+      });
     }),
   ]);
   return {
--- a/tests/requests/metrics.test.ts
+++ b/tests/requests/metrics.test.ts
@@ -1,5 +1,8 @@
+import { createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { startControlServers } from '../../src/http/controlServers.js';
 import { createDurationMetrics, createRequestMetrics } from '../../src/http/requestMetrics.js';
 import type { RequestNode } from '../../src/node/createRequestNode.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
@@ -25,4 +28,36 @@
       ).toEqual(true);
     }
   });
+
+  // Guards against a scrape that fails because the text is rendered asynchronously.
+  it('should be served over HTTP', async () => {
+    const configuration = buildRouteConfiguration(4, [buildRoute('check', 'stock')]);
+    const fleet = createRequestFleet({ hosts, configuration });
+    const node = fleet.nodes.get('a1') as RequestNode;
+    const metricsListen = await findFreeAddress();
+    const servers = await startControlServers({
+      targetListen: await findFreeAddress(),
+      readyListen: await findFreeAddress(),
+      metricsListen,
+      isReady: () => true,
+      decodeHeartbeat: (body) => body,
+      receiveHeartbeat: () => undefined,
+      receiveLeave: () => undefined,
+      reportInvalidHeartbeat: () => undefined,
+      renderMetrics: createRequestMetrics(node.board, createDurationMetrics()).renderText,
+    });
+    const response = await fetch(`http://${metricsListen}/metrics`);
+    const text = await response.text();
+    await servers.stop();
+    expect(response.status).toEqual(200);
+    expect(text).toEqual(expect.includes('hemlock_configuration_version 4'));
+  });
 });
+
+async function findFreeAddress(): Promise<string> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return `127.0.0.1:${port}`;
+}
