Choose targets by their speed relative to the route

Cause: the cost of a target used the mean duration of its last runs, whatever their route. A target whose last runs were of a long route looked slower than a queue elsewhere, received nothing, and so kept that figure: at the service where all chains end, two of four targets served. Ruled out: links and membership; all nodes listed the idle target as ready. Change: durations are compared by route over all targets of the service, observations age within seconds, a small share of requests tries targets whose speed is no longer known, the choice is random with a probability that falls with the cost, and runs that ended without an answer count if they took longer than most. Quick error responses no longer count as fast runs.

--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -1,8 +1,11 @@
 import type { TargetCandidate } from '../../policy/targetChoice.js';
+import type { TargetSpeed } from '../../policy/targetSpeed.js';
 import { chooseLane } from './context.js';
 import { readLocalLoad } from './localLoad.js';
 import type { RequestBoard } from './sections.js';
 
+const UNKNOWN_SPEED: TargetSpeed = { slowness: 1, samples: 0 };
+
 /** Lists the nodes whose target can currently accept a request for a service. */
 export function listCandidates(
   board: RequestBoard,
@@ -10,11 +13,13 @@
 ): TargetCandidate[] {
   const { service, priority, nowMs } = query;
   const { self, byHost: members } = board.read('members');
+  const speeds = board.read('speeds').byService.get(service)?.byHost;
+  const getSpeed = (host: string): TargetSpeed => speeds?.get(host) ?? UNKNOWN_SPEED;
   const candidates: TargetCandidate[] = [];
   const own = readLocalLoad(board, nowMs);
   if (own.phase === 'ready' && own.service === service) {
     const place = { host: self.host, isOwnHost: true, isLocalDataCenter: true, isUntried: false };
-    candidates.push({ ...place, load: own, sentSinceReport: 0 });
+    candidates.push({ ...place, load: own, speed: getSpeed(self.host), sentSinceReport: 0 });
   }
   for (const peer of board.read('links').byHost.values()) {
     const { host, load, lanes, sentSinceReport, lastTargetId } = peer;
@@ -22,7 +27,8 @@
     if (lanes[chooseLane(peer, priority)].phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
     const isUntried = lastTargetId !== load.targetId;
-    candidates.push({ host, isOwnHost: false, isLocalDataCenter, isUntried, load, sentSinceReport });
+    const speed = getSpeed(host);
+    candidates.push({ host, isOwnHost: false, isLocalDataCenter, isUntried, load, speed, sentSinceReport });
   }
   return candidates;
 }
--- a/src/control/requests/demandController.ts
+++ b/src/control/requests/demandController.ts
@@ -1,5 +1,6 @@
 import { scheduleRepeated } from '../../core/clock.js';
 import { addCallSample, estimateCalls } from '../../policy/callGraph.js';
+import { countRecentSamples } from '../../policy/durationEstimate.js';
 import { collectServiceRates, computeLowMedian } from '../../policy/fleetDemand.js';
 import type { NodeView } from '../../policy/fleetDemand.js';
 import type { Profile } from '../../schema/linkFrame.js';
@@ -65,10 +66,11 @@
         rate < MIN_RATE_PER_SECOND ? [] : [{ route, perSecond: limitDecimals(rate) }],
       ),
       calls,
-      durations: [...durationByRoute].map(([route, { meanMs, leastMs }]) => ({
+      durations: [...durationByRoute].map(([route, estimate]) => ({
         route,
-        meanMs: limitDecimals(meanMs),
-        leastMs: limitDecimals(Math.min(leastMs, meanMs)),
+        meanMs: limitDecimals(estimate.meanMs),
+        leastMs: limitDecimals(Math.min(estimate.leastMs, estimate.meanMs)),
+        samples: limitDecimals(countRecentSamples(estimate, clock.now())),
       })),
     };
   };
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -2,7 +2,8 @@
 import type { FailedAttempt } from '../../policy/nextStep.js';
 import { hasRetryToken } from '../../policy/fleetBudget.js';
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
-import { chooseTarget } from '../../policy/targetChoice.js';
+import { chooseTarget, chooseTrial } from '../../policy/targetChoice.js';
+import { createDefaultSpeeds } from '../../policy/targetSpeed.js';
 import type { TargetCandidate } from '../../policy/targetChoice.js';
 import type { RunFailure } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
@@ -30,6 +31,8 @@
 /** Maximum failure share of a target to which a request that another target failed is retried. */
 const HEALTHY_FAILURE_SHARE = 0.15;
 
+const defaultSpeeds = createDefaultSpeeds();
+
 /** Creates the sending side of entries: chooses targets, retries failed attempts and forwards answers. */
 export function createEntryAttempts(
   context: RequestContext,
@@ -43,11 +46,18 @@
     const candidates = listCandidates(board, { service, priority: route.priority, nowMs: clock.now() }).filter(
       ({ host }) => !triedHosts.has(host),
     );
-    // A target to which this node has sent no request is tried with an idempotent request that is not urgent.
+    // Targets are tried with idempotent requests that are not urgent.
     const canProbe = route.kind === 'idempotent' && route.priority > 0;
-    const untried = canProbe ? candidates.find(({ isUntried }) => isUntried) : undefined;
-    const latencyBoundMs = Math.min(route.targetLatencyMs, route.timeoutMs);
-    return untried ?? chooseTarget({ candidates, targetLatencyMs: latencyBoundMs, random });
+    const trial = canProbe ? chooseTrial(candidates, random) : undefined;
+    if (trial !== undefined) return trial;
+    const speeds = board.read('speeds').byService.get(service) ?? defaultSpeeds;
+    return chooseTarget({
+      candidates,
+      routeDurationMs: speeds.meanMsByRoute.get(route.name) ?? speeds.meanMs,
+      serviceDurationMs: speeds.meanMs,
+      targetLatencyMs: Math.min(route.targetLatencyMs, route.timeoutMs),
+      random,
+    });
   };
   const send = (entry: Entry, { host, isOwnHost }: TargetCandidate): void => {
     const attempt: RunAttempt = {
@@ -106,7 +116,8 @@
   const recordLatency = ({ route, sentAtMs }: Entry): void => {
     let estimate = latencyByRoute.get(route.name);
     if (estimate === undefined) latencyByRoute.set(route.name, (estimate = createDurationEstimate()));
-    addDuration(estimate, clock.now() - sentAtMs);
+    const nowMs = clock.now();
+    addDuration(estimate, nowMs - sentAtMs, nowMs);
   };
   const recordFailure = (entry: Entry, attempt: RunAttempt, failure: RunFailure): void => {
     // A request that was lost before it reached a host may be sent to that host again.
--- a/src/control/requests/localLoad.ts
+++ b/src/control/requests/localLoad.ts
@@ -17,24 +17,27 @@
 }
 
 /**
- * Returns the expected duration of a run (ms). For an unresponsive target it is the time since its last answer, or since
- * the start of the oldest running request if that is later.
+ * Returns for an unresponsive target the time since its last answer, or since the start of the oldest running request if
+ * that is later (ms); 0 for others.
  */
-function computeExpectedDuration(
-  { running, duration, answeredAtMs }: ReadView<RequestSections['runs']>,
+function computeStalledTime(
+  { running, duration, durationByRoute, answeredAtMs }: ReadView<RequestSections['runs']>,
   nowMs: number,
 ): number {
   const [oldest] = running;
-  if (oldest === undefined) return duration.meanMs;
+  if (oldest === undefined) return 0;
   const sinceAnswerMs = nowMs - Math.max(answeredAtMs, oldest.startedAtMs);
-  return sinceAnswerMs > UNRESPONSIVE_DURATIONS * duration.meanMs ? sinceAnswerMs : duration.meanMs;
+  // The oldest request may be of a route that takes much longer than most.
+  const expectedMs = Math.max(duration.meanMs, durationByRoute.get(oldest.request.route)?.meanMs ?? 0);
+  return sinceAnswerMs > UNRESPONSIVE_DURATIONS * expectedMs ? Math.round(sinceAnswerMs) : 0;
 }
 
 /** Returns the load of the local target. */
 export function readLocalLoad(board: RequestBoard, nowMs: number): LoadReport {
   const { service, id, slots } = board.read('target');
   const runs = board.read('runs');
-  const { queue, running, failures } = runs;
+  const { queue, running, failures, duration } = runs;
+  const stalledMs = computeStalledTime(runs, nowMs);
   return {
     phase: readAdvertisedPhase(board, nowMs),
     service,
@@ -42,7 +45,8 @@
     running: running.size,
     queued: queue.length,
     limit: computeRunLimit(slots),
-    durationMs: Math.round(computeExpectedDuration(runs, nowMs)),
+    durationMs: Math.round(Math.max(stalledMs, duration.meanMs)),
     failureShare: Math.round(readFailureShare(failures, nowMs) * 100) / 100,
+    ...(stalledMs > 0 ? { stalledMs } : {}),
   };
 }
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -65,12 +65,26 @@
   const addFailureSample = (isFailure: boolean): void => {
     addResult(section.failures, isFailure, clock.now());
   };
+  const addDurationSample = ({ request: { route } }: Run, durationMs: number): void => {
+    const nowMs = clock.now();
+    addDuration(duration, durationMs, nowMs);
+    let routeDuration = durationByRoute.get(route);
+    if (routeDuration === undefined) durationByRoute.set(route, (routeDuration = createDurationEstimate()));
+    addDuration(routeDuration, durationMs, nowMs);
+  };
+  /**
+   * Counts a run that ended without an answer if it already took longer than most. Without it, a target too slow for its
+   * callers to wait would be known only by its fastest runs.
+   */
+  const addUnansweredSample = (run: Run): void => {
+    const durationMs = clock.now() - run.startedAtMs;
+    const meanMs = durationByRoute.get(run.request.route)?.meanMs ?? Infinity;
+    if (durationMs > meanMs) addDurationSample(run, durationMs);
+  };
   const endAnswered = (run: Run, detail: string): void => {
     const durationMs = clock.now() - run.startedAtMs;
-    addDuration(duration, durationMs);
-    let routeDuration = durationByRoute.get(run.request.route);
-    if (routeDuration === undefined) durationByRoute.set(run.request.route, (routeDuration = createDurationEstimate()));
-    addDuration(routeDuration, durationMs);
+    // A failing target may answer quickly, which says nothing about its speed.
+    if (!run.hasFailed) addDurationSample(run, durationMs);
     io.recordDuration({ place: 'target', route: run.request.route, durationMs });
     end(run, 'answered', detail);
   };
@@ -78,7 +92,8 @@
     if (run.phase !== 'running') return;
     consecutiveTimeouts = 0;
     section.answeredAtMs = clock.now();
-    addFailureSample(isTargetFailure(answer));
+    run.hasFailed = isTargetFailure(answer);
+    addFailureSample(run.hasFailed);
     board.post('target', { type: 'answered' });
     if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
     run.events.answer(answer);
@@ -154,6 +169,7 @@
         isDown: false,
       });
     run.target?.cancel();
+    addUnansweredSample(run);
     fail(run, { kind: 'timedOut', ran: 'unknown', hasArrived: true, detail: 'no answer in time' });
   };
   const cancel = (run: Run): void => {
@@ -164,6 +180,7 @@
       countResult('cancelled');
     } else if (run.phase === 'running' && run.request.isIdempotent) {
       run.target?.cancel();
+      addUnansweredSample(run);
       end(run, 'cancelled', 'the caller cancelled the request');
     }
   };
@@ -190,6 +207,7 @@
       phase: 'queued',
       startedAtMs: 0,
       isDropped: false,
+      hasFailed: false,
       target: undefined,
       cancelDeadline: () => undefined,
     };
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -10,6 +10,7 @@
 import type { PartCredits } from '../../policy/partChoice.js';
 import type { RouteTable } from '../../policy/routeTable.js';
 import { createRunQueue } from '../../policy/runQueue.js';
+import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
 import type { LinkLane, LoadReport, Profile, RunRequest } from '../../schema/linkFrame.js';
@@ -56,6 +57,8 @@
   /** 0 until the request is sent to the target. */
   startedAtMs: number;
   isDropped: boolean;
+  /** True once the target answered with an error. */
+  hasFailed: boolean;
   /** Controls the request at the target while it runs. */
   target: RunHandle | undefined;
   cancelDeadline: () => void;
@@ -127,6 +130,8 @@
   };
   /** The demand observed by this node, as reported to its peers. */
   demand: { profile: Profile; callEstimator: CallGraphEstimator };
+  /** Expected run durations at the targets of each service. */
+  speeds: { byService: ReadonlyMap<string, ServiceSpeeds> };
   admission: {
     /** Admitted share of the requests, by route; routes without an entry are admitted completely. */
     fractions: Map<string, number>;
@@ -168,6 +173,7 @@
   runs: { type: 'accept'; attempt: RunAttempt };
   entries: never;
   demand: never;
+  speeds: never;
   admission: never;
   budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
   quarantine:
@@ -238,6 +244,7 @@
       counts: new Map(),
     },
     demand: { profile: createEmptyProfile(), callEstimator: createCallGraphEstimator() },
+    speeds: { byService: new Map() },
     admission: { fractions: new Map(), corrections: new Map() },
     budgets: { byService: new Map() },
     quarantine: { byFingerprint: new Map(), reportIds: new Set(), lostRequests: [] },
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../core/random.js';
 import type { LoadReport } from '../schema/linkFrame.js';
+import type { TargetSpeed } from './targetSpeed.js';
 
 /** A node whose target could run a request. */
 export interface TargetCandidate {
@@ -7,6 +8,7 @@
   isOwnHost: boolean;
   isLocalDataCenter: boolean;
   load: LoadReport;
+  speed: TargetSpeed;
   /** True when this node has not sent a request to the target, so it has no observations of its own. */
   isUntried: boolean;
   /** Requests sent to the target that its load report does not include yet. */
@@ -15,46 +17,61 @@
 
 export interface TargetChoiceInput {
   candidates: readonly TargetCandidate[];
+  /** Mean duration of a run of the request's route at the service (ms). */
+  routeDurationMs: number;
+  /** Mean duration of a run of the service's routes, which is how long a waiting request blocks those behind it (ms). */
+  serviceDurationMs: number;
   /** Time within which the answer has its full worth (ms). */
   targetLatencyMs: number;
   random: Random;
 }
 
-/** Duration assumed when no target has reported one (ms). */
-const DEFAULT_DURATION_MS = 20;
 /** Cost of sending a request to another data centre, as a share of the target latency. */
 const CROSS_DATA_CENTER_COST = 0.1;
 /** Cost of one failed attempt, in multiples of the target latency. */
 const FAILURE_COST = 2;
-/** Candidates whose costs differ by up to this share are ties. */
-const TIE_TOLERANCE = 0.05;
+/** Cost of a target whose slots are all in use but that has no queue, as a share of the duration of a run. */
+const FULL_TARGET_COST = 0.5;
+/** Excess over the lowest cost, as a share of it, at which a target is chosen e times less often than the best one. */
+const CHOICE_SPREAD = 0.08;
+
+/** Share of the requests that may be sent as trials to targets that seemed slow. */
+const TRIAL_SHARE = 0.01;
+/** Number of recent runs below which the speed of a target counts as unknown. */
+const MIN_KNOWN_SAMPLES = 2;
+/** Slowness below which a target without recent runs needs no trial, since it is chosen anyway. */
+const MIN_DOUBTED_SLOWNESS = 1.1;
 
 /**
- * Chooses the target with the lowest cost: the expected waiting time and duration, plus penalties for its failures and
- * for sending to another data centre. Ties are broken at random, so that nodes with the same load reports do not all
- * choose the same target.
+ * Chooses a target at random, with a probability that falls steeply with its cost: the expected waiting time and
+ * duration, plus penalties for occupied slots, failures and sending to another data centre. As load reports are stale,
+ * nodes that all chose the target with the lowest cost would overload it together.
  *
  * @example
- * const chosen = chooseTarget({ candidates, targetLatencyMs: 300, random });
+ * const input = { candidates, routeDurationMs: 40, serviceDurationMs: 60, targetLatencyMs: 300, random };
+ * const chosen = chooseTarget(input);
  */
-export function chooseTarget({ candidates, targetLatencyMs, random }: TargetChoiceInput): TargetCandidate | undefined {
-  const fallbackMs = computeMeanDuration(candidates);
-  let best: TargetCandidate | undefined;
-  let bestMs = Infinity;
-  let ties = 0;
-  for (const candidate of candidates) {
-    const costMs = estimateCost(candidate, targetLatencyMs, fallbackMs);
-    if (costMs < bestMs * (1 - TIE_TOLERANCE)) {
-      best = candidate;
-      bestMs = costMs;
-      ties = 1;
-    } else if (costMs <= bestMs * (1 + TIE_TOLERANCE)) {
-      ties++;
-      if (random() * ties < 1) best = candidate;
-      bestMs = Math.min(bestMs, costMs);
-    }
+export function chooseTarget(input: TargetChoiceInput): TargetCandidate | undefined {
+  const { candidates, random } = input;
+  const costs = candidates.map((candidate) => estimateCost(candidate, input));
+  const leastMs = Math.min(...costs);
+  const weights = costs.map((costMs) => Math.exp(-(costMs - leastMs) / (CHOICE_SPREAD * leastMs)));
+  let remaining = random() * weights.reduce((sum, weight) => sum + weight, 0);
+  for (const [index, weight] of weights.entries()) {
+    remaining -= weight;
+    if (remaining < 0) return candidates[index];
   }
-  return best;
+  return candidates[costs.indexOf(leastMs)];
+}
+
+/**
+ * Returns a target to which a request should be sent as a trial: one without any request from this node, or, for a small
+ * share of the requests, one that seemed slow but ran too few requests lately to know whether it still is.
+ */
+export function chooseTrial(candidates: readonly TargetCandidate[], random: Random): TargetCandidate | undefined {
+  const untried = candidates.find(({ isUntried }) => isUntried);
+  if (untried !== undefined || random() >= TRIAL_SHARE) return untried;
+  return candidates.find(({ speed }) => speed.samples < MIN_KNOWN_SAMPLES && speed.slowness > MIN_DOUBTED_SLOWNESS);
 }
 
 /** Estimates the time until a new request starts at a target (ms). */
@@ -63,21 +80,15 @@
   return ahead <= 0 ? 0 : (ahead / Math.max(1, load.limit)) * durationMs;
 }
 
-function estimateCost(candidate: TargetCandidate, targetLatencyMs: number, fallbackMs: number): number {
-  const { load } = candidate;
-  const durationMs = load.durationMs > 0 ? load.durationMs : fallbackMs;
-  const waitMs = estimateWait(load, candidate.sentSinceReport, durationMs);
+function estimateCost(candidate: TargetCandidate, input: TargetChoiceInput): number {
+  const { load, sentSinceReport } = candidate;
+  const { slowness } = candidate.speed;
+  const { routeDurationMs, serviceDurationMs, targetLatencyMs } = input;
+  const stalledMs = load.stalledMs ?? 0;
+  const waitMs = estimateWait(load, sentSinceReport, Math.max(stalledMs, slowness * serviceDurationMs));
+  const durationMs = Math.max(stalledMs, slowness * routeDurationMs);
+  const usedShare = Math.min(1, (load.running + load.queued + sentSinceReport) / Math.max(1, load.limit));
   const crossingMs = candidate.isLocalDataCenter ? 0 : CROSS_DATA_CENTER_COST * targetLatencyMs;
-  return waitMs + durationMs + crossingMs + FAILURE_COST * load.failureShare * targetLatencyMs;
-}
-
-function computeMeanDuration(candidates: readonly TargetCandidate[]): number {
-  let sum = 0;
-  let count = 0;
-  for (const { load } of candidates) {
-    if (load.durationMs <= 0) continue;
-    sum += load.durationMs;
-    count++;
-  }
-  return count === 0 ? DEFAULT_DURATION_MS : sum / count;
+  const failureMs = FAILURE_COST * load.failureShare * targetLatencyMs;
+  return 1 + waitMs + durationMs * (1 + FULL_TARGET_COST * usedShare) + crossingMs + failureMs;
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -86,6 +86,8 @@
   durationMs: Type.Number(),
   /** Share of recent requests that the target rejected, failed or did not answer, in [0, 1]. */
   failureShare: Type.Number(),
+  /** Time for which the target has answered none of its running requests (ms); absent while it answers as expected. */
+  stalledMs: Type.Optional(Type.Number()),
 });
 export type LoadReport = Static<typeof loadReportSchema>;
 
@@ -95,8 +97,18 @@
   demand: Type.Array(Type.Object({ route: Type.String(), perSecond: Type.Number() })),
   /** Mean number of downstream calls to the route `called` per run of the local target for the route `ran`. */
   calls: Type.Array(Type.Object({ ran: Type.String(), called: Type.String(), perRun: Type.Number() })),
-  /** Mean duration of the local target's runs and `leastMs`, the minimum of that mean over recent time (ms). */
-  durations: Type.Array(Type.Object({ route: Type.String(), meanMs: Type.Number(), leastMs: Type.Number() })),
+  /** Durations of the local target's runs. */
+  durations: Type.Array(
+    Type.Object({
+      route: Type.String(),
+      /** Mean duration (ms). */
+      meanMs: Type.Number(),
+      /** Minimum of that mean over recent time (ms). */
+      leastMs: Type.Number(),
+      /** Number of recent runs in the mean; each one counts less as it ages. */
+      samples: Type.Optional(Type.Number()),
+    }),
+  ),
 });
 export type Profile = Static<typeof profileSchema>;
 
