Limit admission only on evidence beyond the error of the estimate

Cause: each node scales the demand of the nodes it is linked to, and in a large fleet that sample is small: the estimated load exceeds the capacity by chance, and requests are refused while no queue stands. In an overload, the capacity estimate also fell while the queue from before the limit drained, so that slots were idle afterwards. Ruled out: the smoothing of durations and the choice of targets; with either of them as before, the result was the same. Change: the standard error of the load is computed from the reports; without a queue, a service limits only above two errors. A shrinking queue does not lower the capacity estimate. Tests: admission in callGraph.test.ts.

--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -7,6 +7,8 @@
   priority: number;
   /** Client requests per second, including those that will be refused. */
   perSecond: number;
+  /** Variance of `perSecond`, which is estimated from the reports of some nodes over a short time. */
+  variance: number;
   /** Run time that one request causes at each service, downstream calls included (ms). */
   work: RouteWork;
 }
@@ -27,6 +29,8 @@
   factor: number;
   /** True while requests are refused because this service lacks capacity. */
   isLimiting: boolean;
+  /** Expected wait at the previous adjustment (ms). */
+  queueMs: number;
 }
 
 /** Maximum share of the slots that admitted requests may occupy. */
@@ -43,6 +47,11 @@
 const LONG_QUEUE_DURATIONS = 2;
 /** Queue time in mean run durations below which the estimated capacity is considered too low. */
 const SHORT_QUEUE_DURATIONS = 0.6;
+/**
+ * Number of standard errors by which the estimated load must exceed the allowed share before a service without a queue
+ * limits admission.
+ */
+const MIN_EXCESS_ERRORS = 2;
 const DECREASE_FACTOR = 0.98;
 const INCREASE_FACTOR = 1.04;
 const MIN_FACTOR = 0.6;
@@ -50,19 +59,22 @@
 
 /**
  * Adjusts the capacity correction of a service once per interval. The queue length is only evaluated while the service
- * limits admission; otherwise the factor returns to 1, and `DECREASE_FACTOR` is the factor on its difference from 1.
+ * limits admission; otherwise the factor returns to 1, and `DECREASE_FACTOR` is the factor on its difference from 1. A
+ * long queue that shrinks is left from before the limit and does not show that the estimated capacity is too high.
  */
 export function adjustCorrection(
   previous: ServiceCorrection | undefined,
   capacity: ServiceCapacity,
 ): ServiceCorrection {
-  const { factor, isLimiting } = previous ?? { factor: 1, isLimiting: false };
-  if (!isLimiting) return { factor: 1 + (factor - 1) * DECREASE_FACTOR, isLimiting };
   const { queueMs, durationMs } = capacity;
-  if (queueMs > LONG_QUEUE_DURATIONS * durationMs)
-    return { factor: Math.max(MIN_FACTOR, factor * DECREASE_FACTOR), isLimiting };
-  if (queueMs > SHORT_QUEUE_DURATIONS * durationMs) return { factor, isLimiting };
-  return { factor: Math.min(MAX_FACTOR, factor * INCREASE_FACTOR), isLimiting };
+  const { factor, isLimiting, queueMs: previousQueueMs } = previous ?? { factor: 1, isLimiting: false, queueMs: 0 };
+  if (!isLimiting) return { factor: 1 + (factor - 1) * DECREASE_FACTOR, isLimiting, queueMs };
+  if (queueMs > LONG_QUEUE_DURATIONS * durationMs) {
+    const isShrinking = queueMs < previousQueueMs;
+    return { factor: isShrinking ? factor : Math.max(MIN_FACTOR, factor * DECREASE_FACTOR), isLimiting, queueMs };
+  }
+  if (queueMs > SHORT_QUEUE_DURATIONS * durationMs) return { factor, isLimiting, queueMs };
+  return { factor: Math.min(MAX_FACTOR, factor * INCREASE_FACTOR), isLimiting, queueMs };
 }
 
 /** Computes the share of the slots that new requests may occupy while the queue is drained. */
@@ -92,12 +104,37 @@
     if (correction === undefined) continue;
     const load = computeLoad(admitted, capacity);
     const share = computeAllowedShare(correction, capacity);
-    correction.isLimiting = load > share || (correction.isLimiting && load > LIMITING_END_LOAD * share);
+    correction.isLimiting = correction.isLimiting
+      ? load > LIMITING_END_LOAD * share
+      : isOverloaded({ demands: admitted, capacity, load, share });
     if (correction.isLimiting) limitService(admitted, capacity, share, fractions);
   }
   return fractions;
 }
 
+/**
+ * True if the load exceeds the allowed share and this is more than an error of the estimate: a queue has formed, or the
+ * excess is large compared with the standard error of the load.
+ */
+function isOverloaded(options: {
+  demands: readonly RouteDemand[];
+  capacity: ServiceCapacity;
+  load: number;
+  share: number;
+}): boolean {
+  const { demands, capacity, load, share } = options;
+  if (load <= share) return false;
+  if (capacity.queueMs > SHORT_QUEUE_DURATIONS * capacity.durationMs) return true;
+  return load - MIN_EXCESS_ERRORS * computeLoadError(demands, capacity) > share;
+}
+
+/** Computes the standard error of the result of `computeLoad`. */
+function computeLoadError(demands: readonly RouteDemand[], { service, slots }: ServiceCapacity): number {
+  let variance = 0;
+  for (const { variance: rateVariance, work } of demands) variance += rateVariance * (work.get(service) ?? 0) ** 2;
+  return Math.sqrt(variance) / 1000 / Math.max(1, slots);
+}
+
 /** Computes the slots that the demand occupies at a service, relative to the slots it has. */
 function computeLoad(demands: readonly RouteDemand[], { service, slots }: ServiceCapacity): number {
   let busyMs = 0;
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -16,6 +16,8 @@
   parts: readonly { service: string; weight: number }[];
 }
 
+/** Time over which nodes average the rates that they report (s). */
+const RATE_WINDOW_SECONDS = 0.75;
 /** Share of internal calls among a route's requests above which its requests are not subject to admission control. */
 const INTERNAL_SHARE = 0.5;
 /** Duration assumed for a route without measured runs (ms). */
@@ -85,6 +87,7 @@
   findRoute: (name: string) => DemandRoute | undefined,
 ): RouteDemand[] {
   const rates = collectRates(views);
+  const variances = computeRateVariances(views);
   const calls = mergeCalls(views);
   const durations = mergeDurations(views, calls);
   const listParts = (name: string): { service: string; share: number }[] => {
@@ -107,7 +110,8 @@
   return [...rates].flatMap(([route, perSecond]) => {
     const found = findRoute(route);
     if (found === undefined || (internalRates.get(route) ?? 0) > INTERNAL_SHARE * perSecond) return [];
-    return [{ route, priority: found.priority, perSecond, work: computeWork(route) }];
+    const variance = variances.get(route) ?? 0;
+    return [{ route, priority: found.priority, perSecond, variance, work: computeWork(route) }];
   });
 }
 
@@ -147,6 +151,19 @@
   return rates;
 }
 
+/**
+ * Computes the variance of the rates of `collectRates`, by route. A node's count of requests varies like a Poisson
+ * variable, and a node that represents others multiplies its deviation.
+ */
+function computeRateVariances(views: readonly NodeView[]): Map<string, number> {
+  const variances = new Map<string, number>();
+  for (const { profile, weight } of views) {
+    for (const { route, perSecond } of profile.demand)
+      variances.set(route, (variances.get(route) ?? 0) + (weight ** 2 * perSecond) / RATE_WINDOW_SECONDS);
+  }
+  return variances;
+}
+
 /**
  * Merges the calls per run at each service into the mean of the nodes that observed them. Calls that few of the nodes
  * running the route observed are treated as estimation errors.
--- a/tests/requests/callGraph.test.ts
+++ b/tests/requests/callGraph.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createRandom } from '../../src/core/random.js';
-import { computeAdmission } from '../../src/policy/admission.js';
+import { adjustCorrection, computeAdmission } from '../../src/policy/admission.js';
 import type { RouteDemand, ServiceCapacity, ServiceCorrection } from '../../src/policy/admission.js';
 import { addCallSample, createCallGraphEstimator, estimateCalls } from '../../src/policy/callGraph.js';
 import { createWorkEstimator } from '../../src/policy/routeWork.js';
@@ -107,9 +107,11 @@
     route,
     priority,
     perSecond,
+    variance: 0,
     work: new Map([['stock', ms]]),
   });
-  const buildCorrections = (): Map<string, ServiceCorrection> => new Map([['stock', { factor: 1, isLimiting: false }]]);
+  const buildCorrections = (): Map<string, ServiceCorrection> =>
+    new Map([['stock', { factor: 1, isLimiting: false, queueMs: 0 }]]);
 
   it('should admit all requests while there is spare capacity', () => {
     const fractions = computeAdmission([buildDemand('check', 0, 100, 20)], [stock], buildCorrections());
@@ -129,15 +131,32 @@
     expect((fractions.get('order') ?? 0) >= 0.25).toEqual(true);
   });
 
+  // Guards against refusals by chance: with few requests per node, the estimated load exceeds the capacity now and then.
+  it('should not refuse requests for an excess within the error of the estimate while no queue has formed', () => {
+    const demands = [{ ...buildDemand('check', 0, 100, 190), variance: 800 }];
+    expect(computeAdmission(demands, [stock], buildCorrections()).size).toEqual(0);
+    const queued = { ...stock, queueMs: 30 };
+    expect([...computeAdmission(demands, [queued], buildCorrections()).keys()]).toEqual(['check']);
+    const certain = [{ ...buildDemand('check', 0, 100, 190), variance: 1 }];
+    expect([...computeAdmission(certain, [stock], buildCorrections()).keys()]).toEqual(['check']);
+  });
+
+  // Guards against idle slots after an overload: the capacity estimate fell while the queue from before drained.
+  it('should not lower the estimated capacity while a long queue shrinks', () => {
+    const limiting = { factor: 1, isLimiting: true, queueMs: 300 };
+    expect(adjustCorrection(limiting, { ...stock, queueMs: 250 }).factor).toEqual(1);
+    expect(adjustCorrection(limiting, { ...stock, queueMs: 310 }).factor < 1).toEqual(true);
+  });
+
   it('should not refuse a route that does not use the overloaded service', () => {
     const other: ServiceCapacity = { service: 'terms', slots: 20, queueMs: 0, durationMs: 20 };
     const demands = [
       buildDemand('order', 2, 300, 120),
-      { route: 'view', priority: 2, perSecond: 10, work: new Map([['terms', 20]]) },
+      { route: 'view', priority: 2, perSecond: 10, variance: 0, work: new Map([['terms', 20]]) },
     ];
     const corrections = new Map([
-      ['stock', { factor: 1, isLimiting: false }],
-      ['terms', { factor: 1, isLimiting: false }],
+      ['stock', { factor: 1, isLimiting: false, queueMs: 0 }],
+      ['terms', { factor: 1, isLimiting: false, queueMs: 0 }],
     ]);
     const fractions = computeAdmission(demands, [stock, other], corrections);
     expect([...fractions.keys()]).toEqual(['order']);
