Let only some nodes of a large fleet wait for changes at the store

Ruled out: a longer pause alone, which bounds the rate but not the calls per change; passing all records on over all links. Change: above 24 members, three nodes of each data centre, ranked by a hash and replaced when their peers hear nothing from them, wait at the store. Member records go to peers in the data centre, configurations are pulled from the nearest peer with a newer version, and digests in the status find what was missed. A node of a large fleet waits for its target before it writes its record. Not measured yet: the large site.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -53,6 +53,7 @@
     load: readLocalLoad(board, clock.now()),
     configurationVersion: board.read('routes').version,
     memberCount: board.read('members').byHost.size + 1,
+    membersDigest: board.read('members').digest,
   });
   const isStatusDue = ({ statusAtMs, loadAtMs }: IncomingLane, nowMs: number, isActive: boolean): boolean => {
     if (nowMs - statusAtMs >= IDLE_STATUS_INTERVAL_MS) return true;
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -49,6 +49,10 @@
       outgoing.sendRun(post.attempt);
       return;
     }
+    if (post.type === 'members') {
+      outgoing.sendToDataCenter({ type: 'members', members: [...post.members] });
+      return;
+    }
     const { reportId, fingerprints } = post;
     outgoing.send({ type: 'crash', reportId, fingerprints: [...fingerprints] });
   });
@@ -57,6 +61,8 @@
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
+      // Peers that do not read the store learn from the status that there is a new configuration.
+      board.subscribe('routes', broadcastStatus);
       board.subscribe('target', broadcastStatus);
       board.subscribe('node', broadcastStatus);
       stopTicks = scheduleRepeated(clock, TICK_INTERVAL_MS, runTick);
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,15 +1,25 @@
 import type { Controller } from '../context.js';
+import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
+import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import type { RequestContext } from './context.js';
+import { isReadingStore } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It may be long, since peers also send their own records over links. */
 const READ_PAUSE_MS = 1000;
 /** Mean pause before a failed write to the store is retried (ms). */
 const WRITE_RETRY_MS = 400;
+/** Maximum number of records passed to peers in one frame. */
+const MAX_FORWARDED_RECORDS = 64;
+/**
+ * Time after its start in which a node of a large fleet waits for its target before it writes its record (ms), so that one
+ * write suffices.
+ */
+const FIRST_WRITE_WAIT_MS = 2500;
 
 const validator = compileSchema(nodeMemberSchema);
 
@@ -20,13 +30,19 @@
   const { section } = members;
   const waiters: { revision: number; run: () => void }[] = [];
   const removedPredecessors = new Set<string>();
+  const startedAtMs = clock.now();
   let writtenRevision = -1;
   let isWriting = false;
   let isStopped = false;
   let stopWatcher = (): void => undefined;
 
+  const isFirstWriteDelayed = (): boolean =>
+    section.self.target === undefined &&
+    isStoreReadByFew(section.byHost) &&
+    clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
   const writeSelf = (): void => {
     if (isWriting || isStopped || writtenRevision >= section.self.revision) return;
+    if (isFirstWriteDelayed()) return;
     isWriting = true;
     const member = section.self;
     io.writeMember(member, (outcome) => {
@@ -48,8 +64,14 @@
       first.run();
     }
   };
+  const replaceInDigest = (previous: NodeMember | undefined, next: NodeMember | undefined): void => {
+    if (previous !== undefined) section.digest = updateDigest(section.digest, previous);
+    if (next !== undefined) section.digest = updateDigest(section.digest, next);
+  };
   const updateSelf = (change: Partial<NodeMember>): void => {
-    section.self = { ...section.self, ...change, revision: section.self.revision + 1 };
+    const previous = section.self;
+    section.self = { ...previous, ...change, revision: previous.revision + 1 };
+    replaceInDigest(previous, section.self);
   };
   /** Restores what an earlier process of this host published. */
   const applyEarlierSelf = (record: NodeMember): void => {
@@ -62,7 +84,10 @@
     if (record.startedAtMs >= section.self.startedAtMs) updateSelf({ startedAtMs: record.startedAtMs + 1 });
   };
   const remove = (host: string, reason: string): boolean => {
-    if (!section.byHost.delete(host)) return false;
+    const known = section.byHost.get(host);
+    if (known === undefined) return false;
+    section.byHost.delete(host);
+    replaceInDigest(known, undefined);
     board.post('decisions', { kind: 'memberChanged', outcome: 'removed', inputs: { host, reason } });
     return true;
   };
@@ -102,6 +127,7 @@
     const known = section.byHost.get(record.host);
     if (!isNewerMember(record, known) || !resolveAddressConflict(record)) return false;
     section.byHost.set(record.host, record);
+    replaceInDigest(known, record);
     const inputs = {
       host: record.host,
       service: record.service,
@@ -122,12 +148,20 @@
     if (host === section.self.host) writtenRevision = -1;
     else if (remove(host, 'its record was deleted')) members.publishChange();
   };
-  const applyRecords = (records: readonly NodeMember[], source: string, isComplete: boolean): void => {
-    let hasChanged = isComplete && !section.isComplete;
-    for (const record of records) hasChanged = applyRecord(record, source) || hasChanged;
+  /** Returns the records that were new. */
+  const applyRecords = (records: readonly NodeMember[], source: string, isComplete: boolean): NodeMember[] => {
+    const changed = records.filter((record) => applyRecord(record, source));
+    const hasChanged = changed.length > 0 || (isComplete && !section.isComplete);
     section.isComplete ||= isComplete;
     if (hasChanged) members.publishChange();
     writeSelf();
+    return changed;
+  };
+  /** Passes what was new in the store to peers that do not read it. */
+  const forwardChanges = (changed: readonly NodeMember[]): void => {
+    if (!isStoreReadByFew(section.byHost)) return;
+    for (let start = 0; start < changed.length; start += MAX_FORWARDED_RECORDS)
+      board.post('links', { type: 'members', members: changed.slice(start, start + MAX_FORWARDED_RECORDS) });
   };
   members.handlePosts((post) => {
     if (post.type === 'apply') {
@@ -141,13 +175,16 @@
   });
   return {
     start: () => {
+      clock.schedule(FIRST_WRITE_WAIT_MS, writeSelf);
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
         pauseMs: READ_PAUSE_MS,
+        isReader: () => isReadingStore(board, clock.now()),
         apply: (records, isComplete) => {
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
-          applyRecords(values, 'store', isComplete);
+          const changed = applyRecords(values, 'store', isComplete);
+          if (!isComplete) forwardChanges(changed);
         },
         reportRead: updateStoreState,
         name: 'members',
--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -35,6 +35,7 @@
     outstanding: 0,
     configurationVersion: -1,
     memberCount: 0,
+    membersDigest: undefined,
     profile: createEmptyProfile(),
     lastTargetId: '',
   };
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -33,6 +33,8 @@
   sendRun(attempt: RunAttempt): void;
   /** Sends a frame on the routine lane to one peer, or to all peers. */
   send(frame: LinkFrame, host?: string): void;
+  /** Sends a frame on the routine lane to all peers in the own data centre. */
+  sendToDataCenter(frame: LinkFrame): void;
   /**
    * Replaces unresponsive and stalled connections, and fails requests whose lane did not reconnect in time. `lateMs` is
    * how late the check itself runs.
@@ -130,6 +132,7 @@
     updateLoad(peer, frame.load);
     peer.configurationVersion = frame.configurationVersion;
     peer.memberCount = frame.memberCount;
+    peer.membersDigest = frame.membersDigest;
     if (hasChanged) options.publishChange();
   };
   const updateLoad = (peer: PeerState, load: PeerState['load']): void => {
@@ -245,6 +248,12 @@
       }
       for (const { connection, lane } of outgoing.values()) if (lane === 'routine') connection?.send(frame);
     },
+    sendToDataCenter: (frame) => {
+      const { self, byHost: members } = board.read('members');
+      for (const { connection, lane, peer } of outgoing.values()) {
+        if (lane === 'routine' && members.get(peer.host)?.dataCenter === self.dataCenter) connection?.send(frame);
+      }
+    },
     check: (nowMs, lateMs) => {
       if (nowMs - chosenAtMs >= PEER_CHOICE_INTERVAL_MS) updatePeers();
       for (const lane of outgoing.values()) {
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -2,10 +2,16 @@
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { LinkConnection, RequestContext } from './context.js';
 import type { ReadView } from '../../core/blackboard.js';
+import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import type { PeerState } from './sections.js';
+import { isReadingStore } from './storeReading.js';
 
-/** Delay before a newer configuration is pulled from a peer, so that it usually comes from the store (ms). */
+/** Delay before a node that reads the store pulls a newer configuration from a peer (ms); usually the store is faster. */
 const PULL_DELAY_MS = 200;
+/** Time for which the member list must differ from that of a peer before this node pulls it (ms). */
+const MIN_DIFFERENCE_MS = 2000;
+/** Minimum time between two pulls because of different member lists (ms). */
+const MEMBERS_PULL_INTERVAL_MS = 4000;
 
 /** The updates that nodes exchange over links: members, configurations and crash reports. */
 export interface PeerUpdates {
@@ -16,8 +22,10 @@
 }
 
 /** Creates the exchange of updates with peers. */
-export function createPeerUpdates({ board, clock }: RequestContext): PeerUpdates {
+export function createPeerUpdates({ board, clock, random }: RequestContext): PeerUpdates {
   let behindSinceMs: number | undefined;
+  let differsSinceMs: number | undefined;
+  let pulledMembersAtMs = -Infinity;
 
   const respondToPull = (what: 'members' | 'configuration', connection: LinkConnection | undefined): void => {
     const { self, byHost } = board.read('members');
@@ -28,14 +36,43 @@
     const configuration = board.read('routes').table?.configuration;
     if (configuration !== undefined) connection?.send({ type: 'configuration', configuration: configuration as never });
   };
+  const isInOwnDataCenter = ({ host }: ReadView<PeerState>): boolean => {
+    const { self, byHost } = board.read('members');
+    return byHost.get(host)?.dataCenter === self.dataCenter;
+  };
+  /** Finds the newest configuration, in the own data centre if a peer there has it. */
   const findPeerWithNewerConfiguration = (): ReadView<PeerState> | undefined => {
     let newest: ReadView<PeerState> | undefined;
     for (const peer of board.read('links').byHost.values()) {
       if (peer.lanes.routine.phase !== 'up') continue;
-      if (peer.configurationVersion > (newest?.configurationVersion ?? board.read('routes').version)) newest = peer;
+      const known = newest?.configurationVersion ?? board.read('routes').version;
+      const isAsNew = newest !== undefined && peer.configurationVersion === known;
+      if (peer.configurationVersion > known || (isAsNew && isInOwnDataCenter(peer))) newest = peer;
     }
     return newest;
   };
+  /**
+   * Finds a peer in the own data centre whose member list has differed for some time. Nodes that do not read the store
+   * may have missed a record that a reader passed on.
+   */
+  const findPeerWithOtherMembers = (): ReadView<PeerState> | undefined => {
+    const { digest, byHost } = board.read('members');
+    const nowMs = clock.now();
+    if (!isStoreReadByFew(byHost) || nowMs - pulledMembersAtMs < MEMBERS_PULL_INTERVAL_MS) return undefined;
+    const others = [...board.read('links').byHost.values()].filter(
+      (peer) =>
+        peer.lanes.routine.phase === 'up' &&
+        peer.membersDigest !== undefined &&
+        peer.membersDigest !== digest &&
+        isInOwnDataCenter(peer),
+    );
+    if (others.length === 0) differsSinceMs = undefined;
+    else differsSinceMs ??= nowMs;
+    if (differsSinceMs === undefined || nowMs - differsSinceMs < MIN_DIFFERENCE_MS) return undefined;
+    pulledMembersAtMs = nowMs;
+    differsSinceMs = undefined;
+    return others[Math.floor(random() * others.length)];
+  };
   const findPeerWithMoreMembers = (): ReadView<PeerState> | undefined => {
     const { isComplete, storeReadAtMs, byHost } = board.read('members');
     if (isComplete && storeReadAtMs !== undefined) return undefined;
@@ -45,6 +82,7 @@
     }
     return undefined;
   };
+  const getPullDelay = (): number => (isReadingStore(board, clock.now()) ? PULL_DELAY_MS : 0);
   return {
     receive: (host, frame, connection) => {
       if (frame.type === 'members') {
@@ -63,9 +101,9 @@
       const pulls: ReturnType<PeerUpdates['listPulls']> = [];
       const newer = findPeerWithNewerConfiguration();
       if (newer === undefined) behindSinceMs = undefined;
-      else if ((behindSinceMs ??= clock.now()) + PULL_DELAY_MS <= clock.now())
+      else if ((behindSinceMs ??= clock.now()) + getPullDelay() <= clock.now())
         pulls.push({ host: newer.host, what: 'configuration' });
-      const informed = findPeerWithMoreMembers();
+      const informed = findPeerWithMoreMembers() ?? findPeerWithOtherMembers();
       if (informed !== undefined) pulls.push({ host: informed.host, what: 'members' });
       return pulls;
     },
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -3,6 +3,7 @@
 import { compileSchema } from '../../schema/validate.js';
 import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
 import type { RequestContext } from './context.js';
+import { isReadingStore } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It is short, so that each change is applied as soon as possible. */
@@ -32,6 +33,7 @@
       stopWatcher = startTopicWatcher(context, {
         topic: io.configurationTopic,
         pauseMs: READ_PAUSE_MS,
+        isReader: () => isReadingStore(board, clock.now()),
         apply: (records) => {
           for (const { value, offset } of records) {
             if (validator.isValid(value)) {
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -7,6 +7,7 @@
 import { createFailureShare } from '../../policy/failureShare.js';
 import type { FailureShare } from '../../policy/failureShare.js';
 import type { FleetBudget } from '../../policy/fleetBudget.js';
+import { updateDigest } from '../../policy/membersDigest.js';
 import type { PartCredits } from '../../policy/partChoice.js';
 import type { RouteTable } from '../../policy/routeTable.js';
 import { createRunQueue } from '../../policy/runQueue.js';
@@ -39,6 +40,8 @@
   outstanding: number;
   configurationVersion: number;
   memberCount: number;
+  /** Undefined until a status with a digest was received. */
+  membersDigest: number | undefined;
   profile: Profile;
   /** Id of the target to which the last request was sent; empty before the first one. */
   lastTargetId: string;
@@ -93,6 +96,8 @@
   members: {
     self: NodeMember;
     byHost: Map<string, NodeMember>;
+    /** Digest of the versions of all records in `byHost` and of `self`. */
+    digest: number;
     /** True once the complete list was received from the store or a peer. */
     isComplete: boolean;
     /** The target as published by the previous process of this host; undefined until received. */
@@ -169,7 +174,11 @@
     | { type: 'eject'; reason: string; isDown: boolean }
     | { type: 'suspect' }
     | { type: 'answered' };
-  links: { type: 'send'; attempt: RunAttempt } | { type: 'crash'; reportId: string; fingerprints: readonly number[] };
+  links:
+    | { type: 'send'; attempt: RunAttempt }
+    | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
+    /** Passes records that were read from the store to the peers in the own data centre. */
+    | { type: 'members'; members: readonly NodeMember[] };
   runs: { type: 'accept'; attempt: RunAttempt };
   entries: never;
   demand: never;
@@ -208,6 +217,7 @@
     members: {
       self: options.self,
       byHost: new Map(),
+      digest: updateDigest(0, options.self),
       isComplete: false,
       previousTarget: undefined,
       previousStartedAtMs: 0,
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -5,6 +5,10 @@
 const MAX_POLL_WAIT_MS = 25_000;
 /** Mean pause before a failed read is retried (ms). */
 const RETRY_PAUSE_MS = 1000;
+/** Interval at which a node that does not read the topic checks whether it has to (ms). */
+const READER_CHECK_INTERVAL_MS = 500;
+/** Time after which a node that does not read the topic reads it once, in case its peers missed a change (ms). */
+const UNREAD_LIMIT_MS = 120_000;
 
 export interface TopicWatcherOptions {
   topic: KeyedTopic;
@@ -16,6 +20,8 @@
   reportRead: (isReached: boolean) => void;
   /** Pause after a read that returned records, which limits the number of reads during frequent changes (ms). */
   pauseMs: number;
+  /** True while this node has to wait for changes; otherwise it learns of them from its peers. */
+  isReader: () => boolean;
 }
 
 /**
@@ -27,6 +33,7 @@
   let cancelRead = (): void => undefined;
   let nextOffset: number | undefined;
   let wasReached: boolean | undefined;
+  let readAtMs = clock.now();
 
   const recordRead = (isReached: boolean, detail?: string): void => {
     options.reportRead(isReached);
@@ -59,6 +66,11 @@
   };
   const read = (): void => {
     if (isStopped) return;
+    if (nextOffset !== undefined && !options.isReader() && clock.now() - readAtMs < UNREAD_LIMIT_MS) {
+      schedule(READER_CHECK_INTERVAL_MS);
+      return;
+    }
+    readAtMs = clock.now();
     if (nextOffset === undefined) {
       options.topic.readNewest((outcome) => {
         receive(outcome, true);
--- /dev/null
+++ b/src/policy/storeReaders.ts
@@ -0,0 +1,42 @@
+import { hashToUnit } from '../core/hash.js';
+
+export interface StoreReaderInput {
+  self: { host: string; dataCenter: string };
+  /** All other members of the fleet. */
+  members: ReadonlyMap<string, { host: string; dataCenter: string }>;
+  /** True when this node is linked to a host and does not hear from it. */
+  isSilent: (host: string) => boolean;
+}
+
+/** Number of nodes of each data centre that wait for changes at the store. */
+const READERS_PER_DATA_CENTER = 3;
+/** Up to this number of other members, every node waits for changes itself. */
+const MAX_MEMBERS_ALL_READ = 24;
+
+/** True when the fleet is so large that only some nodes wait for changes at the store. */
+export function isStoreReadByFew(members: StoreReaderInput['members']): boolean {
+  return members.size > MAX_MEMBERS_ALL_READ;
+}
+
+/**
+ * True when a node waits for changes at the store and passes them on to its peers. All nodes rank the hosts of a data
+ * centre by the same hash and skip those from which they hear nothing, so readers need no agreement and are replaced
+ * when they fail. The number of calls per change thus depends on the data centres and not on the hosts.
+ *
+ * @example
+ * isStoreReader({ self: { host: 'a1', dataCenter: 'd1' }, members: new Map(), isSilent: () => false }); // true
+ */
+export function isStoreReader({ self, members, isSilent }: StoreReaderInput): boolean {
+  if (!isStoreReadByFew(members)) return true;
+  const ownRank = computeRank(self.host);
+  let ahead = 0;
+  for (const { host, dataCenter } of members.values()) {
+    if (dataCenter !== self.dataCenter || computeRank(host) >= ownRank || isSilent(host)) continue;
+    if (++ahead >= READERS_PER_DATA_CENTER) return false;
+  }
+  return true;
+}
+
+function computeRank(host: string): number {
+  return hashToUnit(`reader ${host}`);
+}
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -155,6 +155,8 @@
   configurationVersion: Type.Integer(),
   /** Number of members known to the sender, so that a peer that knows fewer can request them. */
   memberCount: Type.Integer(),
+  /** Digest of the versions of all member records known to the sender, including its own. */
+  membersDigest: Type.Optional(Type.Integer()),
 });
 export const profileFrameSchema = Type.Object({ type: Type.Literal('profile'), profile: profileSchema });
 export const membersFrameSchema = Type.Object({
