Cut off targets that send bytes without end

Cause: bytes that are no answer may come until the caller closes. The rest of a rejected response was read to its end with no bound in bytes or time, and interim responses and the digits of a chunk size were read until the deadline of the request. Ruled out: header lines, one long header, trailers, chunk extensions and bytes that are no response; the parser bounds these. Change: a connection fails once 256 KiB, and eight times the body, were received that are no body; what follows a rejection is read for at most 256 KiB and one second.

--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -46,6 +46,12 @@
 const DEFAULT_IDLE_TIMEOUT_MS = 4000;
 /** Maximum size of a body that is written in one call with its head. */
 const MAX_COALESCED_BODY_BYTES = 16 * 1024;
+/**
+ * Maximum number of received bytes, per request, that are no part of a response body; a multiple of the body is allowed
+ * in addition, since a target may send it in small chunks.
+ */
+const MAX_OVERHEAD_BYTES = 256 * 1024;
+const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 /** Lower status codes belong to interim responses, which a final response follows. */
 const MIN_FINAL_STATUS = 200;
 
@@ -59,6 +65,8 @@
     isRequestWritten: true,
     method: '',
     wasReset: false,
+    receivedBytes: 0,
+    bodyBytes: 0,
   };
   let events: ResponseEvents | undefined;
   /** True while the current message is read without being reported. */
@@ -72,6 +80,11 @@
     events = undefined;
     failed?.fail(detail);
   };
+  /** True when the target keeps sending interim responses, repeated responses or chunk sizes without end. */
+  const hasTooMuchOverhead = (): boolean => {
+    const { receivedBytes, bodyBytes } = state;
+    return receivedBytes - bodyBytes > MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * bodyBytes;
+  };
   const parser = createMessageParser('response', {
     begin: () => {
       // The target sent bytes without a request.
@@ -83,7 +96,9 @@
       return state.method === 'HEAD';
     },
     body: (chunk) => {
-      if (!isDiscarded && events?.data(chunk) === false) socket.pause();
+      if (isDiscarded) return;
+      state.bodyBytes += chunk.length;
+      if (events?.data(chunk) === false) socket.pause();
     },
     end: () => {
       if (isDiscarded) return;
@@ -108,8 +123,10 @@
       fail('unexpected bytes after the response');
       return;
     }
+    state.receivedBytes += chunk.length;
     const fault = parser.parse(chunk);
     if (fault !== undefined) fail(fault.message);
+    else if (hasTooMuchOverhead()) fail('the target sent too many bytes that are no part of a body');
   });
   socket.on('end', () => {
     state.isReusable = false;
@@ -144,6 +161,8 @@
     idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
     start: ({ head, body, method, isStreamed }) => {
       state.useCount++;
+      state.receivedBytes = 0;
+      state.bodyBytes = 0;
       state.method = method;
       state.isRequestWritten = !isStreamed;
       if (body === undefined || body.length === 0) socket.write(head, 'latin1');
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -15,6 +15,12 @@
 const MAX_IDLE_WITHOUT_RESEND_MS = 250;
 /** Fraction of the target's keep-alive timeout for which an idle connection is reused. */
 const IDLE_TIMEOUT_FRACTION = 0.6;
+/**
+ * Maximum size of the rest of a failed response that is read so that its connection can be reused, and the time for it
+ * (ms). A target may send it without end.
+ */
+const MAX_DISCARDED_BYTES = 256 * 1024;
+const MAX_DISCARD_MS = 1000;
 const MISDIRECTED_REQUEST = 421;
 const LAST_CHUNK = Buffer.from('0\r\n\r\n');
 
@@ -46,6 +52,10 @@
   bytes: number;
   /** True once the response body is passed on in parts. */
   isStreaming: boolean;
+  /** Bytes of the body that were read after the exchange was settled. */
+  discardedBytes: number;
+  /** Closes a connection whose response does not end; undefined unless the response is being discarded. */
+  discardTimer: NodeJS.Timeout | undefined;
   /** Flow control credit: bytes of a streamed response body that may still be read. */
   creditBytes: number;
 }
@@ -93,14 +103,29 @@
     const keepAliveMs = parseKeepAliveTimeout(head);
     if (keepAliveMs !== undefined) connection.idleTimeoutMs = keepAliveMs * IDLE_TIMEOUT_FRACTION;
     if (status === MISDIRECTED_REQUEST)
-      fail(exchange, 'misdirected', 'no', `another target has the address ${address}`);
+      failDiscarding(exchange, 'misdirected', `another target has the address ${address}`);
     else if (findHeader(rawHeaders, names.notRun) !== undefined)
-      fail(exchange, 'rejected', 'no', `the target answered ${status}`);
+      failDiscarding(exchange, 'rejected', `the target answered ${status}`);
     return 'accept';
   };
+  /** Fails a request that did not run and reads the rest of its response, so that the connection can be reused. */
+  const failDiscarding = (exchange: Exchange, kind: RunFailureKind, detail: string): void => {
+    exchange.discardTimer = setTimeout(() => {
+      release(exchange);
+    }, MAX_DISCARD_MS);
+    fail(exchange, kind, 'no', detail);
+  };
+  const release = (exchange: Exchange): void => {
+    clearTimeout(exchange.discardTimer);
+    exchange.isReleased = true;
+    exchange.connection.destroy();
+  };
   const handleData = (exchange: Exchange, chunk: Buffer): boolean => {
-    // After a failure the response is read to its end, so that the connection can be reused.
-    if (exchange.isSettled) return true;
+    if (exchange.isSettled) {
+      exchange.discardedBytes += chunk.length;
+      if (exchange.discardedBytes > MAX_DISCARDED_BYTES) release(exchange);
+      return true;
+    }
     exchange.bytes += chunk.length;
     if (exchange.isStreaming) {
       exchange.creditBytes -= chunk.length;
@@ -116,6 +141,7 @@
   };
   const finish = (exchange: Exchange): void => {
     settle(exchange);
+    clearTimeout(exchange.discardTimer);
     exchange.isReleased = true;
     const { connection, target } = exchange;
     connection.lastRequestId = target.request.requestId;
@@ -124,6 +150,7 @@
   };
   const handleFailure = (exchange: Exchange, detail: string): void => {
     const { connection, target } = exchange;
+    clearTimeout(exchange.discardTimer);
     if (exchange.isSettled) return;
     if (!connection.isConnected) fail(exchange, 'unreachable', 'no', detail);
     else if (exchange.status !== 0)
@@ -197,6 +224,8 @@
       chunks: [],
       bytes: 0,
       isStreaming: false,
+      discardedBytes: 0,
+      discardTimer: undefined,
       creditBytes: STREAM_WINDOW_BYTES,
     };
     start(exchange);
@@ -204,8 +233,7 @@
       cancel: () => {
         if (exchange.isReleased) return;
         exchange.isSettled = true;
-        exchange.isReleased = true;
-        exchange.connection.destroy();
+        release(exchange);
       },
       grantAnswer: (bytes) => {
         const wasPaused = exchange.creditBytes <= 0;
