Prefer targets in the own data centre more strongly

Ruled out: a lack of capacity in the own data centre; its targets had free slots. Change: crossing costs a fifth of the target latency, before a tenth.

--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -27,7 +27,7 @@
 }
 
 /** Cost of sending a request to another data centre, as a share of the target latency. */
-const CROSS_DATA_CENTER_COST = 0.1;
+const CROSS_DATA_CENTER_COST = 0.2;
 /** Cost of one failed attempt, in multiples of the target latency. */
 const FAILURE_COST = 2;
 /** Cost of a target whose slots are all in use but that has no queue, as a share of the duration of a run. */
