Read member changes less often in a large fleet and log who reads the store

Members change nearly every second there, and each reader read each change. Ruled out: a need for speed; leaving targets are known from status frames, and a joining host opens links itself.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -11,6 +11,8 @@
 
 /** Pause after a read that returned records (ms). It may be long, since peers also send their own records over links. */
 const READ_PAUSE_MS = 1000;
+/** The same in a large fleet, where some member changes nearly every second (ms). */
+const LARGE_FLEET_READ_PAUSE_MS = 3000;
 /** Mean pause before a failed write to the store is retried (ms). */
 const WRITE_RETRY_MS = 400;
 /** Maximum number of records passed to peers in one frame. */
@@ -178,7 +180,7 @@
       clock.schedule(FIRST_WRITE_WAIT_MS, writeSelf);
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
-        pauseMs: READ_PAUSE_MS,
+        getPauseMs: () => (isStoreReadByFew(section.byHost) ? LARGE_FLEET_READ_PAUSE_MS : READ_PAUSE_MS),
         isReader: () => isReadingStore(board, clock.now()),
         apply: (records, isComplete) => {
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -32,7 +32,7 @@
     start: () => {
       stopWatcher = startTopicWatcher(context, {
         topic: io.configurationTopic,
-        pauseMs: READ_PAUSE_MS,
+        getPauseMs: () => READ_PAUSE_MS,
         isReader: () => isReadingStore(board, clock.now()),
         apply: (records) => {
           for (const { value, offset } of records) {
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -18,8 +18,8 @@
   apply: (records: readonly KeyedRecord[], isComplete: boolean) => void;
   /** Called after each read with whether the store answered. */
   reportRead: (isReached: boolean) => void;
-  /** Pause after a read that returned records, which limits the number of reads during frequent changes (ms). */
-  pauseMs: number;
+  /** Returns the pause after a read that returned records, which limits the reads during frequent changes (ms). */
+  getPauseMs: () => number;
   /** True while this node has to wait for changes; otherwise it learns of them from its peers. */
   isReader: () => boolean;
 }
@@ -34,6 +34,7 @@
   let nextOffset: number | undefined;
   let wasReached: boolean | undefined;
   let readAtMs = clock.now();
+  let wasReader = true;
 
   const recordRead = (isReached: boolean, detail?: string): void => {
     options.reportRead(isReached);
@@ -55,7 +56,7 @@
       nextOffset = outcome.next;
       recordRead(true);
       if (outcome.records.length > 0 || isComplete) options.apply(outcome.records, isComplete);
-      schedule(outcome.records.length > 0 && !isComplete ? options.pauseMs : 0);
+      schedule(outcome.records.length > 0 && !isComplete ? options.getPauseMs() : 0);
     } else if (outcome.type === 'compacted') {
       nextOffset = undefined;
       schedule(0);
@@ -64,9 +65,18 @@
       schedule(RETRY_PAUSE_MS * (0.5 + random()));
     }
   };
+  const checkIsReader = (): boolean => {
+    const isReader = options.isReader();
+    if (isReader !== wasReader) {
+      wasReader = isReader;
+      const outcome = isReader ? 'waits for changes at the store' : 'learns of changes from peers';
+      board.post('decisions', { kind: 'storeChanged', outcome, inputs: { topic: options.name, next: nextOffset } });
+    }
+    return isReader;
+  };
   const read = (): void => {
     if (isStopped) return;
-    if (nextOffset !== undefined && !options.isReader() && clock.now() - readAtMs < UNREAD_LIMIT_MS) {
+    if (nextOffset !== undefined && !checkIsReader() && clock.now() - readAtMs < UNREAD_LIMIT_MS) {
       schedule(READER_CHECK_INTERVAL_MS);
       return;
     }
