--- a/src/control/admission.ts
+++ b/src/control/admission.ts
@@ -8,6 +8,7 @@
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 import { updateActiveCalls } from './activeTime.js';
 import { dequeueCall, enqueueCall, findLowestWorthLevel, findOldestCall, removeQueuedCall } from './callQueue.js';
+import { cancelNothing } from './calls.js';
 import type { AdmitCall, AllowanceAccount, CallReply, RunningCall } from './calls.js';
 import type { ControllerContext } from './context.js';
 import { buildSample, describeCall } from './describeCall.js';
@@ -229,7 +230,6 @@
 
   return {
     admit: (envelope, account, reply) => {
-      const cancelNothing = (): void => undefined;
       const failure = checkTarget(envelope);
       if (failure !== undefined) {
         refuse(reply, account, failure);
--- a/src/control/calls.ts
+++ b/src/control/calls.ts
@@ -9,6 +9,9 @@
 /** Cancels a call whose caller no longer waits for the result. */
 export type CancelCall = () => void;
 
+/** The `CancelCall` of a call that already has its result. */
+export const cancelNothing: CancelCall = () => undefined;
+
 /** Runs, queues or refuses a call for the local target; `reply` is called once unless the call is cancelled first. */
 export type AdmitCall = (envelope: CallEnvelope, account: AllowanceAccount, reply: CallReply) => CancelCall;
 
--- a/src/control/downstreamCalls.ts
+++ b/src/control/downstreamCalls.ts
@@ -3,6 +3,7 @@
 import type { CallFailure } from '../schema/failure.js';
 import { updateActiveCalls } from './activeTime.js';
 import { buildDownstreamEnvelope } from './buildEnvelope.js';
+import { cancelNothing } from './calls.js';
 import type { CallReply, CancelCall, DispatchedCall, RunningCall } from './calls.js';
 import type { DownstreamCall } from '../schema/call.js';
 import type { ControllerContext } from './context.js';
@@ -14,8 +15,6 @@
   accept(call: DownstreamCall, token: string, reply: CallReply): CancelCall;
 }
 
-const cancelNothing = (): void => undefined;
-
 /** Accepts the calls that the local target makes on behalf of the calls that it runs. */
 export function createDownstreamCalls(
   context: ControllerContext,
--- a/src/control/entryCalls.ts
+++ b/src/control/entryCalls.ts
@@ -4,6 +4,7 @@
 import type { CallEnvelope } from '../schema/frame.js';
 import { hashToUnit } from '../core/hash.js';
 import { buildEntryEnvelope } from './buildEnvelope.js';
+import { cancelNothing } from './calls.js';
 import type { CallReply, CancelCall } from './calls.js';
 import type { CallerCall, CallResult } from '../schema/call.js';
 import type { ControllerContext } from './context.js';
@@ -19,7 +20,6 @@
   accept(call: CallerCall, reply: CallReply): CancelCall;
 }
 
-const cancelNothing = (): void => undefined;
 /** Share of answered requests that are recorded as events; refusals are always recorded. */
 const ANSWERED_EVENT_SHARE = 0.01;
 
--- a/src/control/homeCalls.ts
+++ b/src/control/homeCalls.ts
@@ -4,6 +4,7 @@
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope } from '../schema/frame.js';
 import type { TicketOutcome } from '../schema/state.js';
+import { cancelNothing } from './calls.js';
 import type { CallReply, CancelCall, HomeRun } from './calls.js';
 import type { CallResult } from '../schema/call.js';
 import type { ControllerContext } from './context.js';
@@ -19,8 +20,6 @@
   handle(envelope: CallEnvelope, reply: CallReply, options: { canBeResent: boolean }): CancelCall;
 }
 
-const cancelNothing = (): void => undefined;
-
 /** Runs the requests of tickets that this process issued; no other process does, so that each runs at most once. */
 export function createHomeCalls(
   context: ControllerContext,
--- a/src/control/suspectGate.ts
+++ b/src/control/suspectGate.ts
@@ -1,11 +1,10 @@
 import { createCallFailure } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
 import type { CallEnvelope } from '../schema/frame.js';
+import { cancelNothing } from './calls.js';
 import type { AdmitCall, CallReply } from './calls.js';
 import type { ControllerContext } from './context.js';
 
-const cancelNothing = (): void => undefined;
-
 /** Wraps `admit`: refuses quarantined requests, and runs requests suspected of crashing targets one at a time. */
 export function createSuspectGate(context: ControllerContext, admit: AdmitCall): AdmitCall {
   const { board, clock, policies, settings } = context;
--- a/src/standins/loadRecorder.ts
+++ b/src/standins/loadRecorder.ts
@@ -8,7 +8,6 @@
 export interface LoadRecorder {
   /** Records the result of a request. Times are in ms after the start of the run. */
   record(request: SettledRequest): void;
-  readonly settled: number;
   buildReport(seed: number, durationS: number): LoadReport;
 }
 
@@ -39,7 +38,6 @@
 export function createLoadRecorder(mix: readonly LoadOperation[]): LoadRecorder {
   const groups = new Map<string, Group>();
   const intervals: { counts: Counts; completions: number }[] = [];
-  let settled = 0;
 
   const getGroup = ({ service, priority }: LoadOperation): Group => {
     const key = `${service} ${priority}`;
@@ -61,11 +59,7 @@
   };
   for (const operation of mix) getGroup(operation);
   return {
-    get settled() {
-      return settled;
-    },
     record: ({ operation, offeredAtMs, settledAtMs, resends, result }) => {
-      settled++;
       const group = getGroup(operation);
       const offeredInterval = getIntervalAt(offeredAtMs);
       for (const counts of [group.counts, offeredInterval.counts]) {
--- a/src/standins/logServer.ts
+++ b/src/standins/logServer.ts
@@ -138,8 +138,10 @@
       return reply.code(400).send({ faults: faultsValidator.listFaults(request.body) });
     return reply.send(Object.assign(faults, request.body));
   });
-  server.post<{ Querystring: { before: string } }>('/expire', async (request, reply) => {
-    store.dropBefore(Number(request.query.before));
+  server.post<{ Querystring: { before?: string } }>('/expire', async (request, reply) => {
+    const before = Number(request.query.before);
+    if (!Number.isInteger(before)) return reply.code(400).send({ fault: 'before must be an offset' });
+    store.dropBefore(before);
     return reply.code(204).send();
   });
 }
