Refuse requests whose time ran out while the process was paused

Cause: a process that was paused for some seconds acted on what had run out meanwhile. An answer read before the deadline timer ran freed a slot for a queued request whose deadline had passed, and a request read from the socket after the pause was given the time left that it had before. While a machine is suspended, the monotonic clock stands still, so no deadline passes at all. Ruled out: links; peers replace a silent one after 750 ms, but what was sent before stays readable. Change: a queued request is not started after its deadline; requests read more than a second after the last tick, by either clock, are refused as not run, and the refusal is logged.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -4,6 +4,7 @@
 import { createIncomingRuns } from './incomingRuns.js';
 import type { IncomingRuns } from './incomingRuns.js';
 import type { PeerUpdates } from './peerUpdates.js';
+import type { RunAttempt } from './runPort.js';
 import { hasDemandChanged } from '../../policy/fleetDemand.js';
 import { readLocalLoad } from './localLoad.js';
 import { createEmptyProfile } from './sections.js';
@@ -43,7 +44,14 @@
 }
 
 /** Creates the accepting side of all links. */
-export function createIncomingLinks(context: RequestContext, options: { updates: PeerUpdates }): IncomingLinks {
+export function createIncomingLinks(
+  context: RequestContext,
+  options: {
+    updates: PeerUpdates;
+    /** Returns how long this process has just been paused (ms), or 0. */
+    readPause: () => number;
+  },
+): IncomingLinks {
   const { board, clock } = context;
   const incoming = new Map<string, IncomingLane>();
   const connections = new Set<LinkConnection>();
@@ -72,6 +80,19 @@
     lane.profile = profile;
     lane.runs.send({ type: 'profile', profile });
   };
+  /** Refuses a request that may have waited while this process was paused: its time left is no longer true. */
+  const acceptRun = (attempt: RunAttempt): void => {
+    const pauseMs = options.readPause();
+    if (pauseMs === 0) {
+      board.post('runs', { type: 'accept', attempt });
+      return;
+    }
+    const { requestId: id, route } = attempt.request;
+    const inputs = { route, pauseMs: Math.round(pauseMs) };
+    board.post('decisions', { kind: 'runFailed', id, outcome: 'received after a pause', inputs });
+    const detail = `the process was paused for ${Math.round(pauseMs)} ms`;
+    attempt.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail });
+  };
   const getLane = ({ member: { host }, lane }: HelloFrame): IncomingLane => {
     const key = `${lane} ${host}`;
     let entry = incoming.get(key);
@@ -79,9 +100,7 @@
       const runs = createIncomingRuns({
         host,
         clock,
-        accept: (attempt) => {
-          board.post('runs', { type: 'accept', attempt });
-        },
+        accept: acceptRun,
         readLoad: () => {
           // Answers carry the load too, which postpones the next status frame.
           const nowMs = clock.now();
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -1,4 +1,5 @@
 import { scheduleRepeated } from '../../core/clock.js';
+import { createPauseDetector } from '../../core/pauseDetector.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { Controller } from '../context.js';
 import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
@@ -8,6 +9,8 @@
 
 /** Interval between checks of the connections and of due status frames (ms). */
 const TICK_INTERVAL_MS = 125;
+/** Time without a tick after which received requests count as old (ms): their senders replace a silent link after 750 ms. */
+const MIN_PAUSE_MS = 1000;
 
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
@@ -20,7 +23,8 @@
   const links = board.claim('links', 'linkController');
   const updates = createPeerUpdates(context);
   const outgoing = createOutgoingLinks(context, links.section, { updates, publishChange: links.publishChange });
-  const incoming = createIncomingLinks(context, { updates });
+  const pauses = createPauseDetector(clock, { minPauseMs: MIN_PAUSE_MS });
+  const incoming = createIncomingLinks(context, { updates, readPause: pauses.readPause });
   let broadcastRevision = -1;
   let lastTickMs = clock.now();
   let stopTicks = (): void => undefined;
@@ -36,6 +40,7 @@
     incoming.broadcastStatus();
   };
   const runTick = (): void => {
+    pauses.observeTick();
     const nowMs = clock.now();
     const lateMs = nowMs - lastTickMs - TICK_INTERVAL_MS;
     lastTickMs = nowMs;
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -143,16 +143,22 @@
     while (running.size < limit) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
       if (run === undefined) return;
-      start(run);
+      if (run.deadlineAtMs > clock.now()) start(run);
+      else endExpired(run);
     }
   };
+  /** After a pause of this process, an answer may be read before the deadline timer runs. */
+  const endExpired = (run: Run): void => {
+    run.phase = 'ended';
+    run.cancelDeadline();
+    countResult('tooLate');
+    reportRun(run, 'tooLate', 'the deadline passed in the queue');
+    run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
+  };
   const expire = (run: Run): void => {
     if (run.phase === 'queued') {
       queue.drop(run);
-      run.phase = 'ended';
-      countResult('tooLate');
-      reportRun(run, 'tooLate', 'the deadline passed in the queue');
-      run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
+      endExpired(run);
       return;
     }
     run.cancelDeadline = deadlines.add(run.deadlineAtMs + ABANDON_DELAY_MS, () => {
