Name the least cost of a target and document the pause detector

Cause: found when reading the whole change: a bare 1 in the cost, and a step of the wall clock is not said to look like a pause. Ruled out: pulling member lists every 10 s in place of 4 s to save processor time; a joining host was then unknown to some nodes after 8 s (tests/requests/storeReaders.test.ts). Result: build, lint and the tests of placement, overload, pauses and store readers pass.

--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -10,7 +10,7 @@
 const PULL_DELAY_MS = 200;
 /** Time for which the member list must differ from that of a peer before this node pulls it (ms). */
 const MIN_DIFFERENCE_MS = 2000;
-/** Minimum time between two pulls because of different member lists (ms). */
+/** Minimum time between two pulls because of different member lists (ms). A pull carries the whole list. */
 const MEMBERS_PULL_INTERVAL_MS = 4000;
 
 /** The updates that nodes exchange over links: members, configurations and crash reports. */
--- a/src/core/pauseDetector.ts
+++ b/src/core/pauseDetector.ts
@@ -12,7 +12,8 @@
 }
 
 /**
- * Creates a detector. It compares both clocks, since the monotonic one stands still while a machine is suspended.
+ * Creates a detector. It compares both clocks, since the monotonic one stands still while a machine is suspended. A step of
+ * the wall clock looks like a pause until the next tick.
  *
  * @example
  * const pauses = createPauseDetector(clock, { minPauseMs: 1000 });
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -34,7 +34,8 @@
 const FULL_TARGET_COST = 0.5;
 /** Excess over the lowest cost, as a share of it, at which a target is chosen e times less often than the best one. */
 const CHOICE_SPREAD = 0.08;
-
+/** Cost of any target (ms), which keeps the lowest cost above 0. */
+const MIN_COST_MS = 1;
 /** Share of the requests that may be sent as trials to targets that seemed slow. */
 const TRIAL_SHARE = 0.01;
 /** Number of recent runs below which the speed of a target counts as unknown. */
@@ -90,5 +91,5 @@
   const usedShare = Math.min(1, (load.running + load.queued + sentSinceReport) / Math.max(1, load.limit));
   const crossingMs = candidate.isLocalDataCenter ? 0 : CROSS_DATA_CENTER_COST * targetLatencyMs;
   const failureMs = FAILURE_COST * load.failureShare * targetLatencyMs;
-  return 1 + waitMs + durationMs * (1 + FULL_TARGET_COST * usedShare) + crossingMs + failureMs;
+  return MIN_COST_MS + waitMs + durationMs * (1 + FULL_TARGET_COST * usedShare) + crossingMs + failureMs;
 }
