--- a/tests/requests/pausedProcess.test.ts
+++ b/tests/requests/pausedProcess.test.ts
@@ -8,7 +8,7 @@
 import type { LinkFrame } from '../../src/schema/linkFrame.js';
 import { createFakeStore } from '../fixtures/fakeStore.js';
 import { buildRoute, buildRouteConfiguration } from '../fixtures/requestFleet.js';
-import { buildRunRequest } from '../fixtures/requests.js';
+import { buildRequestSettings, buildRunRequest } from '../fixtures/requests.js';
 
 interface PausableNode {
   /** Lets time pass by one or both clocks without running anything, as if the process was paused. */
@@ -34,28 +34,7 @@
   const started: RunEvents[] = [];
   const sent: LinkFrame[] = [];
   const node = createRequestNode({
-    settings: {
-      host: 'a1',
-      dataCenter: 'd1',
-      region: 'r1',
-      service: 'stock',
-      requestListen: '127.0.0.1:1',
-      targetListen: '127.0.0.1:2',
-      readyListen: '127.0.0.1:3',
-      linkListen: '127.0.0.1:4',
-      metricsListen: '127.0.0.1:5',
-      storeAddress: '127.0.0.1:6',
-      maxDescriptors: 1000,
-      heartbeatMs: 1500,
-      bounds: {
-        drainMs: 2000,
-        graceSeconds: 6,
-        configurationApplyMs: 2000,
-        retryRatio: 0.2,
-        retryExtra: 48,
-        retryWindowSeconds: 10,
-      },
-    },
+    settings: buildRequestSettings(),
     clock,
     random: createRandom(1),
     sendToTarget: (_send, events) => {
