Do not take records passed on by a store reader for the whole member list

Cause: found when reading the change once more. A members frame with several records counted as the complete list, which held while only pulls sent several. A store reader now passes on several new records too, so a process that starts while the store is away could believe to know all members, and what its predecessor acknowledged. Ruled out: passing on one record per frame, which would leave the rule implicit and send more frames. Change: the frame says whether it is complete; without the field, as from older nodes, the old rule applies. Result: the new case of tests/requests/storeReaders.test.ts failed without the change; tests of tests/requests and platform pass.

--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -55,7 +55,7 @@
       return;
     }
     if (post.type === 'members') {
-      outgoing.sendToDataCenter({ type: 'members', members: [...post.members] });
+      outgoing.sendToDataCenter({ type: 'members', members: [...post.members], isComplete: false });
       return;
     }
     const { reportId, fingerprints } = post;
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -86,7 +86,7 @@
   return {
     receive: (host, frame, connection) => {
       if (frame.type === 'members') {
-        const isComplete = frame.members.length > 1;
+        const isComplete = frame.isComplete ?? frame.members.length > 1;
         board.post('members', { type: 'apply', members: frame.members, source: host, isComplete });
       } else if (frame.type === 'configuration') {
         board.post('routes', { configuration: frame.configuration, source: host });
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -162,6 +162,8 @@
 export const membersFrameSchema = Type.Object({
   type: Type.Literal('members'),
   members: Type.Array(nodeMemberSchema),
+  /** Whether these are all members; if absent, several records are a complete list. */
+  isComplete: Type.Optional(Type.Boolean()),
 });
 /** Requests the member records or the configuration of the receiver. */
 export const pullFrameSchema = Type.Object({
--- a/tests/requests/storeReaders.test.ts
+++ b/tests/requests/storeReaders.test.ts
@@ -116,4 +116,28 @@
     const informed = [...fleet.nodes.values()].filter(({ board }) => board.read('members').byHost.has('h60'));
     expect(informed.length).toEqual(60);
   });
+
+  // Guards against a new process that takes the few records which a reader passes on for the whole list, and so believes to
+  // know what its predecessor acknowledged.
+  it('should pass on records that do not count as the complete list', () => {
+    const fleet = createRequestFleet({ hosts: [], sendsHeartbeats: false });
+    fleet.store.blockedHosts.add('*');
+    const node = fleet.startNode('a1');
+    const link = node.acceptLink({ send: () => undefined, bufferedBytes: 0, close: () => undefined });
+    const buildMember = (host: string, port: number) => ({
+      host,
+      dataCenter: 'd1',
+      region: 'r1',
+      service: 'stock',
+      linkAddress: `10.0.2.1:${port}`,
+      incarnation: host,
+      startedAtMs: 1,
+      revision: 0,
+    });
+    link.receive({ type: 'hello', to: 'a1', member: buildMember('b1', 1), lane: 'routine', pending: [] });
+    const members = [buildMember('b2', 2), buildMember('b3', 3)];
+    link.receive({ type: 'members', members, isComplete: false });
+    const { byHost, isComplete } = node.board.read('members');
+    expect([byHost.size, isComplete]).toEqual([3, false]);
+  });
 });
