--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -37,6 +37,8 @@
   readonly reply: ClientReply;
   readonly route: ReadView<Route>;
   readonly service: string;
+  /** Version of the configuration by which the route was chosen. */
+  readonly configurationVersion: number;
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
   readonly triedHosts: Set<string>;
@@ -64,14 +66,16 @@
   reply: ClientReply;
   route: ReadView<Route>;
   service: string;
+  configurationVersion: number;
   nowMs: number;
 }): Entry {
-  const { request, reply, route, service, nowMs } = options;
+  const { request, reply, route, service, configurationVersion, nowMs } = options;
   return {
     request,
     reply,
     route,
     service,
+    configurationVersion,
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
     triedHosts: new Set(),
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -33,7 +33,8 @@
   const open = new Set<Entry>();
 
   const report = (entry: Entry, outcome: string, detail: string): void => {
-    const { route, service, request } = entry;
+    const { route, service, request, configurationVersion } = entry;
+    const { version } = board.read('routes');
     const kind = outcome === 'answered' ? 'requestEnded' : 'requestRefused';
     const inputs = {
       route: route.name,
@@ -42,7 +43,8 @@
       ms: Math.round(clock.now() - entry.arrivedAtMs),
       arrivals: entry.arrivals,
       offers: entry.offers,
-      configuration: board.read('routes').version,
+      configuration: configurationVersion,
+      ...(version === configurationVersion ? {} : { configurationAtEnd: version }),
       detail,
     };
     board.post('decisions', { kind, id: request.requestId, outcome, inputs });
@@ -81,7 +83,7 @@
     return { cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined };
   };
   const acceptRequest = (request: ClientRequest, reply: ClientReply): RunHandle => {
-    const { table } = board.read('routes');
+    const { table, version } = board.read('routes');
     if (table === undefined) {
       const detail = 'no configuration has been received yet';
       return refuseEarly(request, reply, { kind: 'noConfiguration', detail, retryAfterMs: RETRY_AFTER_MS });
@@ -93,7 +95,14 @@
     const route = findRoute(table, request.host, request.path);
     if (route === undefined) return refuseEarly(request, reply, { kind: 'noRoute', detail: 'no route matches' });
     const service = chooseService(route);
-    const entry = createEntry({ request, reply, route, service, nowMs: clock.now() });
+    const entry = createEntry({
+      request,
+      reply,
+      route,
+      service,
+      configurationVersion: version,
+      nowMs: clock.now(),
+    });
     open.add(entry);
     section.open = open.size;
     section.arrivedByRoute.set(route.name, (section.arrivedByRoute.get(route.name) ?? 0) + 1);
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -82,6 +82,12 @@
     }
     return undefined;
   };
+  const reportBehind = ({ host, configurationVersion }: ReadView<PeerState>): void => {
+    const { version } = board.read('routes');
+    const behindMs = Math.round(clock.now() - (behindSinceMs ?? clock.now()));
+    const inputs = { peer: host, peerVersion: configurationVersion, version, behindMs };
+    board.post('decisions', { kind: 'configurationBehind', outcome: 'pulled from a peer', inputs });
+  };
   const getPullDelay = (): number => (isReadingStore(board, clock.now()) ? PULL_DELAY_MS : 0);
   return {
     receive: (host, frame, connection) => {
@@ -101,8 +107,10 @@
       const pulls: ReturnType<PeerUpdates['listPulls']> = [];
       const newer = findPeerWithNewerConfiguration();
       if (newer === undefined) behindSinceMs = undefined;
-      else if ((behindSinceMs ??= clock.now()) + getPullDelay() <= clock.now())
+      else if ((behindSinceMs ??= clock.now()) + getPullDelay() <= clock.now()) {
+        reportBehind(newer);
         pulls.push({ host: newer.host, what: 'configuration' });
+      }
       const informed = findPeerWithMoreMembers() ?? findPeerWithOtherMembers();
       if (informed !== undefined) pulls.push({ host: informed.host, what: 'members' });
       return pulls;
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -47,6 +47,11 @@
       inputs: { topic: options.name, next: nextOffset, detail },
     });
   };
+  const reportUnanswered = (detail: string): void => {
+    const openMs = Math.round(clock.now() - readAtMs);
+    const inputs = { topic: options.name, next: nextOffset, openMs, detail };
+    board.post('decisions', { kind: 'storeChanged', outcome: 'read unanswered', inputs });
+  };
   const schedule = (pauseMs: number): void => {
     if (!isStopped) clock.schedule(pauseMs, read);
   };
@@ -61,6 +66,7 @@
       nextOffset = undefined;
       schedule(0);
     } else {
+      if (outcome.type === 'unanswered') reportUnanswered(outcome.detail);
       recordRead(false, outcome.detail);
       schedule(RETRY_PAUSE_MS * (0.5 + random()));
     }
--- a/src/schema/decision.ts
+++ b/src/schema/decision.ts
@@ -13,6 +13,8 @@
   Type.Literal('targetChanged'),
   Type.Literal('configurationApplied'),
   Type.Literal('configurationIgnored'),
+  /** A peer has a newer configuration than this node. */
+  Type.Literal('configurationBehind'),
   Type.Literal('storeChanged'),
   Type.Literal('quarantineChanged'),
   Type.Literal('admissionChanged'),
--- a/src/schema/keyedStore.ts
+++ b/src/schema/keyedStore.ts
@@ -16,6 +16,8 @@
   /** The requested records were compacted; only the newest record of each key can be read. */
   Type.Object({ type: Type.Literal('compacted') }),
   Type.Object({ type: Type.Literal('unavailable'), detail: Type.String() }),
+  /** The store did not respond in time. Its connection may carry nothing any more, so that a later read needs a new one. */
+  Type.Object({ type: Type.Literal('unanswered'), detail: Type.String() }),
 ]);
 export type StoreRead = Static<typeof storeReadSchema>;
 
--- a/tests/requests/configuration.test.ts
+++ b/tests/requests/configuration.test.ts
@@ -61,6 +61,25 @@
     expect(sent.answer?.status).toEqual(200);
   });
 
+  it('should be named in the log of a request by the version with which its route was chosen', () => {
+    const fleet = createRequestFleet({ hosts, configuration: first });
+    fleet.send('a1');
+    fleet.clock.advance(8);
+    fleet.store.publish(second);
+    fleet.clock.advance(300);
+    const line = fleet.lines.find(({ kind }) => kind === 'requestEnded');
+    expect([line?.inputs?.configuration, line?.inputs?.configurationAtEnd]).toEqual([1, 5]);
+  });
+
+  it('should be reported as missing at a node that pulls it from a peer', () => {
+    const fleet = createRequestFleet({ hosts, configuration: first });
+    fleet.store.blockedHosts.add('a2');
+    fleet.store.publish(second);
+    fleet.clock.advance(1500);
+    const line = fleet.lines.find(({ kind }) => kind === 'configurationBehind');
+    expect([line?.host, line?.inputs?.peerVersion, line?.inputs?.version]).toEqual(['a2', 5, 1]);
+  });
+
   it('should be ignored and logged when it is invalid', () => {
     const fleet = createRequestFleet({ hosts, configuration: first });
     fleet.store.publish({ ...second, routes: 'all' });
