Hear of a configuration within its bound after connections went silent

Cause: a node hears of a change only through the read that it keeps open for 25 s. When its connection goes silent without a reset, nobody asks again for up to 26.5 s; when all hosts' connections do so at once, no peer has heard either.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -29,7 +29,10 @@
 export interface KeyedTopic {
   /** Reads the latest record of each key. */
   readNewest(done: (outcome: StoreRead) => void): void;
-  /** Reads records from an offset on; waits up to `waitMs` for the first one. The returned function cancels the read. */
+  /**
+   * Reads records from an offset on; waits up to `waitMs` for the first one. Ends as `unanswered` when there is no
+   * response soon after that; later reads then use new connections. The returned function cancels the read.
+   */
   readFrom(offset: number, waitMs: number, done: (outcome: StoreRead) => void): () => void;
 }
 
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -6,13 +6,15 @@
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import type { RequestContext } from './context.js';
-import { isReadingStore } from './storeReading.js';
+import { readReaderPlace } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It may be long, since peers also send their own records over links. */
 const READ_PAUSE_MS = 1000;
 /** The same in a large fleet, where some member changes nearly every second (ms). */
 const LARGE_FLEET_READ_PAUSE_MS = 3000;
+/** Time for which one read waits for a changed member (ms). It may be long, since peers send their own records as well. */
+const READ_WAIT_MS = 25_000;
 /** Mean pause before a failed write to the store is retried (ms). */
 const WRITE_RETRY_MS = 400;
 /** Maximum number of records passed to peers in one frame. */
@@ -181,7 +183,7 @@
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
         getPauseMs: () => (isStoreReadByFew(section.byHost) ? LARGE_FLEET_READ_PAUSE_MS : READ_PAUSE_MS),
-        isReader: () => isReadingStore(board, clock.now()),
+        getWaitMs: () => (readReaderPlace(board, clock.now()) === undefined ? undefined : READ_WAIT_MS),
         apply: (records, isComplete) => {
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -4,7 +4,7 @@
 import type { ReadView } from '../../core/blackboard.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import type { PeerState } from './sections.js';
-import { isReadingStore } from './storeReading.js';
+import { readReaderPlace } from './storeReading.js';
 
 /** Delay before a node that reads the store pulls a newer configuration from a peer (ms); usually the store is faster. */
 const PULL_DELAY_MS = 200;
@@ -88,7 +88,7 @@
     const inputs = { peer: host, peerVersion: configurationVersion, version, behindMs };
     board.post('decisions', { kind: 'configurationBehind', outcome: 'pulled from a peer', inputs });
   };
-  const getPullDelay = (): number => (isReadingStore(board, clock.now()) ? PULL_DELAY_MS : 0);
+  const getPullDelay = (): number => (readReaderPlace(board, clock.now()) === undefined ? 0 : PULL_DELAY_MS);
   return {
     receive: (host, frame, connection) => {
       if (frame.type === 'members') {
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -3,11 +3,16 @@
 import { compileSchema } from '../../schema/validate.js';
 import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
 import type { RequestContext } from './context.js';
-import { isReadingStore } from './storeReading.js';
+import { readReaderPlace } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It is short, so that each change is applied as soon as possible. */
 const READ_PAUSE_MS = 20;
+/**
+ * Time for which one read waits for a change, as a share of the time within which the change must be in force. Only the
+ * end of the wait shows that the connection of a read no longer carries anything.
+ */
+const READ_WAIT_SHARE = 0.75;
 
 const validator = compileSchema(routeConfigurationSchema);
 
@@ -17,6 +22,13 @@
   const routes = board.claim('routes', 'routeController');
   let stopWatcher = (): void => undefined;
 
+  /** Later readers of a data centre wait longer, since they hear from the first one as well. */
+  const getWaitMs = (): number | undefined => {
+    const place = readReaderPlace(board, clock.now());
+    const { configurationApplyMs } = board.read('settings').current.bounds;
+    return place === undefined ? undefined : READ_WAIT_SHARE * configurationApplyMs * (place + 1);
+  };
+
   routes.handlePosts(({ configuration, source }) => {
     const { section } = routes;
     const { version } = configuration;
@@ -33,7 +45,7 @@
       stopWatcher = startTopicWatcher(context, {
         topic: io.configurationTopic,
         getPauseMs: () => READ_PAUSE_MS,
-        isReader: () => isReadingStore(board, clock.now()),
+        getWaitMs,
         apply: (records) => {
           for (const { value, offset } of records) {
             if (validator.isValid(value)) {
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -1,8 +1,6 @@
 import type { KeyedRecord, StoreRead } from '../../schema/keyedStore.js';
 import type { KeyedTopic, RequestContext } from './context.js';
 
-/** Maximum time that one read waits for a new record (ms). */
-const MAX_POLL_WAIT_MS = 25_000;
 /** Mean pause before a failed read is retried (ms). */
 const RETRY_PAUSE_MS = 1000;
 /** Interval at which a node that does not read the topic checks whether it has to (ms). */
@@ -20,8 +18,11 @@
   reportRead: (isReached: boolean) => void;
   /** Returns the pause after a read that returned records, which limits the reads during frequent changes (ms). */
   getPauseMs: () => number;
-  /** True while this node has to wait for changes; otherwise it learns of them from its peers. */
-  isReader: () => boolean;
+  /**
+   * Returns the time for which the next read waits for a new record (ms); undefined while this node learns of changes from
+   * its peers.
+   */
+  getWaitMs: () => number | undefined;
 }
 
 /**
@@ -65,34 +66,40 @@
     } else if (outcome.type === 'compacted') {
       nextOffset = undefined;
       schedule(0);
+    } else if (outcome.type === 'unanswered') {
+      reportUnanswered(outcome.detail);
+      recordRead(false, outcome.detail);
+      // The time for a response has passed already, and the store may have answered on a connection that went silent.
+      schedule(0);
     } else {
-      if (outcome.type === 'unanswered') reportUnanswered(outcome.detail);
       recordRead(false, outcome.detail);
       schedule(RETRY_PAUSE_MS * (0.5 + random()));
     }
   };
-  const checkIsReader = (): boolean => {
-    const isReader = options.isReader();
+  const checkWait = (): number | undefined => {
+    const waitMs = options.getWaitMs();
+    const isReader = waitMs !== undefined;
     if (isReader !== wasReader) {
       wasReader = isReader;
       const outcome = isReader ? 'waits for changes at the store' : 'learns of changes from peers';
       board.post('decisions', { kind: 'storeChanged', outcome, inputs: { topic: options.name, next: nextOffset } });
     }
-    return isReader;
+    return waitMs;
   };
   const read = (): void => {
     if (isStopped) return;
-    if (nextOffset !== undefined && !checkIsReader() && clock.now() - readAtMs < UNREAD_LIMIT_MS) {
-      schedule(READER_CHECK_INTERVAL_MS);
-      return;
-    }
-    readAtMs = clock.now();
     if (nextOffset === undefined) {
+      readAtMs = clock.now();
       options.topic.readNewest((outcome) => {
         receive(outcome, true);
       });
-    } else {
-      cancelRead = options.topic.readFrom(nextOffset, MAX_POLL_WAIT_MS, (outcome) => {
+      return;
+    }
+    const waitMs = checkWait();
+    if (waitMs === undefined && clock.now() - readAtMs < UNREAD_LIMIT_MS) schedule(READER_CHECK_INTERVAL_MS);
+    else {
+      readAtMs = clock.now();
+      cancelRead = options.topic.readFrom(nextOffset, waitMs ?? 0, (outcome) => {
         receive(outcome, false);
       });
     }
--- a/src/policy/storeReaders.ts
+++ b/src/policy/storeReaders.ts
@@ -19,22 +19,24 @@
 }
 
 /**
- * True when a node waits for changes at the store and passes them on to its peers. All nodes rank the hosts of a data
- * centre by the same hash and skip those from which they hear nothing, so readers need no agreement and are replaced
- * when they fail. The number of calls per change thus depends on the data centres and not on the hosts.
+ * Returns the place of a node among the nodes of its data centre that wait for changes at the store and pass them on to
+ * their peers, 0 for the first one; undefined when the node learns of changes from its peers. All nodes rank the hosts of
+ * a data centre by the same hash and skip those from which they hear nothing, so readers need no agreement and are
+ * replaced when they fail. The number of calls per change thus depends on the data centres and not on the hosts. In a
+ * small fleet every node is a first reader.
  *
  * @example
- * isStoreReader({ self: { host: 'a1', dataCenter: 'd1' }, members: new Map(), isSilent: () => false }); // true
+ * findReaderPlace({ self: { host: 'a1', dataCenter: 'd1' }, members: new Map(), isSilent: () => false }); // 0
  */
-export function isStoreReader({ self, members, isSilent }: StoreReaderInput): boolean {
-  if (!isStoreReadByFew(members)) return true;
+export function findReaderPlace({ self, members, isSilent }: StoreReaderInput): number | undefined {
+  if (!isStoreReadByFew(members)) return 0;
   const ownRank = computeRank(self.host);
   let ahead = 0;
   for (const { host, dataCenter } of members.values()) {
     if (dataCenter !== self.dataCenter || computeRank(host) >= ownRank || isSilent(host)) continue;
-    if (++ahead >= READERS_PER_DATA_CENTER) return false;
+    if (++ahead >= READERS_PER_DATA_CENTER) return undefined;
   }
-  return true;
+  return ahead;
 }
 
 function computeRank(host: string): number {
--- a/src/schema/failure.ts
+++ b/src/schema/failure.ts
@@ -77,6 +77,8 @@
   Type.Object({ kind: Type.Literal('settingsInvalid'), message: Type.String(), faults: Type.Array(faultSchema) }),
   Type.Object({ kind: Type.Literal('documentInvalid'), message: Type.String(), faults: Type.Array(faultSchema) }),
   Type.Object({ kind: Type.Literal('fileUnreadable'), message: Type.String(), path: Type.String() }),
+  /** The platform's store sent no response in time. */
+  Type.Object({ kind: Type.Literal('storeUnanswered'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('usage'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('logUnavailable'), message: Type.String() }),
   Type.Object({ kind: Type.Literal('logAnswerMalformed'), message: Type.String() }),
--- a/tests/requests/configuration.test.ts
+++ b/tests/requests/configuration.test.ts
@@ -88,6 +88,16 @@
     expect(fleet.lines.some(({ kind }) => kind === 'configurationIgnored')).toEqual(true);
   });
 
+  // Guards against reads that wait on connections which went silent without a reset, so that no node hears of a change.
+  it('should be in force everywhere 3 s after all connections to the store went silent', () => {
+    const fleet = createRequestFleet({ hosts, configuration: first });
+    fleet.store.silenceOpenReads();
+    fleet.clock.advance(1000);
+    fleet.store.publish(second);
+    fleet.clock.advance(2000);
+    expect(readVersions(fleet)).toEqual([5, 5]);
+  });
+
   it('should be required for a node to be ready; without one, requests are refused with a retry time', () => {
     const fleet = createRequestFleet({ hosts });
     const sent = fleet.send('a1');
--- a/tests/requests/storeReaders.test.ts
+++ b/tests/requests/storeReaders.test.ts
@@ -1,6 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { isStoreReader } from '../../src/policy/storeReaders.js';
+import { findReaderPlace } from '../../src/policy/storeReaders.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
 import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
 
@@ -26,7 +26,7 @@
   return hosts
     .filter((self) => {
       const members = new Map(hosts.filter(({ host }) => host !== self.host).map((member) => [member.host, member]));
-      return isStoreReader({ self, members, isSilent: () => false });
+      return findReaderPlace({ self, members, isSilent: () => false }) !== undefined;
     })
     .map(({ host }) => host);
 }
@@ -62,7 +62,8 @@
     const silent = new Set(listReaders(all));
     const next = hosts.filter((self) => {
       const members = new Map(all.filter(({ host }) => host !== self.host).map((member) => [member.host, member]));
-      return !silent.has(self.host) && isStoreReader({ self, members, isSilent: (host) => silent.has(host) });
+      const place = findReaderPlace({ self, members, isSilent: (host) => silent.has(host) });
+      return !silent.has(self.host) && place !== undefined;
     });
     expect(next.length).toEqual(3);
   });
@@ -91,6 +92,16 @@
     expect(countNodesAtVersion(fleet, 2)).toEqual(60 - readers.length);
   });
 
+  // Guards against readers of a large fleet that all wait on connections which went silent.
+  it('should read again when their connections to the store went silent', () => {
+    const fleet = createLargeFleet(buildHosts(60));
+    fleet.store.silenceOpenReads();
+    fleet.clock.advance(1000);
+    fleet.store.publish(buildConfiguration(2));
+    fleet.clock.advance(2000);
+    expect(countNodesAtVersion(fleet, 2)).toEqual(60);
+  });
+
   it('should be supported by those of other data centres when the store turns them away', () => {
     const hosts = buildHosts(60);
     const fleet = createLargeFleet(hosts);
