Read and log the limit that a target names in its answers

The rate belongs to one start of the target and is published with it, so that a new process of the node has it; only an answer to a request sent after the limit was named lifts it.

--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -112,7 +112,7 @@
     run.events.fail(failure);
   };
   const start = (run: Run): void => {
-    const { address, id } = board.read('target');
+    const { address, id, startedAtMs } = board.read('target');
     run.phase = 'running';
     run.startedAtMs = clock.now();
     running.add(run);
@@ -135,6 +135,9 @@
         grantBody: (bytes) => {
           run.events.grantBody(bytes);
         },
+        notice: (notice) => {
+          board.post('target', { type: 'notice', id, startedAtMs, sentAtMs: run.startedAtMs, notice });
+        },
       },
     );
   };
--- a/src/control/requests/runPort.ts
+++ b/src/control/requests/runPort.ts
@@ -21,6 +21,21 @@
   grantBody(bytes: number): void;
 }
 
+/** What a target says about itself in the head of an answer. */
+export interface TargetNotice {
+  /** Requests per second that it takes from all nodes together; undefined if it names no limit. */
+  ratePerSecond: number | undefined;
+  isLeaving: boolean;
+  /** A limit that could not be read; it changes nothing. */
+  unreadableLimit: string | undefined;
+}
+
+/** Callbacks from the sender of requests to the local target. */
+export interface TargetEvents extends RunEvents {
+  /** Called with the head of each answer of the target, before its body. */
+  notice(notice: TargetNotice): void;
+}
+
 /** Controls a request from the side that sent it. */
 export interface RunHandle {
   /** Cancels the request: a queued one is not started, a running one is aborted if it is idempotent. */
@@ -46,4 +61,4 @@
 }
 
 /** Sends a request to the local target. */
-export type SendToTarget = (send: TargetSend, events: RunEvents) => RunHandle;
+export type SendToTarget = (send: TargetSend, events: TargetEvents) => RunHandle;
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -19,7 +19,7 @@
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { SuspectState } from '../../schema/state.js';
-import type { RunAttempt, RunEvents, RunHandle } from './runPort.js';
+import type { RunAttempt, RunEvents, RunHandle, TargetNotice } from './runPort.js';
 
 /** One connection to a peer on one lane. */
 export interface LinkState {
@@ -81,6 +81,10 @@
   lastHeartbeatMs: number;
   /** Until when the target receives no requests, since it refused connections or did not answer; 0 if not ejected. */
   ejectedUntilMs: number;
+  /** Requests per second that the target takes from all nodes together; undefined while it names no limit. */
+  ratePerSecond: number | undefined;
+  /** Time of the last answer that named a limit. */
+  rateNamedAtMs: number;
 }
 
 /** All shared state of a request node. docs/design.md lists writer, readers and size bound of each section. */
@@ -173,7 +177,9 @@
     | { type: 'leave'; id: string; acknowledge: () => void }
     | { type: 'eject'; reason: string; isDown: boolean }
     | { type: 'suspect' }
-    | { type: 'answered' };
+    | { type: 'answered' }
+    /** The target, named by its id and start time, answered a request that was sent to it at `sentAtMs`. */
+    | { type: 'notice'; id: string; startedAtMs: number; sentAtMs: number; notice: TargetNotice };
   links:
     | { type: 'send'; attempt: RunAttempt }
     | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
@@ -234,6 +240,8 @@
       coldUntilMs: 0,
       lastHeartbeatMs: 0,
       ejectedUntilMs: 0,
+      ratePerSecond: undefined,
+      rateNamedAtMs: 0,
     },
     links: { byHost: new Map() },
     runs: {
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -2,6 +2,7 @@
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import type { RequestContext } from './context.js';
+import type { TargetNotice } from './runPort.js';
 
 /** Maximum wait for a leave to become durable (ms); an acknowledgement that takes longer than a second counts as lost. */
 const MAX_DURABLE_WAIT_MS = 600;
@@ -11,6 +12,8 @@
 const EJECTION_MS = 400;
 /** Minimum time between two probes of a target (ms). */
 const MIN_PROBE_INTERVAL_MS = 200;
+/** Change of a named limit, as a share of it, below which nobody but this node has to know. */
+const NOTABLE_RATE_CHANGE = 0.1;
 /** Time within which peers send a new process the state that its predecessor published (ms). */
 const RESTORE_WAIT_MS = 800;
 
@@ -21,6 +24,11 @@
   const { section } = target;
   const startedAtMs = clock.now();
   let probedAtMs = -Infinity;
+  let unreadableLimit: string | undefined;
+  /** The limit that other nodes know. */
+  let publishedRate: number | undefined;
+  /** True once the target answered since this process knows it. */
+  let hasAnswered = false;
   /** The last heartbeat that may be stale, since the history is not known yet; the next one in order confirms it. */
   let unconfirmed: { id: string; heartbeat: Heartbeat } | undefined;
 
@@ -28,8 +36,10 @@
     board.post('decisions', { kind: 'targetChanged', outcome, inputs });
   };
   const describeTarget = (): PublishedTarget => {
-    const { id, startedAtMs: targetStartedAtMs, sequence, phase, service, address, slots } = section;
-    return { id, startedAtMs: targetStartedAtMs, sequence: Math.max(0, sequence), phase, service, address, slots };
+    const { id, startedAtMs: targetStartedAtMs, sequence, phase, service, address, slots, ratePerSecond } = section;
+    const rate = ratePerSecond === undefined ? {} : { ratePerSecond };
+    const state = { sequence: Math.max(0, sequence), phase, service, address, slots, ...rate };
+    return { id, startedAtMs: targetStartedAtMs, ...state };
   };
   const publish = (durable?: () => void): void => {
     target.publishChange();
@@ -50,6 +60,11 @@
     clock.schedule(MAX_DURABLE_WAIT_MS, finish);
   };
   const adopt = (id: string, heartbeat: Heartbeat): void => {
+    if (!isSameStart(section, id, heartbeat.startedAtMs)) {
+      section.ratePerSecond = undefined;
+      publishedRate = undefined;
+      hasAnswered = false;
+    }
     section.id = id;
     section.startedAtMs = heartbeat.startedAtMs;
     section.service = heartbeat.service;
@@ -138,14 +153,56 @@
     section.service = previous.service;
     section.address = previous.address;
     section.slots = previous.slots;
+    restoreRate(previous);
     section.lastHeartbeatMs = clock.now();
     enterPhase(previous.phase, 'published by an earlier process');
     target.publishChange();
   };
   const restorePreviousTarget = (): void => {
     const { previousTarget } = board.read('members');
-    if (section.id !== '' || previousTarget === undefined || previousTarget.id === '') return;
-    if (isHistoryKnown()) restoreTarget(previousTarget);
+    if (previousTarget === undefined || previousTarget.id === '') return;
+    if (section.id === '') {
+      if (isHistoryKnown()) restoreTarget(previousTarget);
+    } else if (!hasAnswered && isSameStart(section, previousTarget.id, previousTarget.startedAtMs)) {
+      if (section.ratePerSecond === previousTarget.ratePerSecond) return;
+      restoreRate(previousTarget);
+      target.publishChange();
+    }
+  };
+  /** Takes over the limit that the target named to an earlier process of this node. */
+  const restoreRate = ({ ratePerSecond }: PublishedTarget): void => {
+    section.ratePerSecond = ratePerSecond;
+    section.rateNamedAtMs = clock.now();
+    publishedRate = ratePerSecond;
+  };
+  const reportUnreadableLimit = (limit: string | undefined): void => {
+    if (limit !== undefined && limit !== unreadableLimit)
+      board.post('decisions', {
+        kind: 'faultFound',
+        outcome: 'unreadable limit',
+        inputs: { target: section.id, limit },
+      });
+    unreadableLimit = limit;
+  };
+  /**
+   * Takes over the limit that an answer names. Only an answer to a request that was sent after the limit was named lifts it:
+   * one that the target gave earlier may arrive late.
+   */
+  const updateRate = (ratePerSecond: number | undefined, sentAtMs: number): void => {
+    const previous = section.ratePerSecond;
+    if (ratePerSecond !== undefined) section.rateNamedAtMs = clock.now();
+    else if (sentAtMs <= section.rateNamedAtMs) return;
+    section.ratePerSecond = ratePerSecond;
+    if (!isNotableChange(publishedRate, ratePerSecond)) return;
+    publishedRate = ratePerSecond;
+    const outcome = ratePerSecond === undefined ? 'limit lifted' : 'limit named';
+    report(outcome, { target: section.id, ratePerSecond, previous });
+    publish();
+  };
+  const receiveNotice = ({ ratePerSecond, unreadableLimit: unreadable }: TargetNotice, sentAtMs: number): void => {
+    hasAnswered = true;
+    reportUnreadableLimit(unreadable);
+    if (ratePerSecond !== undefined || unreadable === undefined) updateRate(ratePerSecond, sentAtMs);
   };
   const checkHeartbeats = (): void => {
     const { heartbeatMs } = board.read('settings').current;
@@ -184,7 +241,9 @@
     else if (post.type === 'leave') receiveLeave(post.id, post.acknowledge);
     else if (post.type === 'answered') restoreEjected();
     else if (post.type === 'suspect') probe();
-    else eject(post.reason, post.isDown);
+    else if (post.type === 'notice') {
+      if (isSameStart(section, post.id, post.startedAtMs)) receiveNotice(post.notice, post.sentAtMs);
+    } else eject(post.reason, post.isDown);
   });
   return {
     start: () => {
@@ -194,3 +253,9 @@
     stop: () => undefined,
   };
 }
+
+/** True when the limit of a target was named, lifted or changed by much. */
+function isNotableChange(previous: number | undefined, next: number | undefined): boolean {
+  if (previous === undefined || next === undefined) return previous !== next;
+  return Math.abs(next - previous) > NOTABLE_RATE_CHANGE * previous;
+}
--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -14,6 +14,10 @@
   load: string;
   /** Present on responses to requests that the target did not run. */
   notRun: string;
+  /** Requests per second that the target takes from all nodes together, while it says so. */
+  rateLimit: string;
+  /** `1` in the responses of a target that leaves. */
+  leaving: string;
 }
 
 /** Headers that apply to a single connection and are not forwarded. */
@@ -60,6 +64,14 @@
   return undefined;
 }
 
+/** Lists all values of a header; `name` is in lower case. */
+export function listHeader(rawHeaders: readonly string[], name: string): string[] {
+  const values: string[] = [];
+  for (let index = 0; index + 1 < rawHeaders.length; index += 2)
+    if (rawHeaders[index]?.toLowerCase() === name) values.push(rawHeaders[index + 1] ?? '');
+  return values;
+}
+
 /** True if the lower-case name is that of a hop-by-hop header. */
 export function isHopByHop(name: string): boolean {
   return hopByHopHeaders.has(name);
--- a/src/http/responseCheck.ts
+++ b/src/http/responseCheck.ts
@@ -1,4 +1,5 @@
-import { findHeader } from './requestHeaders.js';
+import type { TargetNotice } from '../control/requests/runPort.js';
+import { findHeader, listHeader } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 
 /** The status and headers of a target's response. */
@@ -39,3 +40,16 @@
   const seconds = /timeout=(\d+)/.exec(findHeader(rawHeaders, 'keep-alive') ?? '')?.[1];
   return seconds === undefined ? undefined : Number(seconds) * 1000;
 }
+
+const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
+
+/** Reads what a target says about itself in the head of a response. Of several limits the lowest one holds. */
+export function parseTargetNotice({ rawHeaders }: ResponseHead, names: RequestHeaderNames): TargetNotice {
+  const limits = listHeader(rawHeaders, names.rateLimit).flatMap((value) => value.split(','));
+  const readable = limits.map((limit) => limit.trim()).filter((limit) => DECIMAL_NUMBER.test(limit));
+  return {
+    ratePerSecond: readable.length > 0 ? Math.min(...readable.map(Number)) : undefined,
+    isLeaving: findHeader(rawHeaders, names.leaving)?.trim() === '1',
+    unreadableLimit: limits.length > readable.length ? limits.join(',') : undefined,
+  };
+}
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -1,8 +1,8 @@
-import type { RunEvents, SendToTarget, TargetSend } from '../control/requests/runPort.js';
+import type { SendToTarget, TargetEvents, TargetSend } from '../control/requests/runPort.js';
 import type { Ran } from '../schema/failure.js';
 import { STREAM_WINDOW_BYTES, MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { RunFailureKind } from '../schema/linkFrame.js';
-import { findResponseFault, isCloseDelimited, parseKeepAliveTimeout } from './responseCheck.js';
+import { findResponseFault, isCloseDelimited, parseKeepAliveTimeout, parseTargetNotice } from './responseCheck.js';
 import { findHeader, selectEndToEndHeaders } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 import type { TargetConnection } from './targetConnection.js';
@@ -32,7 +32,7 @@
 /** One request to the target and its response. */
 interface Exchange {
   readonly target: TargetSend;
-  readonly events: RunEvents;
+  readonly events: TargetEvents;
   /** True if the request may be sent once more when a reused connection fails before a response. */
   mayResend: boolean;
   connection: TargetConnection;
@@ -102,9 +102,12 @@
     exchange.isCloseDelimited = isCloseDelimited(head, request.method);
     const keepAliveMs = parseKeepAliveTimeout(head);
     if (keepAliveMs !== undefined) connection.idleTimeoutMs = keepAliveMs * IDLE_TIMEOUT_FRACTION;
-    if (status === MISDIRECTED_REQUEST)
+    if (status === MISDIRECTED_REQUEST) {
       failDiscarding(exchange, 'misdirected', `another target has the address ${address}`);
-    else if (findHeader(rawHeaders, names.notRun) !== undefined)
+      return 'accept';
+    }
+    exchange.events.notice(parseTargetNotice(head, names));
+    if (findHeader(rawHeaders, names.notRun) !== undefined)
       failDiscarding(exchange, 'rejected', `the target answered ${status}`);
     return 'accept';
   };
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -37,6 +37,8 @@
   service: Type.String(),
   address: Type.String(),
   slots: Type.Integer({ minimum: 1 }),
+  /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
+  ratePerSecond: Type.Optional(Type.Number({ minimum: 0 })),
 });
 export type PublishedTarget = Static<typeof publishedTargetSchema>;
 
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -4,6 +4,7 @@
 import { createSystemClock } from '../../src/core/clock.js';
 import { createTargetConnectionPool } from '../../src/http/targetConnectionPool.js';
 import { createTargetSender } from '../../src/http/targetSender.js';
+import type { TargetNotice } from '../../src/control/requests/runPort.js';
 import type { RunRequest } from '../../src/schema/linkFrame.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import type { RawTarget } from '../fixtures/rawTarget.js';
@@ -56,6 +57,55 @@
     });
   });
 
+  const notices: [string, string, TargetNotice][] = [
+    ['no limit', '', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined }],
+    ['a limit', 'Test-Limit: 19.5\r\n', { ratePerSecond: 19.5, isLeaving: false, unreadableLimit: undefined }],
+    ['a limit of 0', 'test-limit: 0\r\n', { ratePerSecond: 0, isLeaving: false, unreadableLimit: undefined }],
+    ['a negative limit', 'test-limit: -3\r\n', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: '-3' }],
+    ['a text', 'test-limit: some\r\n', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: 'some' }],
+    [
+      'several limits, of which the lowest holds',
+      'test-limit: 30\r\ntest-limit: 20, x\r\n',
+      { ratePerSecond: 20, isLeaving: false, unreadableLimit: '30,20, x' },
+    ],
+    [
+      'that it leaves',
+      'test-leaving: 1\r\n',
+      { ratePerSecond: undefined, isLeaving: true, unreadableLimit: undefined },
+    ],
+  ];
+  for (const [name, header, notice] of notices) {
+    it(`should report at the head of an answer what the target says about itself: ${name}`, async () => {
+      const target = await startTarget((socket) => {
+        socket.write(`${OK}${header}Content-Length: 4\r\n\r\nbo`);
+      });
+      const pool = createTargetConnectionPool(createSystemClock());
+      cleanups.push(pool.stop);
+      const run = collectRun();
+      const send = createTargetSender({ pool, names: testHeaderNames });
+      const handle = send({ address: target.address, targetId: 'i-1', request: buildRunRequest() }, run.events);
+      await waitUntil('the notice', () => run.notices.length > 0);
+      handle.cancel();
+      expect(run.notices).toEqual([notice]);
+    });
+  }
+
+  // Guards against a limit that is taken over from another target which has the address now.
+  it('should report nothing from an answer of another target', async () => {
+    const target = await startTarget((socket) => {
+      socket.write('HTTP/1.1 421 No\r\ntest-id: r1\r\ntest-limit: 5\r\nContent-Length: 0\r\n\r\n');
+    });
+    const pool = createTargetConnectionPool(createSystemClock());
+    cleanups.push(pool.stop);
+    const run = collectRun();
+    createTargetSender({ pool, names: testHeaderNames })(
+      { address: target.address, targetId: 'i-1', request: buildRunRequest() },
+      run.events,
+    );
+    expect((await run.end).type).toEqual('failed');
+    expect(run.notices).toEqual([]);
+  });
+
   it('should set the headers with the target, the caller and the time left', async () => {
     const target = await startTarget((socket) => {
       socket.write(`${OK}Content-Length: 0\r\n\r\n`);
