Pass requests to a target at the rate that it names

Callers saw: targets in need got far more requests than they had said they take (LIMIT). Cause: the limit in their answers was read by nobody. Ruled out: shares at the entry nodes and a lower concurrency limit, see docs/decisions/platform.md.

--- a/src/control/requests/localLoad.ts
+++ b/src/control/requests/localLoad.ts
@@ -1,5 +1,6 @@
 import type { ReadView } from '../../core/blackboard.js';
 import { readFailureShare } from '../../policy/failureShare.js';
+import { countTokens } from '../../policy/rateGate.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
 import type { LoadReport } from '../../schema/linkFrame.js';
 import type { TargetPhase } from '../../schema/nodeMember.js';
@@ -36,7 +37,7 @@
 export function readLocalLoad(board: RequestBoard, nowMs: number): LoadReport {
   const { service, id, slots } = board.read('target');
   const runs = board.read('runs');
-  const { queue, running, failures, duration } = runs;
+  const { queue, running, failures, duration, gate } = runs;
   const stalledMs = computeStalledTime(runs, nowMs);
   return {
     phase: readAdvertisedPhase(board, nowMs),
@@ -48,5 +49,6 @@
     durationMs: Math.round(Math.max(stalledMs, duration.meanMs)),
     failureShare: Math.round(readFailureShare(failures, nowMs) * 100) / 100,
     ...(stalledMs > 0 ? { stalledMs } : {}),
+    ...(gate === undefined ? {} : { ratePerSecond: gate.perSecond, rateTokens: countTokens(gate, nowMs) }),
   };
 }
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -9,6 +9,7 @@
 import { readAdvertisedPhase } from './localLoad.js';
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
 import type { Run } from './sections.js';
+import { createTargetGate } from './targetGate.js';
 
 /** Time past its deadline after which a running request is abandoned, so that the target can time out first (ms). */
 const ABANDON_DELAY_MS = 15;
@@ -143,13 +144,22 @@
   };
   const startQueued = (): void => {
     const limit = computeRunLimit(board.read('target').slots);
-    while (running.size < limit) {
+    gate.updateRate();
+    for (const run of gate.takeUseless())
+      refuseRun(run, 'queueFull', 'the target takes fewer requests than wait for it');
+    while (running.size < limit && queue.length > 0 && gate.admitNext()) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
       if (run === undefined) return;
       if (run.deadlineAtMs > clock.now()) start(run);
       else endExpired(run);
     }
   };
+  const gate = createTargetGate(context, { section, startQueued });
+  const refuseRun = (run: Run, kind: RunFailureKind, detail: string): void => {
+    run.phase = 'ended';
+    run.cancelDeadline();
+    refuse(run.events, kind, detail);
+  };
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
     run.phase = 'ended';
@@ -220,6 +230,13 @@
       target: undefined,
       cancelDeadline: () => undefined,
     };
+    const uselessMs = gate.findUselessWait(run);
+    if (uselessMs !== undefined) {
+      const { ratePerSecond } = board.read('target');
+      const detail = `the target ${id} takes ${ratePerSecond ?? 0} requests/s, a wait of ${Math.round(uselessMs)} ms`;
+      refuse(events, 'queueFull', detail);
+      return;
+    }
     run.cancelDeadline = deadlines.add(run.deadlineAtMs, () => {
       expire(run);
     });
@@ -236,18 +253,19 @@
   const refuseQueued = (): void => {
     const phase = readAdvertisedPhase(board, clock.now());
     if (phase === 'ready') return;
-    for (const run of queue.takeAll()) {
-      run.phase = 'ended';
-      run.cancelDeadline();
-      refuse(run.events, phase === 'draining' ? 'leaving' : 'noTarget', `the target is ${phase}`);
-    }
+    for (const run of queue.takeAll())
+      refuseRun(run, phase === 'draining' ? 'leaving' : 'noTarget', `the target is ${phase}`);
+  };
+  const handleTargetChange = (): void => {
+    refuseQueued();
+    startQueued();
   };
   runs.handlePosts((post) => {
     accept(post.attempt);
   });
   return {
     start: () => {
-      board.subscribe('target', refuseQueued);
+      board.subscribe('target', handleTargetChange);
       board.subscribe('node', refuseQueued);
     },
     stop: () => undefined,
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -9,6 +9,7 @@
 import type { FleetBudget } from '../../policy/fleetBudget.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import type { PartCredits } from '../../policy/partChoice.js';
+import type { RateGate } from '../../policy/rateGate.js';
 import type { RouteTable } from '../../policy/routeTable.js';
 import { createRunQueue } from '../../policy/runQueue.js';
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
@@ -122,6 +123,8 @@
     startedByRoute: Map<string, number>;
     /** Recent share of runs that the target rejected, lost or failed. */
     failures: FailureShare;
+    /** Holds back requests to a target that named a limit. */
+    gate: RateGate | undefined;
     /** Monotonic time (ms) of the target's last answer. */
     answeredAtMs: number;
     /** Number of ended requests, by result. */
@@ -251,6 +254,7 @@
       durationByRoute: new Map(),
       startedByRoute: new Map(),
       failures: createFailureShare(),
+      gate: undefined,
       answeredAtMs: options.nowMs,
       counts: new Map(),
     },
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -59,15 +59,21 @@
   });
 }
 
+/** Computes how many slots of a target are in use at the rate that it named, at most; all of them without a limit. */
+function computeUsableSlots({ limit, ratePerSecond, durationMs }: LoadReport): number {
+  return ratePerSecond === undefined ? limit : Math.min(limit, (ratePerSecond * Math.max(1, durationMs)) / 1000);
+}
+
 /** Computes the total capacity of the ready targets of each service. */
 export function computeCapacities(views: readonly NodeView[]): ServiceCapacity[] {
   const byService = new Map<string, { slots: number; queued: number; perMs: number }>();
   for (const { load, weight } of views) {
     if (load.phase !== 'ready') continue;
     const sum = byService.get(load.service) ?? { slots: 0, queued: 0, perMs: 0 };
-    sum.slots += weight * load.limit;
+    const slots = computeUsableSlots(load);
+    sum.slots += weight * slots;
     sum.queued += weight * load.queued;
-    sum.perMs += (weight * load.limit) / Math.max(1, load.durationMs);
+    sum.perMs += (weight * slots) / Math.max(1, load.durationMs);
     byService.set(load.service, sum);
   }
   return [...byService].map(([service, { slots, queued, perMs }]) => {
@@ -208,8 +214,9 @@
     for (const { route, meanMs, leastMs } of profile.durations) {
       const key = formatKey(load.service, route);
       const sum = sums.get(key) ?? { slots: 0, perMs: 0 };
-      sum.slots += load.limit;
-      sum.perMs += load.limit / Math.max(1, calls.has(key) ? leastMs : meanMs);
+      const slots = computeUsableSlots(load);
+      sum.slots += slots;
+      sum.perMs += slots / Math.max(1, calls.has(key) ? leastMs : meanMs);
       sums.set(key, sum);
     }
   }
--- /dev/null
+++ b/src/policy/rateGate.ts
@@ -0,0 +1,59 @@
+/** Passes requests on at the rate that a target named. Times are monotonic (ms). */
+export interface RateGate {
+  /** Requests per second; at least `MIN_RATE_PER_SECOND`. */
+  perSecond: number;
+  /** Requests that may pass at `updatedAtMs`; a fraction counts towards the next one. */
+  tokens: number;
+  updatedAtMs: number;
+}
+
+/**
+ * Rate at which requests pass to a target that takes fewer or none, since only an answer shows that it no longer names a
+ * limit.
+ */
+const MIN_RATE_PER_SECOND = 0.5;
+/** Time for which unused requests are saved up (s). */
+const BURST_SECONDS = 0.1;
+
+/**
+ * Creates a gate that is closed at first: before it named its limit, the target got more than that.
+ *
+ * @example
+ * const gate = createRateGate(20, clock.now());
+ * if (takeToken(gate, clock.now())) send(request);
+ */
+export function createRateGate(perSecond: number, nowMs: number): RateGate {
+  return { perSecond: Math.max(MIN_RATE_PER_SECOND, perSecond), tokens: 0, updatedAtMs: nowMs };
+}
+
+/** Changes the rate of a gate; what was saved up at the previous rate is kept as far as the new one allows. */
+export function changeRate(gate: RateGate, perSecond: number, nowMs: number): void {
+  gate.tokens = countTokens(gate, nowMs);
+  gate.updatedAtMs = nowMs;
+  gate.perSecond = Math.max(MIN_RATE_PER_SECOND, perSecond);
+  gate.tokens = Math.min(gate.tokens, computeBurst(gate));
+}
+
+/** Returns the number of requests that may pass now; a fraction counts towards the next one. */
+export function countTokens(gate: Readonly<RateGate>, nowMs: number): number {
+  const { perSecond, tokens, updatedAtMs } = gate;
+  return Math.min(computeBurst(gate), tokens + ((nowMs - updatedAtMs) / 1000) * perSecond);
+}
+
+/** Takes the token of one request; returns false if none may pass yet. */
+export function takeToken(gate: RateGate, nowMs: number): boolean {
+  const tokens = countTokens(gate, nowMs);
+  if (tokens < 1) return false;
+  gate.tokens = tokens - 1;
+  gate.updatedAtMs = nowMs;
+  return true;
+}
+
+/** Computes the time until a request may pass that has `ahead` others before it (ms). */
+export function computeGateWait(gate: Readonly<RateGate>, ahead: number, nowMs: number): number {
+  return Math.max(0, ((ahead + 1 - countTokens(gate, nowMs)) / gate.perSecond) * 1000);
+}
+
+function computeBurst({ perSecond }: Readonly<RateGate>): number {
+  return Math.max(1, perSecond * BURST_SECONDS);
+}
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -78,7 +78,14 @@
 /** Estimates the time until a new request starts at a target (ms). */
 export function estimateWait(load: LoadReport, sentSinceReport: number, durationMs: number): number {
   const ahead = load.running + load.queued + sentSinceReport + 1 - load.limit;
-  return ahead <= 0 ? 0 : (ahead / Math.max(1, load.limit)) * durationMs;
+  const slotMs = ahead <= 0 ? 0 : (ahead / Math.max(1, load.limit)) * durationMs;
+  return Math.max(slotMs, estimateRateWait(load, sentSinceReport));
+}
+
+/** Estimates the time until a target that named a limit takes a new request (ms). */
+function estimateRateWait({ ratePerSecond, rateTokens = 0, queued }: LoadReport, sentSinceReport: number): number {
+  if (ratePerSecond === undefined) return 0;
+  return Math.max(0, ((queued + sentSinceReport + 1 - rateTokens) / ratePerSecond) * 1000);
 }
 
 function estimateCost(candidate: TargetCandidate, input: TargetChoiceInput): number {
