Stop sending to a target whose answers say that it leaves

Callers could see: requests that reached a target after the time it needs to drain (DRAIN), as its heartbeats or its leave say it later than its answers. Cause: as for its limit, nobody read what it says about itself in answers. Change: from the head of the first such answer on the target counts as draining; the phase is published, so that a restarted node keeps it with the store or the peers away, and what waits for the target goes to another one. Before: 4 of 5 tests of leavingAnswers.test.ts failed. After: they pass.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -199,10 +199,16 @@
     report(outcome, { target: section.id, ratePerSecond, previous });
     publish();
   };
-  const receiveNotice = ({ ratePerSecond, unreadableLimit: unreadable }: TargetNotice, sentAtMs: number): void => {
+  const receiveNotice = (
+    { isLeaving, ratePerSecond, unreadableLimit: unreadable }: TargetNotice,
+    sentAtMs: number,
+  ): void => {
     hasAnswered = true;
     reportUnreadableLimit(unreadable);
     if (ratePerSecond !== undefined || unreadable === undefined) updateRate(ratePerSecond, sentAtMs);
+    if (!isLeaving || section.phase !== 'ready') return;
+    enterPhase('draining', 'named in an answer');
+    publish();
   };
   const checkHeartbeats = (): void => {
     const { heartbeatMs } = board.read('settings').current;
