Replace silent idle links within a data centre before a change is due

Callers could see: in a fleet of more than 25 hosts, requests handled by an old version at hosts without traffic, after all connections went silent. Most nodes learn of a version over links, and an idle one was replaced after 5 s. Ruled out: shorter limits for all links, which cost bytes between data centres. Change: within a data centre an idle link carries a status each second and is replaced after 2.5 s of silence.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -13,6 +13,8 @@
 const ACTIVE_STATUS_INTERVAL_MS = 250;
 /** Interval between status frames on idle routine connections (ms); idle urgent connections carry none. */
 const IDLE_STATUS_INTERVAL_MS = 2000;
+/** The same within a data centre, whose nodes learn from each other of changes at the store (ms). */
+const LOCAL_IDLE_STATUS_INTERVAL_MS = 1000;
 /**
  * Interval between profiles on active routine connections (ms): the minimum after the demand changed, else the maximum.
  */
@@ -26,6 +28,8 @@
   readonly host: string;
   readonly lane: LinkLane;
   readonly runs: IncomingRuns;
+  /** Interval between status frames while the connection is idle (ms). */
+  readonly idleIntervalMs: number;
   statusAtMs: number;
   /** Time at which an answer last carried the load. */
   loadAtMs: number;
@@ -63,8 +67,9 @@
     memberCount: board.read('members').byHost.size + 1,
     membersDigest: board.read('members').digest,
   });
-  const isStatusDue = ({ statusAtMs, loadAtMs }: IncomingLane, nowMs: number, isActive: boolean): boolean => {
-    if (nowMs - statusAtMs >= IDLE_STATUS_INTERVAL_MS) return true;
+  const isStatusDue = (lane: IncomingLane, nowMs: number, isActive: boolean): boolean => {
+    const { statusAtMs, loadAtMs, idleIntervalMs } = lane;
+    if (nowMs - statusAtMs >= idleIntervalMs) return true;
     return isActive && nowMs - Math.max(statusAtMs, loadAtMs) >= ACTIVE_STATUS_INTERVAL_MS;
   };
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
@@ -93,7 +98,7 @@
     const detail = `the process was paused for ${Math.round(pauseMs)} ms`;
     attempt.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail });
   };
-  const getLane = ({ member: { host }, lane }: HelloFrame): IncomingLane => {
+  const getLane = ({ member: { host, dataCenter }, lane }: HelloFrame): IncomingLane => {
     const key = `${lane} ${host}`;
     let entry = incoming.get(key);
     if (entry === undefined) {
@@ -112,6 +117,10 @@
         host,
         lane,
         runs,
+        idleIntervalMs:
+          dataCenter === board.read('members').self.dataCenter
+            ? LOCAL_IDLE_STATUS_INTERVAL_MS
+            : IDLE_STATUS_INTERVAL_MS,
         statusAtMs: 0,
         loadAtMs: 0,
         profileAtMs: 0,
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -15,6 +15,11 @@
 const ACTIVE_TIMEOUT_MS = 750;
 /** The same for an idle routine connection; idle urgent connections carry no frames and are not checked. */
 const IDLE_TIMEOUT_MS = 5000;
+/**
+ * The same within a data centre (ms): a node that does not wait for changes at the store learns of them over these
+ * connections, which may go silent together with those of the nodes that wait.
+ */
+const LOCAL_IDLE_TIMEOUT_MS = 2500;
 /** Time within which a lane must reconnect before its pending requests fail (ms). */
 const RECONNECT_GRACE_MS = 500;
 const MAX_REDIAL_MS = 1000;
@@ -206,6 +211,10 @@
     lane.disconnect();
     lane.runs.failAll(`${lane.peer.host} is no longer a member or peer`);
   };
+  const isInOwnDataCenter = (host: string): boolean => {
+    const { self, byHost: members } = board.read('members');
+    return members.get(host)?.dataCenter === self.dataCenter;
+  };
   const checkLane = (lane: OutgoingLane, nowMs: number): void => {
     const state = lane.peer.lanes[lane.lane];
     const { pendingCount } = lane.runs;
@@ -219,7 +228,8 @@
     }
     if (pendingCount === 0 && lane.lane === 'urgent') return;
     const waitStartMs = Math.max(state.lastReceivedMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
-    const timeoutMs = pendingCount > 0 ? ACTIVE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
+    const idleTimeoutMs = isInOwnDataCenter(lane.peer.host) ? LOCAL_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
+    const timeoutMs = pendingCount > 0 ? ACTIVE_TIMEOUT_MS : idleTimeoutMs;
     if (nowMs - waitStartMs > timeoutMs)
       reconnect(lane, `nothing received for ${Math.round(nowMs - state.lastReceivedMs)} ms`);
     else if ((lane.connection?.bufferedBytes ?? 0) > MAX_BUFFERED_BYTES) reconnect(lane, 'the connection is stalled');
@@ -249,10 +259,8 @@
       for (const { connection, lane } of outgoing.values()) if (lane === 'routine') connection?.send(frame);
     },
     sendToDataCenter: (frame) => {
-      const { self, byHost: members } = board.read('members');
-      for (const { connection, lane, peer } of outgoing.values()) {
-        if (lane === 'routine' && members.get(peer.host)?.dataCenter === self.dataCenter) connection?.send(frame);
-      }
+      for (const { connection, lane, peer } of outgoing.values())
+        if (lane === 'routine' && isInOwnDataCenter(peer.host)) connection?.send(frame);
     },
     check: (nowMs, lateMs) => {
       if (nowMs - chosenAtMs >= PEER_CHOICE_INTERVAL_MS) updatePeers();
--- a/tests/requests/storeReaders.test.ts
+++ b/tests/requests/storeReaders.test.ts
@@ -102,6 +102,18 @@
     expect(countNodesAtVersion(fleet, 2)).toEqual(60);
   });
 
+  // Guards against nodes without requests that wait for news on links which went silent with the connections to the store.
+  it('should reach idle nodes over new links when all connections went silent', () => {
+    const hosts = buildHosts(60);
+    const fleet = createLargeFleet(hosts);
+    fleet.store.silenceOpenReads();
+    for (const left of hosts) for (const right of hosts) fleet.links.discardFrames(left.host, right.host);
+    fleet.clock.advance(1000);
+    fleet.store.publish(buildConfiguration(2));
+    fleet.clock.advance(2000);
+    expect(countNodesAtVersion(fleet, 2)).toEqual(60);
+  });
+
   it('should be supported by those of other data centres when the store turns them away', () => {
     const hosts = buildHosts(60);
     const fleet = createLargeFleet(hosts);
