--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -26,6 +26,7 @@
   storeRefuses: 'refuses',
   storeSlow: 'slow',
   storeSilent: 'silent',
+  storeGoesSilent: 'goesSilent',
   storeLosesAnswers: 'losesAnswers',
   storeForgets: 'compacts',
 };
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -17,6 +17,8 @@
   Type.Literal('storeSilent'),
   /** The store performs some writes without sending a response. */
   Type.Literal('storeLosesAnswers'),
+  /** All open connections to the store go silent; new ones work. */
+  Type.Literal('storeGoesSilent'),
   /** The store deletes all records except the newest value of each key. */
   Type.Literal('storeForgets'),
   /** From here to `targetRejects`: the target injects the corresponding `SoakTargetFault` into a share of requests. */
@@ -105,7 +107,7 @@
 /** Faults of a target that a soak test injects; see `TargetFaultKind` of the stand-in targets. */
 export type SoakTargetFault = 'none' | 'fails' | 'silent' | 'truncates' | 'garbles' | 'losesAnswer' | 'rejects';
 /** Faults of the store; `compacts` deletes all records except the newest value of each key. */
-export type SoakStoreFault = 'none' | 'refuses' | 'slow' | 'silent' | 'losesAnswers' | 'compacts';
+export type SoakStoreFault = 'none' | 'refuses' | 'slow' | 'silent' | 'goesSilent' | 'losesAnswers' | 'compacts';
 
 /** The fleet under test; its functions start, stop and disturb real processes. */
 export interface SoakFleet {
