Let the first reader of a data centre ask earlier than its peers are due to know

Cause: with a bound of 2.5 s the first reader asked again after 2.9 s, and the others hear of the change only from then on.

--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -1,5 +1,6 @@
 import type { Controller } from '../context.js';
 import { buildRouteTable } from '../../policy/routeTable.js';
+import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { compileSchema } from '../../schema/validate.js';
 import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
 import type { RequestContext } from './context.js';
@@ -13,6 +14,8 @@
  * end of the wait shows that the connection of a read no longer carries anything.
  */
 const READ_WAIT_SHARE = 0.75;
+/** The same where few nodes read: it leaves time for the others to hear of the change from them. */
+const FEW_READERS_WAIT_SHARE = 0.4;
 
 const validator = compileSchema(routeConfigurationSchema);
 
@@ -22,11 +25,13 @@
   const routes = board.claim('routes', 'routeController');
   let stopWatcher = (): void => undefined;
 
-  /** Later readers of a data centre wait longer, since they hear from the first one as well. */
+  /** Later readers of a data centre wait much longer, since they hear from the first one as well. */
   const getWaitMs = (): number | undefined => {
     const place = readReaderPlace(board, clock.now());
     const { configurationApplyMs } = board.read('settings').current.bounds;
-    return place === undefined ? undefined : READ_WAIT_SHARE * configurationApplyMs * (place + 1);
+    if (place === undefined) return undefined;
+    const share = isStoreReadByFew(board.read('members').byHost) ? FEW_READERS_WAIT_SHARE : READ_WAIT_SHARE;
+    return Math.round(share * configurationApplyMs * (place + 1) ** 2);
   };
 
   routes.handlePosts(({ configuration, source }) => {
