Bound the reads of a configuration that must be in force at once

Cause: the wait of a read follows from the time within which a change must be in force, for which the settings allow 0; reads would then follow each other without a pause. Change: a wait of at least 500 ms. Without it the new test fails.

--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -16,6 +16,8 @@
 const READ_WAIT_SHARE = 0.75;
 /** The same where few nodes read: it leaves time for the others to hear of the change from them. */
 const FEW_READERS_WAIT_SHARE = 0.4;
+/** Minimum wait of a read (ms), which limits the calls however short the bound is. */
+const MIN_READ_WAIT_MS = 500;
 
 const validator = compileSchema(routeConfigurationSchema);
 
@@ -31,7 +33,7 @@
     const { configurationApplyMs } = board.read('settings').current.bounds;
     if (place === undefined) return undefined;
     const share = isStoreReadByFew(board.read('members').byHost) ? FEW_READERS_WAIT_SHARE : READ_WAIT_SHARE;
-    return Math.round(share * configurationApplyMs * (place + 1) ** 2);
+    return Math.max(MIN_READ_WAIT_MS, Math.round(share * configurationApplyMs * (place + 1) ** 2));
   };
 
   routes.handlePosts(({ configuration, source }) => {
--- a/src/control/requests/storeReading.ts
+++ b/src/control/requests/storeReading.ts
@@ -1,7 +1,7 @@
 import { findReaderPlace } from '../../policy/storeReaders.js';
 import type { RequestBoard } from './sections.js';
 
-/** Time without frames after which a linked host counts as silent (ms); idle links carry a status every two seconds. */
+/** Time without frames after which a linked host counts as silent (ms); idle links within a data centre carry a status each second. */
 const SILENT_AFTER_MS = 3000;
 
 /** Returns the place of this node among the readers of the store; undefined when it learns of changes from its peers. */
--- a/tests/requests/configuration.test.ts
+++ b/tests/requests/configuration.test.ts
@@ -98,6 +98,14 @@
     expect(readVersions(fleet)).toEqual([5, 5]);
   });
 
+  // Guards against reads without a pause when a change is to be in force at once.
+  it('should be read no more than a few times a second, however short its bound is', () => {
+    const fleet = createRequestFleet({ hosts, configuration: first, bounds: { configurationApplyMs: 0 } });
+    const before = fleet.store.calls.reads;
+    fleet.clock.advance(10_000);
+    expect(fleet.store.calls.reads - before <= 2 * 2 * 10 + 4).toEqual(true);
+  });
+
   it('should be required for a node to be ready; without one, requests are refused with a retry time', () => {
     const fleet = createRequestFleet({ hosts });
     const sent = fleet.send('a1');
