Refuse requests that a stopping node reads after its last check

Cause: between the last check for open requests and its exit the process goes on reading; such a request was sent to a target by controllers that had been stopped. Ruled out: a closed idle connection (the connection was new), the end of the grace time (the node stopped after 2.8 of 6 s). Change: a closed node refuses what it reads as stopping, which is true. Before: the new test in leaving.test.ts failed. After: it passes.

--- a/src/control/requests/nodeController.ts
+++ b/src/control/requests/nodeController.ts
@@ -46,6 +46,8 @@
     },
     stop: () => {
       stopChecks();
+      // Clients go on using open connections until the process has ended.
+      section.isRefusing = true;
     },
   };
 }
--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -133,6 +133,20 @@
 });
 
 describe('a stopping node', () => {
+  // Guards against requests on kept connections that are taken in while the process exits, and cut off by its end.
+  it('should refuse what it reads between its last check for open requests and its end', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    const node = fleet.nodes.get('a2');
+    const ran = fleet.targets.get('a2')?.arrivedAtMs.length;
+    node?.stop(() => {
+      node.close();
+    });
+    fleet.clock.advance(4000);
+    const late = fleet.send('a2');
+    fleet.clock.advance(100);
+    expect([late.refusal?.kind, fleet.targets.get('a2')?.arrivedAtMs.length]).toEqual(['stopping', ran]);
+  });
+
   it('should finish requests in flight, refuse new ones for its target, and report when it is done', () => {
     const fleet = createRequestFleet({ hosts, configuration });
     const target = fleet.targets.get('a2');
