--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -145,7 +145,7 @@
   const startQueued = (): void => {
     const limit = computeRunLimit(board.read('target').slots);
     gate.updateRate();
-    for (const run of gate.takeUseless())
+    for (const run of gate.takeTooLate())
       refuseRun(run, 'queueFull', 'the target takes fewer requests than wait for it');
     while (running.size < limit && queue.length > 0 && gate.admitNext()) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
@@ -230,10 +230,10 @@
       target: undefined,
       cancelDeadline: () => undefined,
     };
-    const uselessMs = gate.findUselessWait(run);
-    if (uselessMs !== undefined) {
+    const waitMs = gate.findExcessiveWait(run);
+    if (waitMs !== undefined) {
       const { ratePerSecond } = board.read('target');
-      const detail = `the target ${id} takes ${ratePerSecond ?? 0} requests/s, a wait of ${Math.round(uselessMs)} ms`;
+      const detail = `the target ${id} takes ${ratePerSecond ?? 0} requests/s, a wait of ${Math.round(waitMs)} ms`;
       refuse(events, 'queueFull', detail);
       return;
     }
--- a/src/control/requests/targetGate.ts
+++ b/src/control/requests/targetGate.ts
@@ -2,19 +2,22 @@
 import type { RequestContext } from './context.js';
 import type { RequestSections, Run } from './sections.js';
 
-/** Interval between checks whether requests that wait at the gate still start in time (ms). */
+/** Interval between checks whether queued requests still start in time (ms). */
 const QUEUE_CHECK_INTERVAL_MS = 100;
 
-/** The start of requests at a target that named the rate at which it takes them. */
+/** Limits the rate at which requests start at a target that named one. Without a named rate it lets all of them start. */
 export interface TargetGate {
-  /** Takes over the rate that the target names now. */
+  /** Applies the rate that the target section holds now. */
   updateRate(): void;
-  /** True if a request may start now, which uses up its turn; otherwise `startQueued` is called when one may. */
+  /** True if a request may start now, which takes a token; otherwise schedules `startQueued` for the next token. */
   admitNext(): boolean;
-  /** Returns how long a new request would wait for the gate (ms) if that is too long to be of use; undefined otherwise. */
-  findUselessWait(run: Run): number | undefined;
-  /** Removes the waiting requests that would start too late, and returns them. */
-  takeUseless(): Run[];
+  /**
+   * Returns the time that a new request would wait for a token (ms) if its answer would then come too late for its full
+   * worth, or after its deadline where it is late already; undefined otherwise.
+   */
+  findExcessiveWait(run: Run): number | undefined;
+  /** Removes the queued requests whose wait has become excessive, and returns them. */
+  takeTooLate(): Run[];
 }
 
 /** Creates the gate in front of the local target. */
@@ -36,7 +39,7 @@
       options.startQueued();
     });
   };
-  const findUselessWait = (run: Run): number | undefined => {
+  const findExcessiveWait = (run: Run): number | undefined => {
     if (section.gate === undefined) return undefined;
     const nowMs = clock.now();
     const waitMs = computeGateWait(section.gate, queue.countAhead(run.priority), nowMs);
@@ -58,17 +61,17 @@
       scheduleStart();
       return false;
     },
-    findUselessWait,
-    takeUseless: () => {
+    findExcessiveWait,
+    takeTooLate: () => {
       const nowMs = clock.now();
       if (section.gate === undefined || nowMs - checkedAtMs < QUEUE_CHECK_INTERVAL_MS) return [];
       checkedAtMs = nowMs;
-      const useless: Run[] = [];
+      const tooLate: Run[] = [];
       for (const run of queue.takeAll()) {
-        if (findUselessWait(run) === undefined) queue.add(run);
-        else useless.push(run);
+        if (findExcessiveWait(run) === undefined) queue.add(run);
+        else tooLate.push(run);
       }
-      return useless;
+      return tooLate;
     },
   };
 }
--- a/src/policy/rateGate.ts
+++ b/src/policy/rateGate.ts
@@ -1,8 +1,8 @@
-/** Passes requests on at the rate that a target named. Times are monotonic (ms). */
+/** Token bucket for the requests to a target that named the rate at which it takes them. Times are monotonic (ms). */
 export interface RateGate {
   /** Requests per second; at least `MIN_RATE_PER_SECOND`. */
   perSecond: number;
-  /** Requests that may pass at `updatedAtMs`; a fraction counts towards the next one. */
+  /** Tokens at `updatedAtMs`; each request takes one, fractions add up. */
   tokens: number;
   updatedAtMs: number;
 }
@@ -12,11 +12,11 @@
  * limit.
  */
 const MIN_RATE_PER_SECOND = 0.5;
-/** Time for which unused requests are saved up (s). */
+/** Depth of the bucket as a time at the named rate (s). */
 const BURST_SECONDS = 0.1;
 
 /**
- * Creates a gate that is closed at first: before it named its limit, the target got more than that.
+ * Creates an empty bucket: before it named its limit, the target got more than that.
  *
  * @example
  * const gate = createRateGate(20, clock.now());
@@ -26,7 +26,7 @@
   return { perSecond: Math.max(MIN_RATE_PER_SECOND, perSecond), tokens: 0, updatedAtMs: nowMs };
 }
 
-/** Changes the rate of a gate; what was saved up at the previous rate is kept as far as the new one allows. */
+/** Changes the rate; tokens are kept up to the depth at the new rate. */
 export function changeRate(gate: RateGate, perSecond: number, nowMs: number): void {
   gate.tokens = countTokens(gate, nowMs);
   gate.updatedAtMs = nowMs;
@@ -34,13 +34,13 @@
   gate.tokens = Math.min(gate.tokens, computeBurst(gate));
 }
 
-/** Returns the number of requests that may pass now; a fraction counts towards the next one. */
+/** Returns the number of tokens, fractions included. */
 export function countTokens(gate: Readonly<RateGate>, nowMs: number): number {
   const { perSecond, tokens, updatedAtMs } = gate;
   return Math.min(computeBurst(gate), tokens + ((nowMs - updatedAtMs) / 1000) * perSecond);
 }
 
-/** Takes the token of one request; returns false if none may pass yet. */
+/** Takes the token of one request; returns false if there is none yet. */
 export function takeToken(gate: RateGate, nowMs: number): boolean {
   const tokens = countTokens(gate, nowMs);
   if (tokens < 1) return false;
@@ -49,7 +49,7 @@
   return true;
 }
 
-/** Computes the time until a request may pass that has `ahead` others before it (ms). */
+/** Computes the time until there is a token for a request with `ahead` others before it (ms). */
 export function computeGateWait(gate: Readonly<RateGate>, ahead: number, nowMs: number): number {
   return Math.max(0, ((ahead + 1 - countTokens(gate, nowMs)) / gate.perSecond) * 1000);
 }
