Share the header match, the data centre check and the token wait

Found when the change was read again: listHeader matched names apart from findHeader and converted each name of a head to lower case, on every answer; isInOwnDataCenter stood in outgoingLinks and peerUpdates; the wait for a token was computed in rateGate and targetChoice. One copy of each.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -74,3 +74,9 @@
 export function chooseLane({ lanes }: ReadView<Pick<PeerState, 'lanes'>>, priority: number): LinkLane {
   return priority === 0 && lanes.urgent.phase === 'up' ? 'urgent' : 'routine';
 }
+
+/** True when a member is in the data centre of this node. */
+export function isInOwnDataCenter(board: RequestBoard, host: string): boolean {
+  const { self, byHost } = board.read('members');
+  return byHost.get(host)?.dataCenter === self.dataCenter;
+}
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -3,7 +3,7 @@
 import { choosePeers } from '../../policy/peerChoice.js';
 import { listParts } from '../../policy/routeTable.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
-import { chooseLane } from './context.js';
+import { chooseLane, isInOwnDataCenter } from './context.js';
 import type { LinkConnection, RequestContext } from './context.js';
 import type { PeerUpdates } from './peerUpdates.js';
 import { createLane, createPeer, MIN_REDIAL_MS } from './outgoingLane.js';
@@ -211,10 +211,6 @@
     lane.disconnect();
     lane.runs.failAll(`${lane.peer.host} is no longer a member or peer`);
   };
-  const isInOwnDataCenter = (host: string): boolean => {
-    const { self, byHost: members } = board.read('members');
-    return members.get(host)?.dataCenter === self.dataCenter;
-  };
   const checkLane = (lane: OutgoingLane, nowMs: number): void => {
     const state = lane.peer.lanes[lane.lane];
     const { pendingCount } = lane.runs;
@@ -228,7 +224,7 @@
     }
     if (pendingCount === 0 && lane.lane === 'urgent') return;
     const waitStartMs = Math.max(state.lastReceivedMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
-    const idleTimeoutMs = isInOwnDataCenter(lane.peer.host) ? LOCAL_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
+    const idleTimeoutMs = isInOwnDataCenter(board, lane.peer.host) ? LOCAL_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
     const timeoutMs = pendingCount > 0 ? ACTIVE_TIMEOUT_MS : idleTimeoutMs;
     if (nowMs - waitStartMs > timeoutMs)
       reconnect(lane, `nothing received for ${Math.round(nowMs - state.lastReceivedMs)} ms`);
@@ -260,7 +256,7 @@
     },
     sendToDataCenter: (frame) => {
       for (const { connection, lane, peer } of outgoing.values())
-        if (lane === 'routine' && isInOwnDataCenter(peer.host)) connection?.send(frame);
+        if (lane === 'routine' && isInOwnDataCenter(board, peer.host)) connection?.send(frame);
     },
     check: (nowMs, lateMs) => {
       if (nowMs - chosenAtMs >= PEER_CHOICE_INTERVAL_MS) updatePeers();
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -1,5 +1,6 @@
 import type { LinkFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
+import { isInOwnDataCenter } from './context.js';
 import type { LinkConnection, RequestContext } from './context.js';
 import type { ReadView } from '../../core/blackboard.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
@@ -36,10 +37,6 @@
     const configuration = board.read('routes').table?.configuration;
     if (configuration !== undefined) connection?.send({ type: 'configuration', configuration: configuration as never });
   };
-  const isInOwnDataCenter = ({ host }: ReadView<PeerState>): boolean => {
-    const { self, byHost } = board.read('members');
-    return byHost.get(host)?.dataCenter === self.dataCenter;
-  };
   /** Finds the newest configuration, in the own data centre if a peer there has it. */
   const findPeerWithNewerConfiguration = (): ReadView<PeerState> | undefined => {
     let newest: ReadView<PeerState> | undefined;
@@ -47,7 +44,7 @@
       if (peer.lanes.routine.phase !== 'up') continue;
       const known = newest?.configurationVersion ?? board.read('routes').version;
       const isAsNew = newest !== undefined && peer.configurationVersion === known;
-      if (peer.configurationVersion > known || (isAsNew && isInOwnDataCenter(peer))) newest = peer;
+      if (peer.configurationVersion > known || (isAsNew && isInOwnDataCenter(board, peer.host))) newest = peer;
     }
     return newest;
   };
@@ -64,7 +61,7 @@
         peer.lanes.routine.phase === 'up' &&
         peer.membersDigest !== undefined &&
         peer.membersDigest !== digest &&
-        isInOwnDataCenter(peer),
+        isInOwnDataCenter(board, peer.host),
     );
     if (others.length === 0) differsSinceMs = undefined;
     else differsSinceMs ??= nowMs;
--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -58,8 +58,7 @@
 /** Returns the first value of a header; `name` is in lower case. */
 export function findHeader(rawHeaders: readonly string[], name: string): string | undefined {
   for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
-    const candidate = rawHeaders[index] ?? '';
-    if (candidate.length === name.length && candidate.toLowerCase() === name) return rawHeaders[index + 1];
+    if (isHeader(rawHeaders[index] ?? '', name)) return rawHeaders[index + 1];
   }
   return undefined;
 }
@@ -68,7 +67,7 @@
 export function listHeader(rawHeaders: readonly string[], name: string): string[] {
   const values: string[] = [];
   for (let index = 0; index + 1 < rawHeaders.length; index += 2)
-    if (rawHeaders[index]?.toLowerCase() === name) values.push(rawHeaders[index + 1] ?? '');
+    if (isHeader(rawHeaders[index] ?? '', name)) values.push(rawHeaders[index + 1] ?? '');
   return values;
 }
 
@@ -83,3 +82,8 @@
   if (value === undefined || value === 'keep-alive' || value === 'close') return undefined;
   return new Set(value.split(',').map((option) => option.trim().toLowerCase()));
 }
+
+/** Compares the lengths first, which spares most names of a head the conversion. */
+function isHeader(candidate: string, name: string): boolean {
+  return candidate.length === name.length && candidate.toLowerCase() === name;
+}
--- a/src/policy/rateGate.ts
+++ b/src/policy/rateGate.ts
@@ -51,7 +51,12 @@
 
 /** Computes the time until there is a token for a request with `ahead` others before it (ms). */
 export function computeGateWait(gate: Readonly<RateGate>, ahead: number, nowMs: number): number {
-  return Math.max(0, ((ahead + 1 - countTokens(gate, nowMs)) / gate.perSecond) * 1000);
+  return computeTokenWait({ perSecond: gate.perSecond, tokens: countTokens(gate, nowMs) }, ahead);
+}
+
+/** The same for tokens that were counted already, as a load report carries them. */
+export function computeTokenWait({ perSecond, tokens }: Omit<RateGate, 'updatedAtMs'>, ahead: number): number {
+  return Math.max(0, ((ahead + 1 - tokens) / perSecond) * 1000);
 }
 
 function computeBurst({ perSecond }: Readonly<RateGate>): number {
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../core/random.js';
 import type { LoadReport } from '../schema/linkFrame.js';
+import { computeTokenWait } from './rateGate.js';
 import type { TargetSpeed } from './targetSpeed.js';
 
 /** A node whose target could run a request. */
@@ -85,7 +86,7 @@
 /** Estimates the time until a target that named a limit takes a new request (ms). */
 function estimateRateWait({ ratePerSecond, rateTokens = 0, queued }: LoadReport, sentSinceReport: number): number {
   if (ratePerSecond === undefined) return 0;
-  return Math.max(0, ((queued + sentSinceReport + 1 - rateTokens) / ratePerSecond) * 1000);
+  return computeTokenWait({ perSecond: ratePerSecond, tokens: rateTokens }, queued + sentSinceReport);
 }
 
 function estimateCost(candidate: TargetCandidate, input: TargetChoiceInput): number {
