--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -10,13 +10,13 @@
 /** Exit code of this program if the rule was broken; `run.sh` turns it into 1. */
 const BROKEN = 3;
 const RECORD = fileURLToPath(new URL('record.txt', import.meta.url));
-const ORDER_INTERVAL_MS = 125;
+const ORDER_INTERVAL_MS = 60;
 const TRAFFIC_MS = 8000;
-const KILL_AT_MS = 1500;
+const KILL_AT_MS = 1000;
 const RESTART_AFTER_MS = 300;
 
-/** Orders take between 1 and 2.5 s, as at a service with long work; their time limit is 5 s. */
-const planOrder = ({ requestId }) => ({ workMs: 1000 + ((Number(requestId.split('-')[1]) * 400) % 1500) });
+/** Orders take between 1.5 and 4 s, as at a service with long work; their time limit is 5 s. */
+const planOrder = ({ requestId }) => ({ workMs: 1500 + ((Number(requestId.split('-')[1]) * 700) % 2500) });
 
 const fleet = await startFleet({
   hosts: [
