Keep the outcome of a request from reaching another one with its number

Cause: requests of a lane were numbered from 0 in each process and with each new lane. The receiver looked up the request that ended by its number, while a request that is not idempotent goes on after its sender is gone. The same happened within one process, without a restart, when a link was closed and opened again; there, kept outcomes of the earlier link were sent for new requests as well.

Ruled out: two requests on one connection to the target (its answers are matched by request id), frames of the old connection (a new process has none). 'outcome discarded' is logged now, to tell these apart.

Change: the events of a request at the receiver belong to that request; a process numbers its requests over all lanes.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -112,6 +112,10 @@
           if (entry !== undefined) entry.loadAtMs = nowMs;
           return readLocalLoad(board, nowMs);
         },
+        reportDiscarded: (requestId, outcome) => {
+          const inputs = { host, lane, outcome };
+          board.post('decisions', { kind: 'runEnded', id: requestId, outcome: 'outcome discarded', inputs });
+        },
       });
       entry = {
         host,
--- a/src/control/requests/incomingRuns.ts
+++ b/src/control/requests/incomingRuns.ts
@@ -19,6 +19,12 @@
 
 type FinalFrame = AnswerFrame | FailedFrame;
 
+/** One request of the peer until its outcome was sent. */
+interface OpenRun {
+  readonly id: number;
+  readonly attempt: RunAttempt;
+}
+
 interface RetainedAnswer {
   frame: FinalFrame;
   bytes: number;
@@ -31,6 +37,8 @@
   /** Passes a request to the local target; sets its handle. */
   accept: (attempt: RunAttempt) => void;
   readLoad: () => LoadReport;
+  /** Called when a request ends whose sender no longer waits for its outcome. */
+  reportDiscarded: (requestId: string, outcome: string) => void;
 }
 
 /** The requests received from one process of a peer on one lane, across reconnections. */
@@ -49,7 +57,7 @@
 /** Creates the receiving side of one lane. */
 export function createIncomingRuns(options: IncomingRunsOptions): IncomingRuns {
   const { host, clock } = options;
-  const open = new Map<number, RunAttempt>();
+  const open = new Map<number, OpenRun>();
   const retained: RetainedAnswer[] = [];
   let retainedBytes = 0;
   let connection: LinkConnection | undefined;
@@ -69,39 +77,52 @@
       retainedBytes -= retained.shift()?.bytes ?? 0;
     }
   };
-  const finish = (id: number, frame: FinalFrame): void => {
-    if (!open.delete(id)) return;
+  /**
+   * A request that was cancelled, or whose sender was restarted, may go on at the target: its events must not reach a later
+   * request with the same number.
+   */
+  const isOpen = (run: OpenRun): boolean => open.get(run.id) === run;
+  const finish = (run: OpenRun, frame: FinalFrame): void => {
+    if (!isOpen(run)) {
+      const outcome = frame.type === 'answer' ? `status ${frame.status}` : frame.failure.kind;
+      options.reportDiscarded(run.attempt.request.requestId, outcome);
+      return;
+    }
+    open.delete(run.id);
     retain(frame);
     connection?.send(frame);
   };
-  const buildEvents = (id: number): RunEvents => ({
+  const buildEvents = (id: number, getRun: () => OpenRun): RunEvents => ({
     answer: ({ status, headers, body, isStreamed }) => {
       const frame: AnswerFrame = { type: 'answer', id, status, headers, body, isStreamed, load: options.readLoad() };
-      if (isStreamed) connection?.send(frame);
-      else finish(id, frame);
+      if (!isStreamed) finish(getRun(), frame);
+      else if (isOpen(getRun())) connection?.send(frame);
     },
     part: (data, isLast) => {
-      if (!open.has(id)) return;
+      if (!isOpen(getRun())) return;
       if (isLast) open.delete(id);
       connection?.send({ type: 'part', id, data, isLast });
     },
     fail: (failure) => {
-      finish(id, { type: 'failed', id, failure, load: options.readLoad() });
+      finish(getRun(), { type: 'failed', id, failure, load: options.readLoad() });
     },
     grantBody: (bytes) => {
-      if (open.has(id)) connection?.send({ type: 'grant', id, bytes });
+      if (isOpen(getRun())) connection?.send({ type: 'grant', id, bytes });
     },
   });
   const accept = (id: number, request: RunRequest): void => {
     highestId = Math.max(highestId, id);
-    const attempt: RunAttempt = { host, request, events: buildEvents(id), handle: undefined };
-    open.set(id, attempt);
-    options.accept(attempt);
+    const run: OpenRun = {
+      id,
+      attempt: { host, request, events: buildEvents(id, () => run), handle: undefined },
+    };
+    open.set(id, run);
+    options.accept(run.attempt);
   };
   const cancel = (id: number): void => {
-    const attempt = open.get(id);
+    const run = open.get(id);
     open.delete(id);
-    attempt?.handle?.cancel();
+    run?.attempt.handle?.cancel();
   };
   const cancelAll = (): void => {
     for (const id of [...open.keys()]) cancel(id);
@@ -149,8 +170,8 @@
     receive: (frame) => {
       if (frame.type === 'run') accept(frame.id, frame.request);
       else if (frame.type === 'cancel') cancel(frame.id);
-      else if (frame.type === 'part') open.get(frame.id)?.handle?.sendBody(frame.data, frame.isLast);
-      else if (frame.type === 'grant') open.get(frame.id)?.handle?.grantAnswer(frame.bytes);
+      else if (frame.type === 'part') open.get(frame.id)?.attempt.handle?.sendBody(frame.data, frame.isLast);
+      else if (frame.type === 'grant') open.get(frame.id)?.attempt.handle?.grantAnswer(frame.bytes);
     },
     send: (frame) => {
       connection?.send(frame);
--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -41,13 +41,23 @@
   };
 }
 
-/** Creates a lane without a connection. */
-export function createLane(options: { peer: PeerState; lane: LinkLane; address: string; nowMs: number }): OutgoingLane {
-  const { peer, lane, address, nowMs } = options;
+/** Creates a lane without a connection; `takeRunId` numbers its requests. */
+export function createLane(options: {
+  peer: PeerState;
+  lane: LinkLane;
+  address: string;
+  nowMs: number;
+  takeRunId: () => number;
+}): OutgoingLane {
+  const { peer, lane, address, nowMs, takeRunId } = options;
   return {
     peer,
     lane,
-    runs: createOutgoingRuns(peer.host, () => peer.outstanding--),
+    runs: createOutgoingRuns({
+      host: peer.host,
+      takeRunId,
+      onSettled: () => peer.outstanding--,
+    }),
     address,
     connection: undefined,
     incarnation: '',
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -59,6 +59,8 @@
   const outgoing = new Map<string, OutgoingLane>();
   let chosenAtMs = -Infinity;
   let isStopped = false;
+  // Peers know a request by this number and the incarnation of its sender, also after the lane was closed and opened again.
+  let nextRunId = 0;
 
   const buildKey = (host: string, lane: LinkLane): string => `${lane} ${host}`;
   const reportLink = (lane: OutgoingLane, outcome: string, detail: string): void => {
@@ -165,7 +167,13 @@
     const known = outgoing.get(key);
     if (known === undefined) {
       const peer = getPeer(member.host);
-      const opened = createLane({ peer, lane, address: member.linkAddress, nowMs: clock.now() });
+      const opened = createLane({
+        peer,
+        lane,
+        address: member.linkAddress,
+        nowMs: clock.now(),
+        takeRunId: () => nextRunId++,
+      });
       outgoing.set(key, opened);
       dial(opened);
     } else if (known.address !== member.linkAddress) {
--- a/src/control/requests/outgoingRuns.ts
+++ b/src/control/requests/outgoingRuns.ts
@@ -27,11 +27,18 @@
   failAll(detail: string): void;
 }
 
-/** Creates the sending side of one lane; `onSettled` is called once for each request that ends. */
-export function createOutgoingRuns(host: string, onSettled: () => void): OutgoingRuns {
+export interface OutgoingRunsOptions {
+  host: string;
+  /** Returns a number that no other request of this process has, whichever lane sends it. */
+  takeRunId: () => number;
+  /** Called once for each request that ends. */
+  onSettled: () => void;
+}
+
+/** Creates the sending side of one lane. */
+export function createOutgoingRuns({ host, takeRunId, onSettled }: OutgoingRunsOptions): OutgoingRuns {
   const pending = new Map<number, PendingRun>();
   let connection: LinkConnection | undefined;
-  let nextId = 0;
 
   const take = (id: number): PendingRun | undefined => {
     const run = pending.get(id);
@@ -76,7 +83,7 @@
         attempt.events.fail({ kind: 'linkLost', ran: 'no', hasArrived: false, detail: `no connection to ${host}` });
         return;
       }
-      const id = nextId++;
+      const id = takeRunId();
       pending.set(id, { attempt, isAnswering: false, isSending: attempt.request.isStreamed });
       attempt.handle = buildHandle(id);
       connection.send({ type: 'run', id, request: attempt.request });
--- a/tests/requests/links.test.ts
+++ b/tests/requests/links.test.ts
@@ -1,7 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
-import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
+import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
+import type { FleetHost, RequestFleet, SentRequest } from '../fixtures/requestFleet.js';
 
 const configuration = buildRouteConfiguration(1, [buildRoute('check', 'stock')]);
 const hosts: FleetHost[] = [
@@ -80,4 +80,59 @@
     expect([...(fleet.nodes.get('a1')?.board.read('links').byHost.keys() ?? [])].sort()).toEqual(['a2', 'a4']);
     expect(fleet.store.records.members.filter(({ key }) => key === 'a3').at(-1)?.value).toEqual(undefined);
   });
+
+  describe('when the number of a request is used again', () => {
+    const orders = buildRouteConfiguration(1, [
+      buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 5000 }),
+    ]);
+
+    function sendOrder(fleet: RequestFleet, durationMs: number): SentRequest {
+      getTarget(fleet, 'a2').durationMs = durationMs;
+      const sent = fleet.send('a1', { timeLeftMs: 5000 });
+      fleet.clock.advance(5);
+      return sent;
+    }
+
+    function readBody({ answer }: SentRequest): string {
+      return Buffer.from(answer?.body ?? []).toString();
+    }
+
+    // Guards against the answer of a request whose sender was killed reaching a request of the restarted sender.
+    it('should answer a request of a restarted sender with its own answer', () => {
+      const fleet = createRequestFleet({ hosts, configuration: orders });
+      sendOrder(fleet, 800);
+      fleet.killNode('a1');
+      fleet.startNode('a1');
+      fleet.clock.advance(500);
+      const own = sendOrder(fleet, 1500);
+      fleet.clock.advance(3000);
+      expect(readBody(own)).toEqual('i-a2:r2');
+      const discarded = fleet.lines.filter(({ outcome }) => outcome === 'outcome discarded');
+      expect(discarded.map(({ id }) => id)).toEqual(['r1']);
+    });
+
+    // Guards against the same mix-up within one process, whose link to a peer was closed and opened again.
+    it('should answer a request on a link that was opened anew with its own answer', () => {
+      const fleet = createRequestFleet({ hosts, configuration: orders });
+      const first = sendOrder(fleet, 2500);
+      fleet.store.write('operator', 'a2', undefined, () => undefined);
+      fleet.clock.advance(2000);
+      const own = sendOrder(fleet, 1500);
+      fleet.clock.advance(3000);
+      expect([first.refusal?.kind, readBody(own)]).toEqual(['failed', 'i-a2:r2']);
+    });
+
+    // Guards against an outcome that was kept for a closed link being sent for a request of the one that replaced it.
+    it('should not resume a request with the kept answer of an earlier link', () => {
+      const fleet = createRequestFleet({ hosts, configuration: orders });
+      const first = sendOrder(fleet, 20);
+      fleet.clock.advance(100);
+      fleet.store.write('operator', 'a2', undefined, () => undefined);
+      fleet.clock.advance(1200);
+      const own = fleet.send('a1', { timeLeftMs: 5000 });
+      fleet.links.reset('a1', 'a2');
+      fleet.clock.advance(2000);
+      expect([readBody(first), readBody(own)]).toEqual(['i-a2:r1', 'i-a2:r2']);
+    });
+  });
 });
