Publish a restored target, and nothing before it is restored

Cause: the new process restored the leave for itself and did not publish it, while its first record, without a target, replaced that of its predecessor. A late write of an earlier process could replace it as well, and nobody wrote it again.

Ruled out: that the state was not restored (the log of the first restart shows 'left'; the store had no target after it).

Change: a restored state is published; the first record of a process waits for the history of the host; a record of an earlier process that appears at the store later is replaced.

--- a/src/control/requests/durabilityWaits.ts
+++ b/src/control/requests/durabilityWaits.ts
@@ -17,8 +17,8 @@
 export interface DurabilityWaits {
   /** Calls `run` once the record of that revision is durable, or never if that takes too long. */
   add(revision: number, run: () => void): void;
-  /** Records that the store has this node's own record up to a revision. */
-  recordWrite(revision: number): void;
+  /** Records that the store has this node's own record up to a revision; -1 if it has none. */
+  setWrittenRevision(revision: number): void;
   /** Runs what has become durable. */
   check(): void;
 }
@@ -69,8 +69,8 @@
       });
       check();
     },
-    recordWrite: (revision) => {
-      writtenRevision = Math.max(writtenRevision, revision);
+    setWrittenRevision: (revision) => {
+      writtenRevision = revision;
       check();
     },
     check,
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -8,6 +8,7 @@
 import { compileSchema } from '../../schema/validate.js';
 import type { RequestContext } from './context.js';
 import { createDurabilityWaits } from './durabilityWaits.js';
+import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import { readReaderPlace } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
@@ -27,6 +28,9 @@
  */
 const FIRST_WRITE_WAIT_MS = 2500;
 
+/** Source of records that were read from the store, in place of the host that sent them. */
+const STORE_SOURCE = 'store';
+
 const validator = compileSchema(nodeMemberSchema);
 
 /** Writes the list of nodes, and keeps this node's own record in the platform's store up to date. */
@@ -38,14 +42,23 @@
   const removedPredecessors = new Set<string>();
   const startedAtMs = clock.now();
   let writtenRevision = -1;
+  let hasWritten = false;
   let isWriting = false;
   let isStopped = false;
   let stopWatcher = (): void => undefined;
 
-  const isFirstWriteDelayed = (): boolean =>
-    section.self.target === undefined &&
-    isStoreReadByFew(section.byHost) &&
-    clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
+  /** The first record replaces that of an earlier process, so it has to say what that one said of the target. */
+  const isFirstWriteDelayed = (): boolean => {
+    if (hasWritten) return false;
+    if (!isHistoryKnown(board, clock.now())) return true;
+    if (section.self.target !== undefined) return false;
+    if (section.previousTarget !== undefined) return true;
+    return isStoreReadByFew(section.byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
+  };
+  const setWrittenRevision = (revision: number): void => {
+    writtenRevision = revision;
+    durability.setWrittenRevision(revision);
+  };
   const writeSelf = (): void => {
     if (isWriting || isStopped || writtenRevision >= section.self.revision) return;
     if (isFirstWriteDelayed()) return;
@@ -54,8 +67,8 @@
     io.writeMember(member, (outcome) => {
       isWriting = false;
       if (outcome.type === 'written') {
-        writtenRevision = Math.max(writtenRevision, member.revision);
-        durability.recordWrite(writtenRevision);
+        hasWritten = true;
+        setWrittenRevision(member.revision);
         writeSelf();
         return;
       }
@@ -85,6 +98,8 @@
     if (isNewer) section.previousOrder = { startedAtMs, revision };
     const inputs = { startedAtMs, revision, target: target?.id, phase: target?.phase, isNewer, source };
     board.post('decisions', { kind: 'memberChanged', outcome: 'record of an earlier process', inputs });
+    // A late write of the earlier process took the place of this one's record.
+    if (source === STORE_SOURCE && hasWritten) setWrittenRevision(-1);
     // The wall clock may have been set back since the earlier process started.
     if (incarnation !== section.self.incarnation && startedAtMs >= section.self.startedAtMs)
       updateSelf({ startedAtMs: startedAtMs + 1 });
@@ -152,7 +167,7 @@
   };
   /** Handles a deletion in the store. A node whose own record was deleted writes it again. */
   const removeDeleted = (host: string): void => {
-    if (host === section.self.host) writtenRevision = -1;
+    if (host === section.self.host) setWrittenRevision(-1);
     else if (remove(host, 'its record was deleted')) members.publishChange();
   };
   /** Returns the records that were new. */
@@ -185,7 +200,8 @@
   });
   return {
     start: () => {
-      clock.schedule(FIRST_WRITE_WAIT_MS, writeSelf);
+      for (const delayMs of [RESTORE_WAIT_MS + 1, FIRST_WRITE_WAIT_MS]) clock.schedule(delayMs, writeSelf);
+      board.subscribe('links', writeSelf);
       board.subscribe('links', durability.check);
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
@@ -194,7 +210,7 @@
         apply: (records, isComplete) => {
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
-          const changed = applyRecords(values, 'store', isComplete);
+          const changed = applyRecords(values, STORE_SOURCE, isComplete);
           if (!isComplete) forwardChanges(changed);
         },
         reportRead: updateStoreState,
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -136,7 +136,7 @@
     restoreRate(previous);
     section.lastHeartbeatMs = clock.now();
     enterPhase(previous.phase, 'published by an earlier process');
-    target.publishChange();
+    publish();
   };
   const restorePreviousTarget = (): void => {
     const { previousTarget } = board.read('members');
--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createRandom } from '../../src/core/random.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
 import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
 
@@ -98,6 +99,110 @@
     });
   }
 
+  // Guards against a process that takes over the leave and is replaced before anybody else hears it from this process.
+  it('should stay left after two restarts of its node and a heartbeat that arrives late', () => {
+    const fleet = createRequestFleet({ hosts, configuration, sendsHeartbeats: false });
+    fleet.sendHeartbeat('a2');
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => undefined);
+    fleet.clock.advance(100);
+    for (const upMs of [300, 1500]) {
+      fleet.killNode('a2');
+      fleet.clock.advance(300);
+      fleet.startNode('a2');
+      fleet.clock.advance(upMs);
+    }
+    for (const sequence of [2, 3]) {
+      fleet.sendHeartbeat('a2', { sequence });
+      fleet.clock.advance(500);
+    }
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+  });
+
+  // Guards against a new process that writes a record without its target over the one that has the leave.
+  for (const upMs of [10, 100, 2000]) {
+    it(`should stay left when all nodes are killed, and killed again ${upMs} ms after their start`, () => {
+      const fleet = createRequestFleet({ hosts, configuration, sendsHeartbeats: false });
+      fleet.sendHeartbeat('a2');
+      fleet.nodes.get('a2')?.receiveLeave('i-a2', () => undefined);
+      fleet.clock.advance(100);
+      for (const pauseMs of [upMs, 2000]) {
+        for (const { host } of hosts) fleet.killNode(host);
+        fleet.clock.advance(300);
+        for (const { host } of hosts) fleet.startNode(host);
+        fleet.clock.advance(pauseMs);
+      }
+      for (const sequence of [2, 3]) {
+        fleet.sendHeartbeat('a2', { sequence });
+        fleet.clock.advance(500);
+      }
+      expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+    });
+  }
+
+  // Guards against a late write of an earlier process that takes the place of the leave at the store.
+  it('should stay left when an earlier write of its node reaches the store late, and all nodes are killed then', () => {
+    const fleet = createRequestFleet({ hosts, configuration, sendsHeartbeats: false });
+    fleet.store.delayWrites('a2', { count: 1, lateMs: 2500 });
+    fleet.sendHeartbeat('a2');
+    fleet.killNode('a2');
+    fleet.startNode('a2');
+    fleet.clock.advance(100);
+    fleet.sendHeartbeat('a2', { sequence: 2 });
+    fleet.sendHeartbeat('a2', { sequence: 3, state: 'draining' });
+    fleet.clock.advance(2500);
+    for (const { host } of hosts) fleet.killNode(host);
+    for (const { host } of hosts) fleet.startNode(host);
+    fleet.clock.advance(2000);
+    for (const sequence of [2, 4]) fleet.sendHeartbeat('a2', { sequence, state: 'ready' });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('draining');
+  });
+
+  // Guards against an order of kills, late writes, late heartbeats and lost peers after which the leave is forgotten.
+  for (let seed = 1; seed <= 20; seed++) {
+    it(`should stay left through a series of faults, seed ${seed}`, () => {
+      const fleet = createRequestFleet({ hosts, configuration, seed, sendsHeartbeats: false });
+      const random = createRandom(seed);
+      for (const host of ['a2', 'a3']) fleet.sendHeartbeat(host);
+      let sequence = 2;
+      const faults: (() => void)[] = [
+        () => {
+          fleet.killNode('a2');
+          fleet.clock.advance(300);
+          fleet.startNode('a2');
+        },
+        () => {
+          fleet.store.delayWrites('a2', { count: 1, lateMs: 500 + random() * 5000 });
+        },
+        () => {
+          fleet.sendHeartbeat('a2', { sequence: sequence++ });
+        },
+        () => {
+          const peer = random() < 0.5 ? 'a1' : 'a3';
+          fleet.links.cut('a2', peer);
+          fleet.clock.schedule(2000 * random(), () => {
+            fleet.links.heal('a2', peer);
+          });
+        },
+      ];
+      fleet.store.delayWrites('a2', { count: Math.floor(random() * 3), lateMs: 3000 });
+      let isAcknowledged = false;
+      fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+        isAcknowledged = true;
+      });
+      fleet.clock.advance(1000);
+      expect(isAcknowledged).toEqual(true);
+      for (let step = 0; step < 12; step++) {
+        faults[Math.floor(random() * faults.length)]?.();
+        fleet.clock.advance(1500 * random());
+      }
+      fleet.clock.advance(3000);
+      const before = listRuns(fleet, 'a2').length;
+      sendPeriodically(fleet, 1000);
+      expect(listRuns(fleet, 'a2').length).toEqual(before);
+      expect(fleet.nodes.get('a2')?.board.read('target').phase).not.toEqual('ready');
+    });
+  }
+
   it('should not become ready again by a heartbeat that was sent before its leave', () => {
     const fleet = createRequestFleet({ hosts, configuration });
     const target = fleet.targets.get('a2');
