Retry the write of a node's record at one pace

While the store was away, each change and each repeated announcement of a leave started a series of retries of its own, none of which ended: seen in the log of the test for acknowledgements (30 refused writes in 3 s where about 8 are due). Calls of the store are priced and limited.

Change: a refused revision has one retry; a new revision is tried at once.

Before: the new case of tests/requests/leaving.test.ts fails (more than 50 writes in 10 s).

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -44,6 +44,9 @@
   let writtenRevision = -1;
   let hasWritten = false;
   let isWriting = false;
+  /** The revision that was refused, until its next attempt is due. */
+  let failedRevision = -1;
+  let cancelRetry = (): void => undefined;
   let isStopped = false;
   let stopWatcher = (): void => undefined;
 
@@ -60,7 +63,8 @@
     durability.setWrittenRevision(revision);
   };
   const writeSelf = (): void => {
-    if (isWriting || isStopped || writtenRevision >= section.self.revision) return;
+    if (isWriting || isStopped || failedRevision === section.self.revision || writtenRevision >= section.self.revision)
+      return;
     if (isFirstWriteDelayed()) return;
     isWriting = true;
     const member = section.self;
@@ -74,7 +78,12 @@
       }
       const inputs = { revision: member.revision, detail: outcome.detail };
       board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
-      clock.schedule(WRITE_RETRY_MS * (0.5 + random()), writeSelf);
+      cancelRetry();
+      cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
+        failedRevision = -1;
+        writeSelf();
+      });
+      failedRevision = member.revision;
     });
   };
   const replaceInDigest = (previous: NodeMember | undefined, next: NodeMember | undefined): void => {
--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -246,6 +246,19 @@
     expect(sendLeave()).toEqual(true);
   });
 
+  // Guards against each announcement that starts a series of retries of its own at a store that is away.
+  it('should be written again at one pace while the store is away, however often it is announced', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.store.blockedHosts.add('*');
+    for (let index = 0; index < 10; index++) {
+      fleet.nodes.get('a2')?.receiveLeave('i-a2', () => undefined);
+      fleet.clock.advance(100);
+    }
+    const before = fleet.store.calls.writes;
+    fleet.clock.advance(10_000);
+    expect(fleet.store.calls.writes - before <= 50).toEqual(true);
+  });
+
   // Guards against a second announcement that is acknowledged because the first one was received.
   it('should not be acknowledged by repeating what is not durable yet', () => {
     const fleet = createRequestFleet({ hosts: hosts.slice(0, 2), configuration });
