Take what ends in time only, once clients know of a stop

Cause: new requests were taken until 1.2 s before closing, however long they may take.

Ruled out: an end before the grace time is over (the node closed 0.4 s before it), and a stop of the target's node (only one node was stopped).

Change: for 2.6 s, in which clients learn of the stop, everything is taken; then only requests whose time limit ends before the node closes. The others get 503 with the time at which to come back: soon where the data centre has other nodes, otherwise when this one has closed.

--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -3,6 +3,7 @@
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { choosePart } from '../../policy/partChoice.js';
 import { resolveSuspect } from '../../policy/quarantine.js';
+import { computeStopRetryDelay, isTakenWhileStopping } from '../../policy/stopPlan.js';
 import { findRoute, listParts } from '../../policy/routeTable.js';
 import { removeNotRunGuarantee } from '../../schema/refusal.js';
 import type { Refusal } from '../../schema/refusal.js';
@@ -88,12 +89,10 @@
       const detail = 'no configuration has been received yet';
       return refuseEarly(request, reply, { kind: 'noConfiguration', detail, retryAfterMs: RETRY_AFTER_MS });
     }
-    if (board.read('node').isRefusing) {
-      const detail = 'the node is stopping';
-      return refuseEarly(request, reply, { kind: 'stopping', detail, retryAfterMs: RETRY_AFTER_MS });
-    }
     const route = findRoute(table, request.host, request.path);
     if (route === undefined) return refuseEarly(request, reply, { kind: 'noRoute', detail: 'no route matches' });
+    const stopRefusal = findStopRefusal(request, route);
+    if (stopRefusal !== undefined) return refuseEarly(request, reply, stopRefusal);
     const service = chooseService(route);
     const entry = createEntry({
       request,
@@ -113,6 +112,23 @@
     startEntry(entry);
     return buildHandle(entry);
   };
+  /** Returns the refusal of a request that may not end before this node closes. */
+  const findStopRefusal = (request: ClientRequest, route: ReadView<Route>): Refusal | undefined => {
+    const { stop } = board.read('node');
+    if (stop === undefined) return undefined;
+    const nowMs = clock.now();
+    const neededMs = Math.min(request.timeLeftMs, route.timeoutMs);
+    if (isTakenWhileStopping(stop, { nowMs, deadlineAtMs: nowMs + neededMs })) return undefined;
+    const retryAfterMs = computeStopRetryDelay(stop, { nowMs, hasOtherNodes: hasOtherNodes() });
+    const closesInMs = Math.round(Math.max(0, stop.closeAtMs - nowMs));
+    const detail = `the node is stopping: it closes in ${closesInMs} ms, the request may take ${Math.round(neededMs)} ms`;
+    return { kind: 'stopping', detail, retryAfterMs };
+  };
+  const hasOtherNodes = (): boolean => {
+    const { self, byHost } = board.read('members');
+    for (const { dataCenter } of byHost.values()) if (dataCenter === self.dataCenter) return true;
+    return false;
+  };
   const startEntry = (entry: Entry): void => {
     if (isQuarantined(entry.request)) {
       refuse(entry, { kind: 'quarantined', detail: 'requests with this fingerprint crash their targets' });
--- a/src/control/requests/nodeController.ts
+++ b/src/control/requests/nodeController.ts
@@ -1,4 +1,5 @@
 import { scheduleRepeated } from '../../core/clock.js';
+import { closedStopPlan } from '../../policy/stopPlan.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
 import { hasTriedLinks } from './hostHistory.js';
@@ -33,8 +34,9 @@
     if (hasTriedLinks(board) || clock.now() - loadedSinceMs > MAX_LINK_WAIT_MS) enterPhase('ready');
   };
   node.handlePosts((post) => {
-    if (post.type === 'refuse') section.isRefusing = true;
-    else if (section.phase !== 'stopping') enterPhase('stopping');
+    if (section.phase === 'stopping') return;
+    section.stop = post.plan;
+    enterPhase('stopping');
   });
   return {
     start: () => {
@@ -44,7 +46,7 @@
     stop: () => {
       stopChecks();
       // Clients go on using open connections until the process has ended.
-      section.isRefusing = true;
+      section.stop = closedStopPlan;
     },
   };
 }
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -13,6 +13,7 @@
 import type { RouteTable } from '../../policy/routeTable.js';
 import type { RecordOrder } from '../../policy/memberOrder.js';
 import { createRunQueue } from '../../policy/runQueue.js';
+import type { StopPlan } from '../../policy/stopPlan.js';
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
@@ -97,8 +98,8 @@
   node: {
     phase: 'starting' | 'ready' | 'stopping';
     startedAtMs: number;
-    /** True near the end of the grace time: new requests are refused, since their answers might be truncated. */
-    isRefusing: boolean;
+    /** Which requests this node still takes; undefined until it stops. */
+    stop: StopPlan | undefined;
   };
   routes: { table: RouteTable | undefined; version: number; appliedAtMs: number };
   members: {
@@ -172,8 +173,7 @@
 /** The requests that other controllers and the front ends may post to the writer of a section. */
 export interface RequestPosts {
   settings: RequestSettings;
-  /** `refuse`: from now on, new requests are refused. */
-  node: { type: 'stop' } | { type: 'refuse' };
+  node: { type: 'stop'; plan: StopPlan };
   routes: { configuration: RouteConfiguration; source: string };
   members:
     | { type: 'apply'; members: readonly NodeMember[]; source: string; isComplete: boolean }
@@ -229,7 +229,7 @@
 }): RequestSections {
   return {
     settings: { current: options.settings },
-    node: { phase: 'starting', startedAtMs: options.nowMs, isRefusing: false },
+    node: { phase: 'starting', startedAtMs: options.nowMs, stop: undefined },
     routes: { table: undefined, version: -1, appliedAtMs: options.nowMs },
     members: {
       self: options.self,
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -23,6 +23,7 @@
 import { createDeadlineTimer } from '../core/deadlineTimer.js';
 import { generateId } from '../core/random.js';
 import type { Random } from '../core/random.js';
+import { createStopPlan, STOP_NOTICE_MS } from '../policy/stopPlan.js';
 import type { Heartbeat, NodeMember } from '../schema/nodeMember.js';
 import type { RequestSettings } from '../schema/requestSettings.js';
 
@@ -45,13 +46,7 @@
 }
 
 const INCARNATION_DIGITS = 12;
-/** Minimum duration of a stop (ms): clients detect it by the second failed readiness probe, and probe once a second. */
-const MIN_STOP_MS = 2600;
 const IDLE_CHECK_INTERVAL_MS = 50;
-/** Part of the grace time that is reserved for closing (ms). */
-const CLOSE_RESERVE_MS = 400;
-/** Time before closing in which new requests are refused (ms); most open requests end within it. */
-const REFUSE_BEFORE_CLOSE_MS = 1200;
 
 /**
  * Creates a node that serves HTTP requests to routes. Its I/O functions are passed as options, so that the daemon and
@@ -114,12 +109,9 @@
     stop: (done) => {
       const { graceSeconds } = board.read('settings').current.bounds;
       const nowMs = clock.now();
-      const closeAtMs = nowMs + graceSeconds * 1000 - CLOSE_RESERVE_MS;
-      board.post('node', { type: 'stop' });
-      clock.schedule(Math.max(0, closeAtMs - REFUSE_BEFORE_CLOSE_MS - nowMs), () => {
-        board.post('node', { type: 'refuse' });
-      });
-      waitForIdle(closeAtMs, nowMs + MIN_STOP_MS, done);
+      const plan = createStopPlan({ nowMs, graceMs: graceSeconds * 1000 });
+      board.post('node', { type: 'stop', plan });
+      waitForIdle(plan.closeAtMs, nowMs + STOP_NOTICE_MS, done);
     },
     close: () => {
       for (const controller of [...controllers].reverse()) controller.stop();
