Keep stopping gracefully after a second SIGTERM

Clients would get broken connections when a node got SIGTERM again during its planned stop.

Cause: the handler was registered for one signal, so that the next one had the default action, which ends the process.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -3,6 +3,7 @@
 import { formatFault } from '../schema/validate.js';
 import { readSettings } from './readSettings.js';
 import { startDaemon } from './startDaemon.js';
+import { handleStopSignals } from './stopSignals.js';
 
 const EXIT_FAILED = 1;
 /** The settings or a file that they name are invalid. */
@@ -19,11 +20,7 @@
   }
   const daemon = await startDaemon(readSettings(file));
   process.stdout.write(`${JSON.stringify({ listening: daemon.addresses })}\n`);
-  const stop = (): void => {
-    void daemon.stop().then(() => process.exit(0));
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  handleStopSignals(daemon.stop);
 }
 
 function reportFailure(error: unknown): void {
