Replace a silent link although its requests end before its timeout

Urgent requests end at their deadline of 400 ms, so that the clock of a silent urgent lane started again with each; 33 of them were replaced one by one from second 9 to 18. New requests went to silent links like to any other.

Change: a request asks for a life sign, which the peer sends at once, or a tick after its last frame, as an empty grant that older nodes accept. A lane that owes one for 300 ms gets no new requests while another lane or target is sound, and is replaced after 500 ms, with the idle lane beside it.

Before: 3 of 6 cases of tests/requests/silentLinks.test.ts fail. After: all 248 tests of tests/requests and platform/tests pass.

--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -1,12 +1,12 @@
 import type { TargetCandidate } from '../../policy/targetChoice.js';
 import type { TargetSpeed } from '../../policy/targetSpeed.js';
-import { chooseLane } from './context.js';
+import { chooseLane, isSuspectLane } from './context.js';
 import { readLocalLoad } from './localLoad.js';
 import type { RequestBoard } from './sections.js';
 
 const UNKNOWN_SPEED: TargetSpeed = { slowness: 1, samples: 0 };
 
-/** Lists the nodes whose target can currently accept a request for a service. */
+/** Lists the nodes whose target can currently accept a request for a service; those behind silent links only if there are no others. */
 export function listCandidates(
   board: RequestBoard,
   query: { service: string; priority: number; nowMs: number },
@@ -16,6 +16,7 @@
   const speeds = board.read('speeds').byService.get(service)?.byHost;
   const getSpeed = (host: string): TargetSpeed => speeds?.get(host) ?? UNKNOWN_SPEED;
   const candidates: TargetCandidate[] = [];
+  const suspects: TargetCandidate[] = [];
   const own = readLocalLoad(board, nowMs);
   if (own.phase === 'ready' && own.service === service) {
     const place = { host: self.host, isOwnHost: true, isLocalDataCenter: true, isUntried: false };
@@ -24,11 +25,13 @@
   for (const peer of board.read('links').byHost.values()) {
     const { host, load, lanes, sentSinceReport, lastTargetId } = peer;
     if (load.service !== service || load.phase !== 'ready') continue;
-    if (lanes[chooseLane(peer, priority)].phase !== 'up') continue;
+    const lane = lanes[chooseLane(peer, { priority, nowMs })];
+    if (lane.phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
     const isUntried = lastTargetId !== load.targetId;
     const speed = getSpeed(host);
-    candidates.push({ host, isOwnHost: false, isLocalDataCenter, isUntried, load, speed, sentSinceReport });
+    const candidate = { host, isOwnHost: false, isLocalDataCenter, isUntried, load, speed, sentSinceReport };
+    (isSuspectLane(lane, nowMs) ? suspects : candidates).push(candidate);
   }
-  return candidates;
+  return candidates.length > 0 ? candidates : suspects;
 }
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -5,7 +5,7 @@
 import type { LinkFrame, LinkLane } from '../../schema/linkFrame.js';
 import type { StoreRead, StoreWrite } from '../../schema/keyedStore.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
-import type { RequestBoard, PeerState } from './sections.js';
+import type { LinkState, RequestBoard, PeerState } from './sections.js';
 import type { SendToTarget } from './runPort.js';
 
 /** One open connection to another node. */
@@ -70,9 +70,23 @@
   io: RequestIo;
 }
 
-/** Returns the lane for a request: `urgent` for priority 0 while that lane is up, otherwise `routine`. */
-export function chooseLane({ lanes }: ReadView<Pick<PeerState, 'lanes'>>, priority: number): LinkLane {
-  return priority === 0 && lanes.urgent.phase === 'up' ? 'urgent' : 'routine';
+/** Time without any frame after a request was sent, after which its lane is suspected to be silent (ms). */
+const SUSPECT_AFTER_MS = 300;
+
+/** True when a lane owes a sign of life: peers respond to a request at once, or 100 ms and a tick after the last frame. */
+export function isSuspectLane({ unansweredSinceMs }: ReadView<LinkState>, nowMs: number): boolean {
+  return unansweredSinceMs !== undefined && nowMs - unansweredSinceMs > SUSPECT_AFTER_MS;
+}
+
+/** Returns the lane for a request: `urgent` for priority 0, unless only the routine one has shown life since. */
+export function chooseLane(
+  { lanes }: ReadView<Pick<PeerState, 'lanes'>>,
+  { priority, nowMs }: { priority: number; nowMs: number },
+): LinkLane {
+  const { urgent, routine } = lanes;
+  if (priority !== 0 || urgent.phase !== 'up') return 'routine';
+  const isRoutineAlive = routine.phase === 'up' && routine.lastReceivedMs > (urgent.unansweredSinceMs ?? Infinity);
+  return isSuspectLane(urgent, nowMs) && isRoutineAlive ? 'routine' : 'urgent';
 }
 
 /** True when a member is in the data centre of this node. */
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -12,6 +12,8 @@
 
 /** Interval between status frames on active connections (ms). */
 const ACTIVE_STATUS_INTERVAL_MS = 250;
+/** Minimum time between a frame and the life sign that responds to a request (ms); senders suspect a silent connection after 300 ms. */
+const MIN_LIFE_SIGN_INTERVAL_MS = 100;
 /** Interval between status frames on idle routine connections (ms); idle urgent connections carry none. */
 const IDLE_STATUS_INTERVAL_MS = 2000;
 /** The same within a data centre, whose nodes learn from each other of changes at the store (ms). */
@@ -34,6 +36,9 @@
   statusAtMs: number;
   /** Time at which an answer last carried the load. */
   loadAtMs: number;
+  /** The last received request, if nothing was sent since. */
+  owedRunId: number | undefined;
+  lifeSignAtMs: number;
   profileAtMs: number;
   /** The profile that was sent last. */
   profile: Profile;
@@ -75,10 +80,24 @@
   };
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
     lane.statusAtMs = clock.now();
+    lane.owedRunId = undefined;
     const record = board.read('members').byHost.get(lane.host);
     if (record === undefined) lane.runs.send(status);
     else lane.runs.send({ ...status, held: { incarnation: record.incarnation, revision: record.revision } });
   };
+  /**
+   * Shows the sender of a request that the connection works in both directions: now, or at a tick if it was shown just
+   * before. It carries no load: senders count what they sent since the last report.
+   */
+  const sendLifeSign = (lane: IncomingLane): void => {
+    const { owedRunId, statusAtMs, loadAtMs, lifeSignAtMs } = lane;
+    const nowMs = clock.now();
+    if (owedRunId === undefined) return;
+    if (nowMs - Math.max(statusAtMs, loadAtMs, lifeSignAtMs) < MIN_LIFE_SIGN_INTERVAL_MS) return;
+    lane.owedRunId = undefined;
+    lane.lifeSignAtMs = nowMs;
+    lane.runs.send({ type: 'grant', id: owedRunId, bytes: 0 });
+  };
   /** Tells a peer that this node holds the record which it sent of itself; its acknowledgements may depend on such copies. */
   const acknowledgeRecord = (lane: IncomingLane, frame: LinkFrame): void => {
     if (frame.type === 'members' && frame.members.some(({ host }) => host === lane.host))
@@ -117,7 +136,10 @@
         readLoad: () => {
           // Answers carry the load too, which postpones the next status frame.
           const nowMs = clock.now();
-          if (entry !== undefined) entry.loadAtMs = nowMs;
+          if (entry !== undefined) {
+            entry.loadAtMs = nowMs;
+            entry.owedRunId = undefined;
+          }
           return readLocalLoad(board, nowMs);
         },
         reportDiscarded: (requestId, outcome) => {
@@ -135,6 +157,8 @@
             : IDLE_STATUS_INTERVAL_MS,
         statusAtMs: 0,
         loadAtMs: 0,
+        owedRunId: undefined,
+        lifeSignAtMs: 0,
         profileAtMs: 0,
         profile: createEmptyProfile(),
         usedAtMs: 0,
@@ -180,6 +204,10 @@
           } else if (lane?.runs.isCurrent(connection) === true) {
             lane.usedAtMs = clock.now();
             lane.runs.receive(frame);
+            if (frame.type === 'run') {
+              lane.owedRunId = frame.id;
+              sendLifeSign(lane);
+            }
             options.updates.receive(lane.host, frame, connection);
             acknowledgeRecord(lane, frame);
           }
@@ -196,6 +224,7 @@
       const nowMs = clock.now();
       const status = buildStatus();
       for (const lane of incoming.values()) {
+        sendLifeSign(lane);
         const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < ACTIVE_WINDOW_MS;
         if (!isActive && lane.lane === 'urgent') continue;
         if (!onlyIfDue || isStatusDue(lane, nowMs, isActive)) sendStatus(lane, status);
--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -3,7 +3,7 @@
 import { createOutgoingRuns } from './outgoingRuns.js';
 import type { OutgoingRuns } from './outgoingRuns.js';
 import { createEmptyProfile, createUnknownLoad } from './sections.js';
-import type { PeerState } from './sections.js';
+import type { LinkState, PeerState } from './sections.js';
 
 export const MIN_REDIAL_MS = 10;
 
@@ -24,11 +24,15 @@
   isRemoved: boolean;
 }
 
+function createLinkState(): LinkState {
+  return { phase: 'down', lastReceivedMs: 0, unansweredSinceMs: undefined };
+}
+
 /** Creates the state of a peer from which nothing has been received. */
 export function createPeer(host: string): PeerState {
   return {
     host,
-    lanes: { urgent: { phase: 'down', lastReceivedMs: 0 }, routine: { phase: 'down', lastReceivedMs: 0 } },
+    lanes: { urgent: createLinkState(), routine: createLinkState() },
     load: createUnknownLoad(),
     loadAtMs: 0,
     sentSinceReport: 0,
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -14,6 +14,11 @@
 
 /** Time without received frames after which a connection with pending requests is replaced (ms). */
 const ACTIVE_TIMEOUT_MS = 750;
+/**
+ * The same after the first request that was sent since the last frame, to which the peer responds at once (ms). The request
+ * itself may have been given up since.
+ */
+const UNANSWERED_TIMEOUT_MS = 500;
 /** The same for an idle routine connection; idle urgent connections carry no frames and are not checked. */
 const IDLE_TIMEOUT_MS = 5000;
 /**
@@ -76,6 +81,7 @@
       opened: (connection) => {
         lane.connection = connection;
         state.lastReceivedMs = clock.now();
+        state.unansweredSinceMs = undefined;
         const { self } = board.read('members');
         const pending = lane.runs.listPending();
         connection.send({ type: 'hello', to: lane.peer.host, member: self as NodeMember, lane: lane.lane, pending });
@@ -154,7 +160,9 @@
   };
   const receive = (lane: OutgoingLane, frame: LinkFrame): void => {
     const { peer } = lane;
-    peer.lanes[lane.lane].lastReceivedMs = clock.now();
+    const state = peer.lanes[lane.lane];
+    state.lastReceivedMs = clock.now();
+    state.unansweredSinceMs = undefined;
     if (frame.type === 'answer' || frame.type === 'failed') updateLoad(peer, frame.load);
     if (lane.runs.receive(frame)) return;
     if (frame.type === 'hello') receiveHello(lane, frame);
@@ -224,6 +232,12 @@
     lane.disconnect();
     lane.runs.failAll(`${lane.peer.host} is no longer a member or peer`);
   };
+  /** Replaces the other connection to a peer whose connection fell silent, if no request waits on it. */
+  const replaceIdleSibling = ({ peer, lane }: OutgoingLane): void => {
+    const sibling = outgoing.get(buildKey(peer.host, lane === 'urgent' ? 'routine' : 'urgent'));
+    if (sibling === undefined || sibling.runs.pendingCount > 0) return;
+    if (peer.lanes[sibling.lane].phase === 'up') reconnect(sibling, `the ${lane} connection fell silent`);
+  };
   const checkLane = (lane: OutgoingLane, nowMs: number): void => {
     const state = lane.peer.lanes[lane.lane];
     const { pendingCount } = lane.runs;
@@ -235,6 +249,12 @@
         reconnect(lane, 'no hello frame received');
       return;
     }
+    const unansweredMs = nowMs - (state.unansweredSinceMs ?? nowMs);
+    if (unansweredMs > UNANSWERED_TIMEOUT_MS) {
+      reconnect(lane, `no sign of life for ${Math.round(unansweredMs)} ms after a request`);
+      replaceIdleSibling(lane);
+      return;
+    }
     if (pendingCount === 0 && lane.lane === 'urgent') return;
     const waitStartMs = Math.max(state.lastReceivedMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
     const idleTimeoutMs = isInOwnDataCenter(board, lane.peer.host) ? LOCAL_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
@@ -247,13 +267,15 @@
     updatePeers,
     sendRun: (attempt) => {
       const peer = byHost.get(attempt.host);
-      const name = peer === undefined ? 'routine' : chooseLane(peer, attempt.request.priority);
+      const name =
+        peer === undefined ? 'routine' : chooseLane(peer, { priority: attempt.request.priority, nowMs: clock.now() });
       const lane = outgoing.get(buildKey(attempt.host, name));
       if (lane?.peer.lanes[lane.lane].phase !== 'up') {
         const detail = `no connection to ${attempt.host}`;
         attempt.events.fail({ kind: 'linkLost', ran: 'no', hasArrived: false, detail });
         return;
       }
+      lane.peer.lanes[lane.lane].unansweredSinceMs ??= clock.now();
       if (lane.runs.pendingCount === 0) lane.waitingSinceMs = clock.now();
       lane.peer.outstanding++;
       lane.peer.sentSinceReport++;
@@ -275,7 +297,9 @@
       if (nowMs - chosenAtMs >= PEER_CHOICE_INTERVAL_MS) updatePeers();
       for (const lane of outgoing.values()) {
         // Compensates for pauses of this process, which must not make its peers look unresponsive.
-        lane.peer.lanes[lane.lane].lastReceivedMs += lateMs;
+        const state = lane.peer.lanes[lane.lane];
+        state.lastReceivedMs += lateMs;
+        if (state.unansweredSinceMs !== undefined) state.unansweredSinceMs += lateMs;
         checkLane(lane, nowMs);
       }
     },
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -29,6 +29,8 @@
   phase: 'down' | 'dialling' | 'up';
   /** Monotonic time (ms) of the last received frame. */
   lastReceivedMs: number;
+  /** Monotonic time (ms) of the first request that was sent since then; undefined if there is none. */
+  unansweredSinceMs: number | undefined;
 }
 
 /** State of another node as received over the links. Times are monotonic (ms). */
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -133,7 +133,7 @@
   data: Type.Uint8Array(),
   isLast: Type.Boolean(),
 });
-/** Allows the receiver to send further bytes of a streamed body. */
+/** Allows the receiver to send further bytes of a streamed body; 0 bytes only show that the request has arrived. */
 export const grantFrameSchema = Type.Object({ type: Type.Literal('grant'), id: runId, bytes: Type.Integer() });
 export const cancelFrameSchema = Type.Object({ type: Type.Literal('cancel'), id: runId });
 export const answerFrameSchema = Type.Object({
