Keep the body of a request that waits for its target

Cause: parts of a streamed body that arrived before the request was sent to the target were dropped, and no credit was returned for them.

Ruled out: a change of the link (none in the case), and a second attempt (streamed requests are not repeated).

Change: the parts are kept within a bound for each request and for the node, sent first when the request starts, and dropped with it. Beyond the bounds the request is refused as not run. A running request whose body is incomplete is aborted when its sender is gone.

--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -10,6 +10,8 @@
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
 import type { Run } from './sections.js';
 import { createTargetGate } from './targetGate.js';
+import { createWaitingBodies } from './waitingBodies.js';
+import type { WaitingBody } from './waitingBodies.js';
 
 /** Time past its deadline after which a running request is abandoned, so that the target can time out first (ms). */
 const ABANDON_DELAY_MS = 15;
@@ -24,6 +26,7 @@
   const runs = board.claim('runs', 'runController');
   const { section } = runs;
   const { queue, running, duration, durationByRoute, startedByRoute, counts } = section;
+  const bodies = createWaitingBodies();
   let consecutiveTimeouts = 0;
 
   const countResult = (result: string): void => {
@@ -141,6 +144,32 @@
         },
       },
     );
+    sendWaitingBody(run);
+  };
+  const takeBody = (run: Run): WaitingBody | undefined => {
+    const body = bodies.take(run);
+    section.waitingBodyBytes = bodies.bytes;
+    return body;
+  };
+  const sendWaitingBody = (run: Run): void => {
+    const body = takeBody(run);
+    if (body === undefined) return;
+    if (body.parts.length > 0) run.target?.sendBody(Buffer.concat(body.parts), false);
+    if (body.hasEnded) run.target?.sendBody(new Uint8Array(), true);
+  };
+  /** Passes a part of a streamed body to the target, or keeps it until the request is sent there. */
+  const receiveBody = (run: Run, data: Uint8Array, isLast: boolean): void => {
+    run.isBodyComplete ||= isLast;
+    if (run.phase !== 'queued') {
+      run.target?.sendBody(data, isLast);
+      return;
+    }
+    const isKept = bodies.add(run, data, isLast);
+    section.waitingBodyBytes = bodies.bytes;
+    if (isKept) return;
+    queue.drop(run);
+    reportRun(run, 'queueFull', `no room for its body beside ${bodies.bytes} bytes of others`);
+    refuseRun(run, 'queueFull', 'the node keeps no more bodies of waiting requests');
   };
   const startQueued = (): void => {
     const limit = computeRunLimit(board.read('target').slots);
@@ -155,15 +184,19 @@
     }
   };
   const gate = createTargetGate(context, { section, startQueued });
-  const refuseRun = (run: Run, kind: RunFailureKind, detail: string): void => {
+  /** Ends a request that was not sent to the target. */
+  const endQueued = (run: Run): void => {
     run.phase = 'ended';
     run.cancelDeadline();
+    takeBody(run);
+  };
+  const refuseRun = (run: Run, kind: RunFailureKind, detail: string): void => {
+    endQueued(run);
     refuse(run.events, kind, detail);
   };
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
-    run.phase = 'ended';
-    run.cancelDeadline();
+    endQueued(run);
     countResult('tooLate');
     reportRun(run, 'tooLate', 'the deadline passed in the queue');
     run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
@@ -194,10 +227,9 @@
   const cancel = (run: Run): void => {
     if (run.phase === 'queued') {
       queue.drop(run);
-      run.phase = 'ended';
-      run.cancelDeadline();
+      endQueued(run);
       countResult('cancelled');
-    } else if (run.phase === 'running' && run.request.isIdempotent) {
+    } else if (run.phase === 'running' && (run.request.isIdempotent || !run.isBodyComplete)) {
       run.target?.cancel();
       addUnansweredSample(run);
       end(run, 'cancelled', 'the caller cancelled the request');
@@ -227,6 +259,7 @@
       startedAtMs: 0,
       isDropped: false,
       hasFailed: false,
+      isBodyComplete: !request.isStreamed,
       target: undefined,
       cancelDeadline: () => undefined,
     };
@@ -245,7 +278,9 @@
         cancel(run);
       },
       grantAnswer: (bytes) => run.target?.grantAnswer(bytes),
-      sendBody: (data, isLast) => run.target?.sendBody(data, isLast),
+      sendBody: (data, isLast) => {
+        receiveBody(run, data, isLast);
+      },
     };
     queue.add(run);
     startQueued();
--- a/src/control/requests/runPort.ts
+++ b/src/control/requests/runPort.ts
@@ -38,7 +38,7 @@
 
 /** Controls a request from the side that sent it. */
 export interface RunHandle {
-  /** Cancels the request: a queued one is not started, a running one is aborted if it is idempotent. */
+  /** Cancels the request: a queued one is not started, a running one is aborted if it is idempotent or incomplete. */
   cancel(): void;
   /** Allows the other side to send this many more bytes of the answer body. */
   grantAnswer(bytes: number): void;
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -69,6 +69,8 @@
   isDropped: boolean;
   /** True once the target answered with an error. */
   hasFailed: boolean;
+  /** True once the whole body of the request arrived at this node. */
+  isBodyComplete: boolean;
   /** Controls the request at the target while it runs. */
   target: RunHandle | undefined;
   cancelDeadline: () => void;
@@ -131,6 +133,8 @@
     failures: FailureShare;
     /** Holds back requests to a target that named a limit. */
     gate: RateGate | undefined;
+    /** Bytes of streamed bodies that are kept for queued requests. */
+    waitingBodyBytes: number;
     /** Monotonic time (ms) of the target's last answer. */
     answeredAtMs: number;
     /** Number of ended requests, by result. */
@@ -265,6 +269,7 @@
       startedByRoute: new Map(),
       failures: createFailureShare(),
       gate: undefined,
+      waitingBodyBytes: 0,
       answeredAtMs: options.nowMs,
       counts: new Map(),
     },
