End a streamed answer whose beginning was lost with its connection

Cause: a request counted as open until the last part of its answer, and was resumed on the connection that replaced a silent one although the head had been sent on the old one.

Ruled out: frames read from the old connection, which its opener closes.

Change: a request whose answer has begun ends as broken off when its connection is replaced. A part without a head counts as a broken-off answer at the entry, and nothing is written to a client before a head.

Before: both new cases of tests/requests/links.test.ts fail. After: all tests of tests/requests pass.

--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -69,6 +69,11 @@
         },
         part: (data, isLast) => {
           if (entry.isEnded || entry.attempt !== attempt) return;
+          if (!entry.isAnswering) {
+            const detail = 'a part of an answer arrived without its beginning';
+            receiveFailure(entry, attempt, { kind: 'answerTruncated', ran: 'unknown', hasArrived: true, detail });
+            return;
+          }
           if (isLast) callbacks.end(entry, 'answered', '');
           entry.reply.part(data, isLast);
         },
--- a/src/control/requests/incomingRuns.ts
+++ b/src/control/requests/incomingRuns.ts
@@ -23,6 +23,8 @@
 interface OpenRun {
   readonly id: number;
   readonly attempt: RunAttempt;
+  /** True once the head of a streamed answer was sent; the rest must follow on the same connection. */
+  isAnswering: boolean;
 }
 
 interface RetainedAnswer {
@@ -95,8 +97,12 @@
   const buildEvents = (id: number, getRun: () => OpenRun): RunEvents => ({
     answer: ({ status, headers, body, isStreamed }) => {
       const frame: AnswerFrame = { type: 'answer', id, status, headers, body, isStreamed, load: options.readLoad() };
-      if (!isStreamed) finish(getRun(), frame);
-      else if (isOpen(getRun())) connection?.send(frame);
+      const run = getRun();
+      if (!isStreamed) finish(run, frame);
+      else if (isOpen(run)) {
+        run.isAnswering = true;
+        connection?.send(frame);
+      }
     },
     part: (data, isLast) => {
       if (!isOpen(getRun())) return;
@@ -115,6 +121,7 @@
     const run: OpenRun = {
       id,
       attempt: { host, request, events: buildEvents(id, () => run), handle: undefined },
+      isAnswering: false,
     };
     open.set(id, run);
     options.accept(run.attempt);
@@ -127,8 +134,19 @@
   const cancelAll = (): void => {
     for (const id of [...open.keys()]) cancel(id);
   };
+  /** Ends a request whose answer began on an earlier connection, where its head was lost. */
+  const endTruncated = (run: OpenRun): void => {
+    const detail = 'the beginning of the answer was lost with its connection';
+    run.attempt.handle?.cancel();
+    const failure = { kind: 'answerTruncated' as const, ran: 'unknown' as const, hasArrived: true, detail };
+    finish(run, { type: 'failed', id: run.id, failure, load: options.readLoad() });
+  };
   const resume = (id: number): void => {
-    if (open.has(id)) return;
+    const run = open.get(id);
+    if (run !== undefined) {
+      if (run.isAnswering) endTruncated(run);
+      return;
+    }
     const answer = retained.find(({ frame }) => frame.id === id);
     if (answer !== undefined) {
       connection?.send(answer.frame);
--- a/src/http/responseWriter.ts
+++ b/src/http/responseWriter.ts
@@ -59,7 +59,7 @@
     end();
   };
   const writePart = (data: Uint8Array, isLast: boolean): void => {
-    if (hasEnded || !socket.writable) return;
+    if (!hasBegun || hasEnded || !socket.writable) return;
     if (data.length > 0) {
       if (isChunked) socket.write(`${data.length.toString(16)}\r\n`, 'latin1');
       socket.write(data, () => {
--- a/tests/requests/links.test.ts
+++ b/tests/requests/links.test.ts
@@ -24,6 +24,28 @@
     expect(fleet.targets.get('a2')?.ran).toEqual(['r1']);
   });
 
+  // Guards against the middle of an answer reaching a client that never got its head.
+  for (const kind of ['idempotent', 'nonIdempotent'] as const) {
+    it(`should not resume a streamed answer whose head was lost with the connection: ${kind}`, () => {
+      const route = buildRoute('check', 'stock', { kind, timeoutMs: 5000 });
+      const fleet = createRequestFleet({ hosts, configuration: buildRouteConfiguration(1, [route]) });
+      getTarget(fleet, 'a2').respond = (_send, events) => {
+        fleet.clock.schedule(50, () => {
+          events.answer({ status: 200, headers: [], body: Buffer.from('first'), isStreamed: true });
+        });
+        fleet.clock.schedule(1500, () => {
+          events.part(Buffer.from('second'), true);
+        });
+        return 'handled';
+      };
+      const sent = fleet.send('a1', { timeLeftMs: 5000 });
+      fleet.clock.advance(10);
+      fleet.links.discardFrames('a1', 'a2');
+      fleet.clock.advance(3000);
+      expect([sent.answer, sent.parts, sent.refusal?.kind]).toEqual([undefined, [], 'failed']);
+    });
+  }
+
   // Guards against the reconnect timer of the first disconnection expiring during the second one.
   it('should not cancel a running request when its connection is reset twice within a second', () => {
     const fleet = createRequestFleet({
