Refuse HEAD requests without a body

Cause: the refusal was written without regard to the method. Answers of targets to HEAD, and 204 and 304, had no body before either; refusals have none of these statuses.

Before: the new case of tests/requests/requestServer.test.ts fails.

--- a/src/http/responseWriter.ts
+++ b/src/http/responseWriter.ts
@@ -101,7 +101,7 @@
       if (hasBegun || !socket.writable) return;
       hasBegun = true;
       const { head, body } = formatRefusal(refusal);
-      socket.write(`${head}${options.formatConnectionHeaders()}\r\n${body}`);
+      socket.write(`${head}${options.formatConnectionHeaders()}\r\n${method === 'HEAD' ? '' : body}`);
       end();
     },
   };
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -110,6 +110,21 @@
     expect(accepted.map(({ request }) => request.path)).toEqual(['/a', '/b']);
   });
 
+  // Guards against a body after a response to HEAD, which the client reads as its next response.
+  it('should refuse a HEAD request without a body, and serve the next request on the connection', async () => {
+    const { server, accepted } = await startServer((entry) => {
+      if (entry.request.method === 'HEAD') entry.reply.refuse({ kind: 'noTarget', detail: 'none' });
+      else sendAnswer(entry);
+    });
+    const client = openClient(server);
+    client.socket.write('HEAD /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
+    await waitUntil('the refusal arrived', () => client.readText().endsWith('\r\n\r\n'));
+    client.socket.write('GET /b HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\n\r\n');
+    await waitUntil('the answer arrived', () => client.readText().endsWith('ok'));
+    expect(accepted.map(({ request }) => request.method)).toEqual(['HEAD', 'GET']);
+    expect(/^HTTP\/1.1 503[^{}]*\r\n\r\nHTTP\/1.1 200/.test(client.readText())).toEqual(true);
+  });
+
   it('should pass on a short body as a whole, whether sent with a length or in chunks', async () => {
     const { server, accepted } = await startServer(sendAnswer);
     const client = openClient(server);
