--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -6,7 +6,10 @@
 
 const UNKNOWN_SPEED: TargetSpeed = { slowness: 1, samples: 0 };
 
-/** Lists the nodes whose target can currently accept a request for a service; those behind silent links only if there are no others. */
+/**
+ * Lists the nodes whose target can currently accept a request for a service; those behind links that are suspected to be
+ * silent only if there are no others.
+ */
 export function listCandidates(
   board: RequestBoard,
   query: { service: string; priority: number; nowMs: number },
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -71,6 +71,7 @@
           if (entry.isEnded || entry.attempt !== attempt) return;
           if (!entry.isAnswering) {
             const detail = 'a part of an answer arrived without its beginning';
+            attempt.handle?.cancel();
             receiveFailure(entry, attempt, { kind: 'answerTruncated', ran: 'unknown', hasArrived: true, detail });
             return;
           }
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -12,7 +12,10 @@
 
 /** Interval between status frames on active connections (ms). */
 const ACTIVE_STATUS_INTERVAL_MS = 250;
-/** Minimum time between a frame and the life sign that responds to a request (ms); senders suspect a silent connection after 300 ms. */
+/**
+ * Minimum time between a frame and the life sign that responds to a request (ms); senders suspect a silent connection after
+ * 300 ms.
+ */
 const MIN_LIFE_SIGN_INTERVAL_MS = 100;
 /** Interval between status frames on idle routine connections (ms); idle urgent connections carry none. */
 const IDLE_STATUS_INTERVAL_MS = 2000;
@@ -98,7 +101,9 @@
     lane.lifeSignAtMs = nowMs;
     lane.runs.send({ type: 'grant', id: owedRunId, bytes: 0 });
   };
-  /** Tells a peer that this node holds the record which it sent of itself; its acknowledgements may depend on such copies. */
+  /**
+   * Tells a peer that this node holds the record which it sent of itself; its acknowledgements may depend on such copies.
+   */
   const acknowledgeRecord = (lane: IncomingLane, frame: LinkFrame): void => {
     if (frame.type === 'members' && frame.members.some(({ host }) => host === lane.host))
       sendStatus(lane, buildStatus());
