Share sending a host's history between both ends of a link

The accepting and the opening end each looked up the record, compared it and sent it. Also removes an assignment of the target's phase that the next lines repeat or that changes nothing. Behaviour stays as it is.

--- a/src/control/requests/hostHistory.ts
+++ b/src/control/requests/hostHistory.ts
@@ -1,3 +1,6 @@
+import { isHistoryNews } from '../../policy/targetHistory.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
+import type { LinkConnection } from './context.js';
 import type { RequestBoard } from './sections.js';
 
 /** Time within which peers send a new process the state that its predecessor published (ms). */
@@ -16,6 +19,12 @@
   return true;
 }
 
+/** Lets a restarted process restore its published state from its peers, even while the store is unavailable. */
+export function sendHistory(board: RequestBoard, connection: LinkConnection, member: NodeMember): void {
+  const record = board.read('members').byHost.get(member.host) as NodeMember | undefined;
+  if (record !== undefined && isHistoryNews(record, member)) connection.send({ type: 'members', members: [record] });
+}
+
 /**
  * True once this process knows what earlier processes of its host acknowledged. The store may be late with a record that
  * the peers have, and the peers may have been restarted, so both are heard.
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -1,11 +1,11 @@
 import type { HelloFrame, LinkFrame, LinkLane, Profile, StatusFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
+import { sendHistory } from './hostHistory.js';
 import { createIncomingRuns } from './incomingRuns.js';
 import type { IncomingRuns } from './incomingRuns.js';
 import type { PeerUpdates } from './peerUpdates.js';
 import type { RunAttempt } from './runPort.js';
-import { isHistoryNews } from '../../policy/targetHistory.js';
 import { hasDemandChanged } from '../../policy/fleetDemand.js';
 import { readLocalLoad } from './localLoad.js';
 import { createEmptyProfile } from './sections.js';
@@ -180,11 +180,8 @@
   const acceptHello = (connection: LinkConnection, hello: HelloFrame): IncomingLane => {
     const { host } = hello.member;
     const lane = getLane(hello);
-    const record = board.read('members').byHost.get(host);
-    // Lets a restarted process restore its published state from its peers, before it counts the link as up.
-    if (record !== undefined && isHistoryNews(record as NodeMember, hello.member)) {
-      connection.send({ type: 'members', members: [record as NodeMember] });
-    }
+    // Before the hello, with which the peer counts this link as up.
+    sendHistory(board, connection, hello.member);
     sendHello(connection, hello);
     lane.runs.attach(connection, hello);
     sendStatus(lane, buildStatus());
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -2,10 +2,10 @@
 import type { ReadView } from '../../core/blackboard.js';
 import { choosePeers } from '../../policy/peerChoice.js';
 import { listParts } from '../../policy/routeTable.js';
-import { isHistoryNews } from '../../policy/targetHistory.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { chooseLane, isInOwnDataCenter } from './context.js';
-import type { LinkConnection, RequestContext } from './context.js';
+import type { RequestContext } from './context.js';
+import { sendHistory } from './hostHistory.js';
 import type { PeerUpdates } from './peerUpdates.js';
 import { createLane, createPeer, MIN_REDIAL_MS } from './outgoingLane.js';
 import type { OutgoingLane } from './outgoingLane.js';
@@ -126,7 +126,7 @@
     if (lane.incarnation !== '' && lane.incarnation !== member.incarnation) {
       lane.runs.failAll(`the process of ${lane.peer.host} was restarted`);
     }
-    sendPreviousRecord(lane.connection, member);
+    sendHistory(board, lane.connection, member);
     lane.incarnation = member.incarnation;
     lane.redialPauseMs = MIN_REDIAL_MS;
     lane.peer.lanes[lane.lane].phase = 'up';
@@ -135,12 +135,6 @@
     board.post('members', { type: 'apply', members: [member], source: lane.peer.host, isComplete: false });
     options.publishChange();
   };
-  /** Lets a restarted process restore its published state from its peers, even while the store is unavailable. */
-  const sendPreviousRecord = (connection: LinkConnection, member: NodeMember): void => {
-    const record = board.read('members').byHost.get(member.host);
-    if (record === undefined || !isHistoryNews(record as NodeMember, member)) return;
-    connection.send({ type: 'members', members: [record as NodeMember] });
-  };
   const receiveStatus = (peer: PeerState, frame: StatusFrame): void => {
     const hasChanged =
       peer.load.phase !== frame.load.phase ||
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -99,7 +99,6 @@
     const isLeaving =
       heartbeat.state === 'draining' || previousPhase === 'draining' || hasLeft(id, heartbeat.startedAtMs);
     const phase = previousPhase === 'left' ? 'left' : isLeaving ? 'draining' : 'ready';
-    section.phase = phase;
     if (phase !== previousPhase) {
       enterPhase(phase, 'heartbeat');
       publish();
