--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -12,9 +12,9 @@
  */
 export function listCandidates(
   board: RequestBoard,
-  query: { service: string; priority: number; nowMs: number },
+  query: { service: string; isUrgent: boolean; nowMs: number },
 ): TargetCandidate[] {
-  const { service, priority, nowMs } = query;
+  const { service, isUrgent, nowMs } = query;
   const { self, byHost: members } = board.read('members');
   const speeds = board.read('speeds').byService.get(service)?.byHost;
   const getSpeed = (host: string): TargetSpeed => speeds?.get(host) ?? UNKNOWN_SPEED;
@@ -28,7 +28,7 @@
   for (const peer of board.read('links').byHost.values()) {
     const { host, load, lanes, sentSinceReport, lastTargetId } = peer;
     if (load.service !== service || load.phase !== 'ready') continue;
-    const lane = lanes[chooseLane(peer, { priority, nowMs })];
+    const lane = lanes[chooseLane(peer, { isUrgent, nowMs })];
     if (lane.phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
     const isUntried = lastTargetId !== load.targetId;
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -78,13 +78,13 @@
   return unansweredSinceMs !== undefined && nowMs - unansweredSinceMs > SUSPECT_AFTER_MS;
 }
 
-/** Returns the lane for a request: `urgent` for priority 0, unless only the routine one has shown life since. */
+/** Returns the lane for a request: `urgent` if it may take that one, unless only the routine one has shown life since. */
 export function chooseLane(
   { lanes }: ReadView<Pick<PeerState, 'lanes'>>,
-  { priority, nowMs }: { priority: number; nowMs: number },
+  { isUrgent, nowMs }: { isUrgent: boolean; nowMs: number },
 ): LinkLane {
   const { urgent, routine } = lanes;
-  if (priority !== 0 || urgent.phase !== 'up') return 'routine';
+  if (!isUrgent || urgent.phase !== 'up') return 'routine';
   const isRoutineAlive = routine.phase === 'up' && routine.lastReceivedMs > (urgent.unansweredSinceMs ?? Infinity);
   return isSuspectLane(urgent, nowMs) && isRoutineAlive ? 'routine' : 'urgent';
 }
--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -1,7 +1,7 @@
 import type { ReadView } from '../../core/blackboard.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
-import type { Route } from '../../schema/routeConfiguration.js';
+import type { Organisation, Route } from '../../schema/routeConfiguration.js';
 import type { RunAnswer, RunAttempt } from './runPort.js';
 
 /** A request as received by the HTTP front end. */
@@ -13,6 +13,10 @@
   host: string;
   /** End-to-end headers, alternating names and values. */
   headers: string[];
+  /** Headers about the sender's identity, which are forwarded only where no keys are needed. */
+  identityHeaders: string[];
+  /** Key of an organisation; undefined if the request has none. */
+  key: string | undefined;
   /** How long the client waits for the answer (ms). */
   timeLeftMs: number;
   /** The complete body; undefined if there is none or if it follows in parts. */
@@ -37,6 +41,12 @@
   readonly reply: ClientReply;
   readonly route: ReadView<Route>;
   readonly service: string;
+  /** The organisation that sent the request; undefined if none did. */
+  readonly organisation: ReadView<Organisation> | undefined;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** True if the request may take the lane of urgent requests. */
+  readonly isUrgent: boolean;
   /** Version of the configuration by which the route was chosen. */
   readonly configurationVersion: number;
   readonly arrivedAtMs: number;
@@ -66,15 +76,20 @@
   reply: ClientReply;
   route: ReadView<Route>;
   service: string;
+  organisation: ReadView<Organisation> | undefined;
   configurationVersion: number;
   nowMs: number;
 }): Entry {
-  const { request, reply, route, service, configurationVersion, nowMs } = options;
+  const { request, reply, route, service, organisation, configurationVersion, nowMs } = options;
+  const priority = organisation?.priority ?? route.priority;
   return {
     request,
     reply,
     route,
     service,
+    organisation,
+    priority,
+    isUrgent: priority === 0 && !route.isBulk,
     configurationVersion,
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
@@ -93,17 +108,18 @@
 
 /** Builds the request that is sent to the target's node. */
 export function buildRun(entry: Entry, callerService: string, nowMs: number): RunRequest {
-  const { request, route, service, arrivedAtMs, deadlineAtMs } = entry;
+  const { request, route, service, priority, organisation, arrivedAtMs, deadlineAtMs } = entry;
   return {
     requestId: request.requestId,
     service,
     route: route.name,
-    priority: route.priority,
-    isIdempotent: route.kind === 'idempotent',
+    priority,
+    isIdempotent: route.isIdempotent,
     method: request.method,
     path: request.path,
     headers: request.headers,
     callerService,
+    ...(organisation === undefined ? {} : { organisation: organisation.name }),
     timeLeftMs: Math.max(0, deadlineAtMs - nowMs),
     // Time until the answer exceeds the target latency; negative afterwards.
     worthLeftMs: arrivedAtMs + route.targetLatencyMs - nowMs,
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -42,12 +42,12 @@
   const { callbacks } = options;
   const { latencyByRoute } = options.section;
 
-  const chooseNext = ({ route, service, triedHosts }: Entry): TargetCandidate | undefined => {
-    const candidates = listCandidates(board, { service, priority: route.priority, nowMs: clock.now() }).filter(
+  const chooseNext = ({ route, service, priority, isUrgent, triedHosts }: Entry): TargetCandidate | undefined => {
+    const candidates = listCandidates(board, { service, isUrgent, nowMs: clock.now() }).filter(
       ({ host }) => !triedHosts.has(host),
     );
     // Targets are tried with idempotent requests that are not urgent.
-    const canProbe = route.kind === 'idempotent' && route.priority > 0;
+    const canProbe = route.isIdempotent && priority > 0;
     const trial = canProbe ? chooseTrial(candidates, random) : undefined;
     if (trial !== undefined) return trial;
     const speeds = board.read('speeds').byService.get(service) ?? defaultSpeeds;
@@ -90,11 +90,11 @@
     entry.attempt = attempt;
     entry.sentAtMs = clock.now();
     if (isOwnHost) board.post('runs', { type: 'accept', attempt });
-    else board.post('links', { type: 'send', attempt });
+    else board.post('links', { type: 'send', attempt, isUrgent: entry.isUrgent });
   };
   const describeAttempt = (entry: Entry, failure: RunFailure): FailedAttempt => ({
     failure,
-    isIdempotent: entry.route.kind === 'idempotent',
+    isIdempotent: entry.route.isIdempotent,
     isRepeatable: !entry.request.isStreamed && !entry.isAnswering,
     arrivals: entry.arrivals,
     maxAttempts: entry.route.maxAttempts,
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -4,6 +4,7 @@
 import { choosePart } from '../../policy/partChoice.js';
 import { resolveSuspect } from '../../policy/quarantine.js';
 import { computeStopRetryDelay, isTakenWhileStopping } from '../../policy/stopPlan.js';
+import { findCaller } from '../../policy/organisations.js';
 import { findRoute, listParts } from '../../policy/routeTable.js';
 import { removeNotRunGuarantee } from '../../schema/refusal.js';
 import type { Refusal } from '../../schema/refusal.js';
@@ -34,12 +35,13 @@
   const open = new Set<Entry>();
 
   const report = (entry: Entry, outcome: string, detail: string): void => {
-    const { route, service, request, configurationVersion } = entry;
+    const { route, service, organisation, request, configurationVersion } = entry;
     const { version } = board.read('routes');
     const kind = outcome === 'answered' ? 'requestEnded' : 'requestRefused';
     const inputs = {
       route: route.name,
       service,
+      ...(organisation === undefined ? {} : { organisation: organisation.name }),
       host: entry.attempt?.host,
       ms: Math.round(clock.now() - entry.arrivedAtMs),
       arrivals: entry.arrivals,
@@ -91,14 +93,17 @@
     }
     const route = findRoute(table, request.host, request.path);
     if (route === undefined) return refuseEarly(request, reply, { kind: 'noRoute', detail: 'no route matches' });
+    const caller = findCaller(table, route, request.key);
+    if (caller.type === 'unknown') return refuseEarly(request, reply, { kind: 'unauthorized', detail: caller.detail });
     const stopRefusal = findStopRefusal(request, route);
     if (stopRefusal !== undefined) return refuseEarly(request, reply, stopRefusal);
     const service = chooseService(route);
     const entry = createEntry({
-      request,
+      request: table.organisationByKey === undefined ? restoreIdentityHeaders(request) : request,
       reply,
       route,
       service,
+      organisation: caller.type === 'organisation' ? caller.organisation : undefined,
       configurationVersion: version,
       nowMs: clock.now(),
     });
@@ -183,3 +188,9 @@
     stop: refuseOpen,
   };
 }
+
+/** Where no keys are needed, the headers about the sender's identity are forwarded like all others. */
+function restoreIdentityHeaders(request: ClientRequest): ClientRequest {
+  const { headers, identityHeaders } = request;
+  return identityHeaders.length === 0 ? request : { ...request, headers: [...headers, ...identityHeaders] };
+}
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -51,7 +51,7 @@
   };
   links.handlePosts((post) => {
     if (post.type === 'send') {
-      outgoing.sendRun(post.attempt);
+      outgoing.sendRun(post.attempt, post.isUrgent);
       return;
     }
     if (post.type === 'members') {
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -1,7 +1,7 @@
 import type { HelloFrame, LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
 import type { ReadView } from '../../core/blackboard.js';
 import { choosePeers } from '../../policy/peerChoice.js';
-import { listParts } from '../../policy/routeTable.js';
+import { listUrgentServices } from '../../policy/organisations.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { chooseLane, isInOwnDataCenter } from './context.js';
 import type { RequestContext } from './context.js';
@@ -41,7 +41,8 @@
 export interface OutgoingLinks {
   /** Opens connections to the chosen peers, and closes those to hosts that are no longer chosen or members. */
   updatePeers(): void;
-  sendRun(attempt: RunAttempt): void;
+  /** `isUrgent`: the request may take the lane of urgent requests. */
+  sendRun(attempt: RunAttempt, isUrgent: boolean): void;
   /** Sends a frame on the routine lane to one peer, or to all peers. */
   send(frame: LinkFrame, host?: string): void;
   /** Sends a frame on the routine lane to all peers in the own data centre. */
@@ -188,12 +189,6 @@
       reconnect(known, 'the peer address changed');
     }
   };
-  /** Lists the services with urgent routes, whose hosts get an urgent lane. */
-  const listUrgentServices = (): Set<string> => {
-    const routes = board.read('routes').table?.configuration.routes ?? [];
-    const urgent = routes.filter(({ priority }) => priority === 0);
-    return new Set(urgent.flatMap((route) => listParts(route).map(({ service }) => service)));
-  };
   const isUsable = (host: string): boolean => {
     const phase = board.read('members').byHost.get(host)?.target?.phase;
     if (phase === 'draining' || phase === 'left') return false;
@@ -207,7 +202,8 @@
     const isUsed = (service: string): boolean => byService.has(service);
     chosenAtMs = clock.now();
     const chosen = choosePeers({ self, members: members.values(), isUsable, isUsed });
-    const urgentServices = listUrgentServices();
+    const { table } = board.read('routes');
+    const urgentServices = table === undefined ? new Set<string>() : listUrgentServices(table);
     for (const host of chosen) {
       const member = members.get(host);
       if (member === undefined) continue;
@@ -259,10 +255,9 @@
   };
   return {
     updatePeers,
-    sendRun: (attempt) => {
+    sendRun: (attempt, isUrgent) => {
       const peer = byHost.get(attempt.host);
-      const name =
-        peer === undefined ? 'routine' : chooseLane(peer, { priority: attempt.request.priority, nowMs: clock.now() });
+      const name = peer === undefined ? 'routine' : chooseLane(peer, { isUrgent, nowMs: clock.now() });
       const lane = outgoing.get(buildKey(attempt.host, name));
       if (lane?.peer.lanes[lane.lane].phase !== 'up') {
         const detail = `no connection to ${attempt.host}`;
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -200,7 +200,8 @@
     /** The target, named by its id and start time, answered a request that was sent to it at `sentAtMs`. */
     | { type: 'notice'; id: string; startedAtMs: number; sentAtMs: number; notice: TargetNotice };
   links:
-    | { type: 'send'; attempt: RunAttempt }
+    /** `isUrgent`: it may take the lane of urgent requests. */
+    | { type: 'send'; attempt: RunAttempt; isUrgent: boolean }
     | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
     /** Passes records that were read from the store to the peers in the own data centre. */
     | { type: 'members'; members: readonly NodeMember[] };
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -199,10 +199,10 @@
   };
   const accept = (exchange: Exchange, body: Pick<ClientRequest, 'body' | 'isStreamed'>): void => {
     const { message, head, writer } = exchange;
-    const { requestId, host, headers, timeLeftMs } = head;
+    const { requestId, host, headers, identityHeaders, key, timeLeftMs } = head;
     const { method, url: path } = message;
     exchange.handle = options.accept(
-      { requestId, method, path, host, headers, timeLeftMs, ...body },
+      { requestId, method, path, host, headers, identityHeaders, key, timeLeftMs, ...body },
       {
         answer: writer.answer,
         part: writer.part,
--- a/src/http/requestHead.ts
+++ b/src/http/requestHead.ts
@@ -18,21 +18,29 @@
   headBytes: number;
   /** Alternating names and values of the end-to-end headers, without those that only nodes set. */
   headers: string[];
+  /** The same of the headers about the sender's identity, which are not part of `headers`. */
+  identityHeaders: string[];
+  /** Key in the `Authorization` header; undefined if there is none. */
+  key: string | undefined;
 }
 
+const BEARER_KEY = /^bearer +(\S+) *$/i;
+
 /**
  * Creates a function that reads a request's head in one pass over its headers. The first value of a repeated header is
- * used for `requestId`, `host` and `timeLeftMs`.
+ * used for `requestId`, `host`, `timeLeftMs` and `key`.
  */
 export function createHeadReader(
   names: RequestHeaderNames,
 ): (message: { rawHeaders: readonly string[]; url: string }) => RequestHead {
   const reservedNames = new Set([names.requestId, names.timeLeft, names.callerService, names.targetId]);
+  const identityNames = new Set(['authorization', names.organisation]);
   const applyHeader = (head: RequestHead, name: string, value: string): void => {
     if (name === names.requestId) head.requestId ||= value;
     else if (name === names.timeLeft && head.timeLeftMs === Infinity && Number(value) > 0)
       head.timeLeftMs = Number(value);
     else if (name === 'host') head.host ||= value;
+    else if (name === 'authorization') head.key ??= BEARER_KEY.exec(value)?.[1];
     else if (name === 'transfer-encoding') head.hasBody = true;
     else if (name === 'expect') head.expectsContinue = value.toLowerCase() === '100-continue';
     else if (name === 'content-length') {
@@ -50,6 +58,8 @@
       bodyBytes: 0,
       headBytes: url.length,
       headers: [],
+      identityHeaders: [],
+      key: undefined,
     };
     const connectionOptions = listConnectionOptions(rawHeaders);
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
@@ -59,8 +69,8 @@
       // 4 bytes: the colon and the space after the name, and the line break.
       head.headBytes += name.length + value.length + 4;
       applyHeader(head, lowerName, value);
-      if (!reservedNames.has(lowerName) && !isHopByHop(lowerName) && connectionOptions?.has(lowerName) !== true)
-        head.headers.push(name, value);
+      if (reservedNames.has(lowerName) || isHopByHop(lowerName) || connectionOptions?.has(lowerName) === true) continue;
+      (identityNames.has(lowerName) ? head.identityHeaders : head.headers).push(name, value);
     }
     return head;
   };
--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -6,6 +6,8 @@
   timeLeft: string;
   /** Service of the host where the request entered; set by the node. */
   callerService: string;
+  /** Name of the organisation that sent the request; set by the node. */
+  organisation: string;
   /** Id of the target that the request is for; any other target refuses it. */
   targetId: string;
   /** The target's signature on its response. */
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -189,6 +189,7 @@
     text += `${names.requestId}: ${request.requestId}\r\n`;
     text += `${names.timeLeft}: ${Math.max(1, Math.floor(request.timeLeftMs))}\r\n`;
     text += `${names.callerService}: ${request.callerService}\r\n${names.targetId}: ${targetId}\r\n`;
+    if (request.organisation !== undefined) text += `${names.organisation}: ${request.organisation}\r\n`;
     if (isChunked) text += 'Transfer-Encoding: chunked\r\n';
     else if (body !== undefined && findHeader(headers, 'content-length') === undefined)
       text += `Content-Length: ${body.length}\r\n`;
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -1,5 +1,5 @@
 import type { ReadView } from '../core/blackboard.js';
-import type { Route, RouteConfiguration } from '../schema/routeConfiguration.js';
+import type { Organisation, Route, RouteConfiguration } from '../schema/routeConfiguration.js';
 
 interface HostRoutes {
   /** Lengths of the host's prefixes, longest first. */
@@ -12,6 +12,8 @@
   readonly configuration: RouteConfiguration;
   readonly byHost: ReadonlyMap<string, HostRoutes>;
   readonly byName: ReadonlyMap<string, Route>;
+  /** Undefined where requests need no keys. */
+  readonly organisationByKey: ReadonlyMap<string, Organisation> | undefined;
 }
 
 export function buildRouteTable(configuration: RouteConfiguration): RouteTable {
@@ -28,7 +30,14 @@
     const lengths = new Set([...routes.byPrefix.keys()].map((prefix) => prefix.length));
     routes.lengths = [...lengths].sort((left, right) => right - left);
   }
-  return { configuration, byHost, byName };
+  return { configuration, byHost, byName, organisationByKey: buildOrganisationIndex(configuration) };
+}
+
+function buildOrganisationIndex({ organisations }: RouteConfiguration): Map<string, Organisation> | undefined {
+  if (organisations === undefined) return undefined;
+  const byKey = new Map<string, Organisation>();
+  for (const organisation of organisations) for (const key of organisation.keys) byKey.set(key, organisation);
+  return byKey;
 }
 
 /**
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -31,6 +31,8 @@
   headers: headerList,
   /** Service of the host at which the request entered. */
   callerService: Type.String(),
+  /** Organisation that sent the request; absent if none did. */
+  organisation: Type.Optional(Type.String()),
   /** Time left until the request times out (ms). */
   timeLeftMs: Type.Number(),
   /** Time left in which the answer has its full worth (ms); negative after that time. */
--- a/src/schema/refusal.ts
+++ b/src/schema/refusal.ts
@@ -5,6 +5,8 @@
 export const refusalKindSchema = Type.Union([
   Type.Literal('noConfiguration'),
   Type.Literal('noRoute'),
+  /** The key is missing or belongs to no organisation. */
+  Type.Literal('unauthorized'),
   Type.Literal('noTarget'),
   Type.Literal('overloaded'),
   Type.Literal('quarantined'),
@@ -33,6 +35,7 @@
 export const refusalStatus: Readonly<Record<RefusalKind, number>> = {
   noConfiguration: 503,
   noRoute: 404,
+  unauthorized: 401,
   noTarget: 503,
   overloaded: 503,
   quarantined: 503,
--- a/src/schema/routeConfiguration.ts
+++ b/src/schema/routeConfiguration.ts
@@ -15,8 +15,12 @@
   host: Type.String({ minLength: 1 }),
   /** Starts and ends with a slash. Of the routes of a host the one with the longest matching prefix applies. */
   pathPrefix: Type.String({ pattern: '^/(.*/)?$' }),
-  /** `nonIdempotent` requests run at most once. */
-  kind: Type.Union([Type.Literal('idempotent'), Type.Literal('nonIdempotent')]),
+  /** Requests that are not idempotent run at most once. */
+  isIdempotent: Type.Boolean(),
+  /** Large bodies or answers: they never take the lane of urgent requests. */
+  isBulk: Type.Boolean(),
+  /** Open to clients without a key of an organisation. */
+  isOpen: Type.Boolean(),
   /** 0 is the highest priority. */
   priority: Type.Integer({ minimum: 0 }),
   /** Time within which an answer has its full worth (ms). */
@@ -49,11 +53,26 @@
 });
 export type RequestLimits = Static<typeof requestLimitsSchema>;
 
+/** A client organisation, whose requests carry one of its keys. */
+export const organisationSchema = Type.Object({
+  name: Type.String({ minLength: 1 }),
+  keys: Type.Array(Type.String({ minLength: 1 })),
+  /** Replaces the priority of the routes; absent to keep it. */
+  priority: Type.Optional(Type.Integer({ minimum: 0 })),
+  /** Quota over all nodes together (requests per second); 0 or absent for no limit. */
+  ratePerSecond: Type.Optional(Type.Number({ minimum: 0 })),
+  /** Number of requests that the quota allows in addition at once. */
+  burst: Type.Optional(Type.Number({ minimum: 0 })),
+});
+export type Organisation = Static<typeof organisationSchema>;
+
 /** All routes of a deployment. The version increases with each change. */
 export const routeConfigurationSchema = Type.Object({
   version: Type.Integer({ minimum: 0 }),
   routes: Type.Array(routeSchema),
   services: Type.Array(routedServiceSchema),
   limits: requestLimitsSchema,
+  /** Absent where requests need no keys. */
+  organisations: Type.Optional(Type.Array(organisationSchema)),
 });
 export type RouteConfiguration = Static<typeof routeConfigurationSchema>;
--- a/tests/requests/entry.test.ts
+++ b/tests/requests/entry.test.ts
@@ -45,7 +45,7 @@
   });
 
   it('should run at most once when it is not idempotent and its outcome is unknown', () => {
-    const fleet = createFleet({ kind: 'nonIdempotent' });
+    const fleet = createFleet({ isIdempotent: false });
     failTargets(fleet, {});
     const sent = fleet.send('a1');
     fleet.clock.advance(200);
@@ -53,7 +53,7 @@
   });
 
   it('should be sent to another target when it is not idempotent and was rejected without being run', () => {
-    const fleet = createFleet({ kind: 'nonIdempotent' });
+    const fleet = createFleet({ isIdempotent: false });
     failTargets(fleet, { kind: 'rejected', ran: 'no' });
     const sent = fleet.send('a1');
     fleet.clock.advance(200);
--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -372,7 +372,7 @@
 
   // Guards against taking a request that may last longer than the time until the node closes.
   it('should answer each request that it takes once clients can know that it stops', () => {
-    const longWork = buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 5000 });
+    const longWork = buildRoute('check', 'stock', { isIdempotent: false, timeoutMs: 5000 });
     const shortWork = buildRoute('look', 'stock', { timeoutMs: 600 });
     const fleet = createRequestFleet({
       hosts: hosts.map((entry) => ({ ...entry, slots: 127 })),
--- a/tests/requests/links.test.ts
+++ b/tests/requests/links.test.ts
@@ -25,9 +25,9 @@
   });
 
   // Guards against the middle of an answer reaching a client that never got its head.
-  for (const kind of ['idempotent', 'nonIdempotent'] as const) {
-    it(`should not resume a streamed answer whose head was lost with the connection: ${kind}`, () => {
-      const route = buildRoute('check', 'stock', { kind, timeoutMs: 5000 });
+  for (const isIdempotent of [true, false]) {
+    it(`should not resume a streamed answer whose head was lost with the connection, idempotent: ${isIdempotent}`, () => {
+      const route = buildRoute('check', 'stock', { isIdempotent, timeoutMs: 5000 });
       const fleet = createRequestFleet({ hosts, configuration: buildRouteConfiguration(1, [route]) });
       getTarget(fleet, 'a2').respond = (_send, events) => {
         fleet.clock.schedule(50, () => {
@@ -104,9 +104,7 @@
   });
 
   describe('when the number of a request is used again', () => {
-    const orders = buildRouteConfiguration(1, [
-      buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 5000 }),
-    ]);
+    const orders = buildRouteConfiguration(1, [buildRoute('check', 'stock', { isIdempotent: false, timeoutMs: 5000 })]);
 
     function sendOrder(fleet: RequestFleet, durationMs: number): SentRequest {
       getTarget(fleet, 'a2').durationMs = durationMs;
--- a/tests/requests/overload.test.ts
+++ b/tests/requests/overload.test.ts
@@ -11,7 +11,7 @@
 const routes = [
   buildRoute('check', 'stock', { priority: 0, targetLatencyMs: 150, timeoutMs: 600 }),
   buildRoute('lookup', 'orders', { priority: 1, targetLatencyMs: 800, timeoutMs: 2000 }),
-  buildRoute('order', 'orders', { priority: 2, targetLatencyMs: 800, timeoutMs: 1000, kind: 'nonIdempotent' }),
+  buildRoute('order', 'orders', { priority: 2, targetLatencyMs: 800, timeoutMs: 1000, isIdempotent: false }),
   buildRoute('level', 'stock', { priority: 1, targetLatencyMs: 300, timeoutMs: 700 }),
 ];
 
--- a/tests/requests/partialFailures.test.ts
+++ b/tests/requests/partialFailures.test.ts
@@ -50,7 +50,7 @@
   });
 
   it('should have its error response to a non-idempotent request returned to the client without a retry', () => {
-    const fleet = createFleet({ kind: 'nonIdempotent' });
+    const fleet = createFleet({ isIdempotent: false });
     let ran = 0;
     for (const host of ['a2', 'a3', 'a4', 'a5']) {
       getTarget(fleet, host).respond = (_send, events) => {
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -81,6 +81,23 @@
     accepted.reply.answer({ status: 200, headers, body: Buffer.from(body), isStreamed: false });
   };
 
+  // Guards against the key of an organisation, or the name that a client claims, reaching a target.
+  it('should separate the key and the sender headers from the forwarded ones', async () => {
+    const { server, accepted } = await startServer(sendAnswer);
+    const { socket } = openClient(server);
+    socket.write(
+      'GET /stock/1 HTTP/1.1\r\nHost: shop\r\ntest-id: r1\r\nAuthorization: bearer k-1\r\n' +
+        'Test-Organisation: forged\r\nX-Kept: 1\r\n\r\n',
+    );
+    await waitUntil(() => accepted.length === 1, 'the request is accepted');
+    const { key, headers, identityHeaders } = accepted[0]?.request ?? {};
+    expect([key, headers, identityHeaders]).toEqual([
+      'k-1',
+      ['Host', 'shop', 'X-Kept', '1'],
+      ['Authorization', 'bearer k-1', 'Test-Organisation', 'forged'],
+    ]);
+  });
+
   it('should pass on method, path, host, time left and end-to-end headers, without the headers that only nodes set', async () => {
     const { server, accepted } = await startServer(sendAnswer);
     const client = openClient(server);
--- a/tests/requests/silentLinks.test.ts
+++ b/tests/requests/silentLinks.test.ts
@@ -44,7 +44,7 @@
   });
 
   it('should answer an order on it with the outcome of its one run', () => {
-    const order = buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 3000 });
+    const order = buildRoute('check', 'stock', { isIdempotent: false, timeoutMs: 3000 });
     const fleet = createRequestFleet({
       hosts: hosts.slice(0, 2),
       configuration: buildRouteConfiguration(1, [order]),
@@ -58,7 +58,7 @@
   });
 
   it('should give up an order on it as not run when it never arrived, and run it elsewhere', () => {
-    const order = buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 3000 });
+    const order = buildRoute('check', 'stock', { isIdempotent: false, timeoutMs: 3000 });
     const fleet = createRequestFleet({ hosts: hosts.slice(0, 2), configuration: buildRouteConfiguration(1, [order]) });
     fleet.links.discardFrames('a1', 'a2');
     const sent = fleet.send('a1', { timeLeftMs: 3000 });
--- a/tests/requests/targetLimit.test.ts
+++ b/tests/requests/targetLimit.test.ts
@@ -16,7 +16,7 @@
 const routes = [
   buildRoute('check', 'stock'),
   buildRoute('urgent', 'stock', { priority: 0 }),
-  buildRoute('order', 'stock', { kind: 'nonIdempotent' }),
+  buildRoute('order', 'stock', { isIdempotent: false }),
 ];
 const configuration = buildRouteConfiguration(1, routes);
 
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -116,6 +116,15 @@
     expect(target.received[0] ?? '').toMatchRegex(/test-time-left: 812\r\n/);
     expect(target.received[0] ?? '').toMatchRegex(/test-target: i-1\r\n/);
     expect(target.received[0] ?? '').toMatchRegex(/test-caller: orders\r\n/);
+    expect(target.received[0] ?? '').not.toMatchRegex(/test-organisation/);
+  });
+
+  it('should name the organisation that sent the request', async () => {
+    const target = await startTarget((socket) => {
+      socket.write(`${OK}Content-Length: 0\r\n\r\n`);
+    });
+    await createSender()(target, { organisation: 'acme' });
+    expect(target.received[0] ?? '').toMatchRegex(/test-organisation: acme\r\n/);
   });
 
   // Guards against truncated responses of a target that look complete to clients.
--- a/tests/requests/waitingBodies.test.ts
+++ b/tests/requests/waitingBodies.test.ts
@@ -9,7 +9,7 @@
   { host: 'a2', dataCenter: 'd1', service: 'stock', slots: 1 },
 ];
 const configuration = buildRouteConfiguration(1, [
-  buildRoute('check', 'stock', { kind: 'nonIdempotent', timeoutMs: 5000 }),
+  buildRoute('check', 'stock', { isIdempotent: false, timeoutMs: 5000 }),
 ]);
 const WINDOW_BYTES = 64 * 1024;
 
