--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -89,7 +89,7 @@
       'GET /stock/1 HTTP/1.1\r\nHost: shop\r\ntest-id: r1\r\nAuthorization: bearer k-1\r\n' +
         'Test-Organisation: forged\r\nX-Kept: 1\r\n\r\n',
     );
-    await waitUntil(() => accepted.length === 1, 'the request is accepted');
+    await waitUntil('the request was accepted', () => accepted.length === 1);
     const { key, headers, identityHeaders } = accepted[0]?.request ?? {};
     expect([key, headers, identityHeaders]).toEqual([
       'k-1',
