Report a response with an odd status as invalid at once

Cause: every status below 200 was skipped like an interim response, so after 000, 099, 101 or 199 a client waited for its whole time limit; 600 and above were passed on. A status line that the parser refuses (20, 2000, 2x0) counted as a lost connection: an idempotent request was sent a second time on another connection, outside the retry budget, and the target became suspect of a crash. Ruled out: interim responses without end, which the bound on received bytes ends already (tests/requests/endlessBytes.test.ts, unchanged). Change: only 100, 102 and 103 are skipped; a status outside 200 to 599 and an unreadable one are an invalid response, whether the request ran is unknown, and the connection is closed.

--- a/src/http/responseCheck.ts
+++ b/src/http/responseCheck.ts
@@ -9,15 +9,27 @@
   rawHeaders: readonly string[];
 }
 
+const MIN_FINAL_STATUS = 200;
+const MAX_FINAL_STATUS = 599;
+/** 101 is not among them, since no request asks to switch protocols. */
+const interimStatuses: ReadonlySet<number> = new Set([100, 102, 103]);
+
+/** True for the status of an interim response, which a final response follows. */
+export function isInterimStatus(status: number): boolean {
+  return status < MIN_FINAL_STATUS && interimStatuses.has(status);
+}
+
 /**
- * Returns the reason if a response cannot be the target's own response to the request: because it has another request
- * id, or it is a success without a signature or with a content encoding. Returns undefined for a valid response.
+ * Returns the reason if a response cannot be the target's own response to the request: because its status is not final,
+ * it has another request id, or it is a success without a signature or with a content encoding. Returns undefined for a
+ * valid response.
  */
 export function findResponseFault(
   { status, rawHeaders }: ResponseHead,
   requestId: string,
   names: RequestHeaderNames,
 ): string | undefined {
+  if (status < MIN_FINAL_STATUS || status > MAX_FINAL_STATUS) return `the response has the status ${status}`;
   const echoedId = findHeader(rawHeaders, names.requestId);
   if (echoedId !== requestId) return `the response has the request id ${echoedId ?? '(none)'}`;
   if (status < 200 || status > 299) return undefined;
--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -1,6 +1,7 @@
 import { connect } from 'node:net';
 import { parseAddress } from '../schema/requestSettings.js';
 import { createMessageParser } from './messageParser.js';
+import { isInterimStatus } from './responseCheck.js';
 
 /** Events of the response to the request that a connection carries. */
 export interface ResponseEvents {
@@ -10,8 +11,11 @@
   data(chunk: Buffer): boolean;
   /** Called when the response is complete. */
   end(): void;
-  /** Called when the connection failed or ended before the response was complete. */
-  fail(detail: string): void;
+  /**
+   * Called when the connection failed or ended before the response was complete. `isStatusInvalid`: the target responded,
+   * with a status line that is no status.
+   */
+  fail(detail: string, isStatusInvalid: boolean): void;
 }
 
 /** A connection to a target, which carries one request at a time. */
@@ -52,8 +56,8 @@
  */
 const MAX_OVERHEAD_BYTES = 256 * 1024;
 const MAX_OVERHEAD_PER_BODY_BYTE = 8;
-/** Lower status codes belong to interim responses, which a final response follows. */
-const MIN_FINAL_STATUS = 200;
+/** Error code of the parser for a status that does not have three digits. */
+const INVALID_STATUS_CODE = 'HPE_INVALID_STATUS';
 
 /** Opens a connection. A request may be started before it is established. */
 export function openTargetConnection(address: string): TargetConnection {
@@ -73,12 +77,12 @@
   let isDiscarded = false;
   let shouldKeepAlive = true;
 
-  const fail = (detail: string): void => {
+  const fail = (detail: string, isStatusInvalid = false): void => {
     state.isReusable = false;
     socket.destroy();
     const failed = events;
     events = undefined;
-    failed?.fail(detail);
+    failed?.fail(detail, isStatusInvalid);
   };
   /** True when the target keeps sending interim responses, repeated responses or chunk sizes without end. */
   const hasTooMuchOverhead = (): boolean => {
@@ -92,7 +96,7 @@
     },
     head: (message) => {
       shouldKeepAlive = message.shouldKeepAlive;
-      isDiscarded = message.status < MIN_FINAL_STATUS || events?.head(message.status, message.rawHeaders) !== 'accept';
+      isDiscarded = isInterimStatus(message.status) || events?.head(message.status, message.rawHeaders) !== 'accept';
       return state.method === 'HEAD';
     },
     body: (chunk) => {
@@ -125,7 +129,7 @@
     }
     state.receivedBytes += chunk.length;
     const fault = parser.parse(chunk);
-    if (fault !== undefined) fail(fault.message);
+    if (fault !== undefined) fail(fault.message, fault.code === INVALID_STATUS_CODE);
     else if (hasTooMuchOverhead()) fail('the target sent too many bytes that are no part of a body');
   });
   socket.on('end', () => {
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -151,13 +151,14 @@
     if (exchange.isCloseDelimited || !connection.isReusable) connection.destroy();
     else pool.release(target.address, connection);
   };
-  const handleFailure = (exchange: Exchange, detail: string): void => {
+  const handleFailure = (exchange: Exchange, detail: string, isStatusInvalid: boolean): void => {
     const { connection, target } = exchange;
     clearTimeout(exchange.discardTimer);
     if (exchange.isSettled) return;
     if (!connection.isConnected) fail(exchange, 'unreachable', 'no', detail);
     else if (exchange.status !== 0)
       fail(exchange, 'answerTruncated', 'unknown', `the response was truncated: ${detail}`);
+    else if (isStatusInvalid) fail(exchange, 'answerInvalid', 'unknown', `the response has no valid status: ${detail}`);
     else if (exchange.mayResend && connection.isReused) {
       exchange.mayResend = false;
       exchange.connection = pool.take(target.address, MAX_IDLE_WITHOUT_RESEND_MS);
@@ -173,8 +174,8 @@
       end: () => {
         finish(exchange);
       },
-      fail: (detail) => {
-        handleFailure(exchange, detail);
+      fail: (detail, isStatusInvalid) => {
+        handleFailure(exchange, detail, isStatusInvalid);
       },
     });
     const { method, body, isStreamed } = request;
