Act on the era of the store, which rises when it comes back from an older copy

Cause: after a restore the store assigns offsets again and lacks acknowledged writes. Nodes went on from cached offsets, so they missed records, kept what they had written for present, and a target whose leaving was acknowledged came back with the next start of all hosts. The 410 shows nothing once the log has grown past the cached offset. Ruled out: waiting for the 410 or for an end offset that went back (see docs/design/storeFromCopy.md); peers that write the records of others. Change: reads and writes carry the era of the response; the new section store holds the highest one, which the status frame passes to peers. On a rise each watcher reads the newest records again, the node writes its record and what it deleted again, and only writes begun in the era count for acknowledgements. A refused deletion is tried again.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -69,13 +69,17 @@
   const incoming = new Map<string, IncomingLane>();
   const connections = new Set<LinkConnection>();
 
-  const buildStatus = (): StatusFrame => ({
-    type: 'status',
-    load: readLocalLoad(board, clock.now()),
-    configurationVersion: board.read('routes').version,
-    memberCount: board.read('members').byHost.size + 1,
-    membersDigest: board.read('members').digest,
-  });
+  const buildStatus = (): StatusFrame => {
+    const { era } = board.read('store');
+    return {
+      type: 'status',
+      load: readLocalLoad(board, clock.now()),
+      configurationVersion: board.read('routes').version,
+      memberCount: board.read('members').byHost.size + 1,
+      membersDigest: board.read('members').digest,
+      ...(era === undefined ? {} : { storeEra: era }),
+    };
+  };
   const isStatusDue = (lane: IncomingLane, nowMs: number, isActive: boolean): boolean => {
     const { statusAtMs, loadAtMs, idleIntervalMs } = lane;
     if (nowMs - statusAtMs >= idleIntervalMs) return true;
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -66,8 +66,9 @@
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
-      // Peers that do not read the store learn from the status that there is a new configuration.
+      // Peers that do not read the store learn from the status that there is a new configuration, or that it was restored.
       board.subscribe('routes', broadcastStatus);
+      board.subscribe('store', broadcastStatus);
       board.subscribe('target', broadcastStatus);
       board.subscribe('node', broadcastStatus);
       stopTicks = scheduleRepeated(clock, TICK_INTERVAL_MS, runTick);
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,15 +1,18 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
+import { isWriteOfEra } from '../../policy/storeEra.js';
+import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
+import type { StoreWrite } from '../../schema/keyedStore.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import type { RequestContext } from './context.js';
 import { createDurabilityWaits } from './durabilityWaits.js';
 import { isHistoryKnown, LINK_WAIT_MS, RESTORE_WAIT_MS } from './hostHistory.js';
-import { readReaderPlace } from './storeReading.js';
+import { observeStoreEra, readReaderPlace, STORE_SOURCE } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It may be long, since peers also send their own records over links. */
@@ -28,9 +31,6 @@
  */
 const FIRST_WRITE_WAIT_MS = 2500;
 
-/** Source of records that were read from the store, in place of the host that sent them. */
-const STORE_SOURCE = 'store';
-
 const validator = compileSchema(nodeMemberSchema);
 
 /** Writes the list of nodes, and keeps this node's own record in the platform's store up to date. */
@@ -68,24 +68,43 @@
     if (isFirstWriteDelayed()) return;
     isWriting = true;
     const member = section.self;
+    const begun = board.read('store').era;
     io.writeMember(member, (outcome) => {
       isWriting = false;
-      if (outcome.type === 'written') {
-        hasWritten = true;
-        setWrittenRevision(member.revision);
-        writeSelf();
+      if (outcome.type === 'written') hasWritten = true;
+      if (isInStore(outcome, begun)) setWrittenRevision(member.revision);
+      else if (begun === board.read('store').era) {
+        retryWrite(member.revision, outcome);
         return;
       }
-      const inputs = { revision: member.revision, detail: outcome.detail };
-      board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
-      cancelRetry();
-      cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
-        failedRevision = -1;
-        writeSelf();
-      });
-      failedRevision = member.revision;
+      writeSelf();
     });
   };
+  /** True when what was written or deleted is part of the records that the store has now. */
+  const isInStore = (outcome: StoreWrite, begun: StoreEra): boolean => {
+    const received = outcome.type === 'unknown' ? undefined : outcome.era;
+    observeStoreEra(board, received, STORE_SOURCE);
+    return outcome.type === 'written' && isWriteOfEra({ begun, received, known: board.read('store').era });
+  };
+  const retryWrite = (revision: number, outcome: StoreWrite): void => {
+    const detail = outcome.type === 'written' ? 'response of an earlier era' : outcome.detail;
+    const inputs = { revision, detail };
+    board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
+    cancelRetry();
+    cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
+      failedRevision = -1;
+      writeSelf();
+    });
+    failedRevision = revision;
+  };
+  /** The store has lost what was written since its copy: writes it again, and lets the newest records show what is back. */
+  const handleNewEra = (): void => {
+    removedPredecessors.clear();
+    cancelRetry();
+    failedRevision = -1;
+    setWrittenRevision(-1);
+    writeSelf();
+  };
   const replaceInDigest = (previous: NodeMember | undefined, next: NodeMember | undefined): void => {
     if (previous !== undefined) section.digest = updateDigest(section.digest, previous);
     if (next !== undefined) section.digest = updateDigest(section.digest, next);
@@ -125,8 +144,9 @@
   const removePredecessor = (host: string): void => {
     if (removedPredecessors.has(host)) return;
     removedPredecessors.add(host);
+    const begun = board.read('store').era;
     io.dropMember(host, (outcome) => {
-      if (outcome.type !== 'written') removedPredecessors.delete(host);
+      if (!isInStore(outcome, begun)) retryRemoval(host);
       const inputs = { host, address: section.self.linkAddress };
       board.post('decisions', {
         kind: 'memberChanged',
@@ -135,6 +155,12 @@
       });
     });
   };
+  const retryRemoval = (host: string): void => {
+    removedPredecessors.delete(host);
+    clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
+      if (!isStopped) removePredecessor(host);
+    });
+  };
   /** Of two hosts with the same address, only the one started last can exist. True if the given one may be added. */
   const resolveAddressConflict = (record: NodeMember): boolean => {
     const { self } = section;
@@ -221,6 +247,7 @@
       for (const delayMs of [RESTORE_WAIT_MS + 1, FIRST_WRITE_WAIT_MS]) clock.schedule(delayMs, writeSelf);
       board.subscribe('links', writeSelf);
       board.subscribe('links', durability.check);
+      board.subscribe('store', handleNewEra);
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
         getPauseMs: () => (isStoreReadByFew(section.byHost) ? LARGE_FLEET_READ_PAUSE_MS : READ_PAUSE_MS),
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -1,3 +1,4 @@
+import { observeStoreEra } from './storeReading.js';
 import type { HelloFrame, LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
 import type { ReadView } from '../../core/blackboard.js';
 import { choosePeers } from '../../policy/peerChoice.js';
@@ -146,6 +147,7 @@
     peer.memberCount = frame.memberCount;
     peer.membersDigest = frame.membersDigest;
     peer.held = frame.held;
+    observeStoreEra(board, frame.storeEra, peer.host);
     if (hasChanged) options.publishChange();
   };
   const updateLoad = (peer: PeerState, load: PeerState['load']): void => {
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -14,6 +14,7 @@
 import type { RecordOrder } from '../../policy/memberOrder.js';
 import { createRunQueue } from '../../policy/runQueue.js';
 import type { StopPlan } from '../../policy/stopPlan.js';
+import type { StoreEra } from '../../policy/storeEra.js';
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
@@ -122,6 +123,8 @@
     /** Monotonic time (ms) of the last successful read from the store; undefined while it is unreachable. */
     storeReadAtMs: number | undefined;
   };
+  /** The highest era of the store that this node heard of; undefined for a store without eras. */
+  store: { era: StoreEra };
   target: TargetState;
   links: { byHost: Map<string, PeerState> };
   runs: {
@@ -191,6 +194,7 @@
      * late, enough peers do.
      */
     | { type: 'whenDurable'; run: () => void };
+  store: { era: number; source: string };
   target:
     | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
     | { type: 'leave'; id: string; acknowledge: () => void }
@@ -250,6 +254,7 @@
       previousOrder: undefined,
       storeReadAtMs: undefined,
     },
+    store: { era: undefined },
     target: {
       phase: 'none',
       id: '',
--- a/src/control/requests/storeReading.ts
+++ b/src/control/requests/storeReading.ts
@@ -1,9 +1,18 @@
 import { findReaderPlace } from '../../policy/storeReaders.js';
+import type { StoreEra } from '../../policy/storeEra.js';
 import type { RequestBoard } from './sections.js';
 
 /** Time without frames after which a linked host counts as silent (ms); idle links within a data centre carry a status each second. */
 const SILENT_AFTER_MS = 3000;
 
+/** Source of records and eras that came from the store, in place of the host that sent them. */
+export const STORE_SOURCE = 'store';
+
+/** Records the era that the store or a peer named, if any. */
+export function observeStoreEra(board: RequestBoard, era: StoreEra, source: string): void {
+  if (era !== undefined) board.post('store', { era, source });
+}
+
 /** Returns the place of this node among the readers of the store; undefined when it learns of changes from its peers. */
 export function readReaderPlace(board: RequestBoard, nowMs: number): number | undefined {
   const { self, byHost } = board.read('members');
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -1,5 +1,8 @@
 import type { KeyedRecord, StoreRead } from '../../schema/keyedStore.js';
+import { isNewEra, isPastEra } from '../../policy/storeEra.js';
+import type { StoreEra } from '../../policy/storeEra.js';
 import type { KeyedTopic, RequestContext } from './context.js';
+import { observeStoreEra, STORE_SOURCE } from './storeReading.js';
 
 /** Mean pause before a failed read is retried (ms). */
 const RETRY_PAUSE_MS = 1000;
@@ -26,8 +29,9 @@
 }
 
 /**
- * Watches a topic of the platform's store: reads the latest records, then appended ones, and starts again with the
- * latest records if the store compacted records that were not read yet. Returns a function that stops watching.
+ * Watches a topic of the platform's store: reads the latest records, then appended ones. It starts again with the latest
+ * records if the store compacted records that were not read yet, and at once when the store has come back from an older
+ * copy, since it assigns offsets again. Returns a function that stops watching.
  */
 export function startTopicWatcher({ board, clock, random }: RequestContext, options: TopicWatcherOptions): () => void {
   let isStopped = false;
@@ -36,6 +40,12 @@
   let wasReached: boolean | undefined;
   let readAtMs = clock.now();
   let wasReader = true;
+  /** Incremented when the read under way, or the pause before the next one, is no longer valid. */
+  let round = 0;
+  /** The era that was known when the last read was started. */
+  let readEra: StoreEra;
+  let isReadingNewest = false;
+  let isObservingEra = false;
 
   const recordRead = (isReached: boolean, detail?: string): void => {
     options.reportRead(isReached);
@@ -54,10 +64,48 @@
     board.post('decisions', { kind: 'storeChanged', outcome: 'read unanswered', inputs });
   };
   const schedule = (pauseMs: number): void => {
-    if (!isStopped) clock.schedule(pauseMs, read);
+    const scheduledRound = round;
+    clock.schedule(pauseMs, () => {
+      if (round === scheduledRound) read();
+    });
+  };
+  const scheduleRetry = (detail: string): void => {
+    recordRead(false, detail);
+    schedule(RETRY_PAUSE_MS * (0.5 + random()));
+  };
+  /** Reads the newest records in place of what is under way: the offsets are void. */
+  const restart = (): void => {
+    round++;
+    cancelRead();
+    nextOffset = undefined;
+    read();
+  };
+  const handleNewEra = (): void => {
+    // The newest records that are being read may be of the new era.
+    if (!isStopped && !isReadingNewest && !isObservingEra) restart();
+  };
+  /** Records the era of a response. True if it has risen. */
+  const observeEra = (era: StoreEra): boolean => {
+    const isRisen = isNewEra(era, board.read('store').era);
+    isObservingEra = true;
+    observeStoreEra(board, era, STORE_SOURCE);
+    isObservingEra = false;
+    return isRisen;
   };
   const receive = (outcome: StoreRead, isComplete: boolean): void => {
-    if (isStopped) return;
+    isReadingNewest = false;
+    const responseEra = outcome.type === 'unanswered' ? undefined : outcome.era;
+    const { era } = board.read('store');
+    if (isPastEra(responseEra, era)) {
+      if (readEra === era) scheduleRetry(`response of era ${responseEra} after era ${era}`);
+      else schedule(0);
+      return;
+    }
+    const isUsable = outcome.type === 'records' && isComplete;
+    if (observeEra(responseEra) && !isUsable) restart();
+    else handleOutcome(outcome, isComplete);
+  };
+  const handleOutcome = (outcome: StoreRead, isComplete: boolean): void => {
     if (outcome.type === 'records') {
       nextOffset = outcome.next;
       recordRead(true);
@@ -72,8 +120,7 @@
       // The time for a response has passed already, and the store may have answered on a connection that went silent.
       schedule(0);
     } else {
-      recordRead(false, outcome.detail);
-      schedule(RETRY_PAUSE_MS * (0.5 + random()));
+      scheduleRetry(outcome.detail);
     }
   };
   const checkWait = (): number | undefined => {
@@ -89,24 +136,28 @@
   const read = (): void => {
     if (isStopped) return;
     if (nextOffset === undefined) {
-      readAtMs = clock.now();
-      options.topic.readNewest((outcome) => {
-        receive(outcome, true);
-      });
+      isReadingNewest = true;
+      options.topic.readNewest(startRead(true));
       return;
     }
     const waitMs = checkWait();
     if (waitMs === undefined && clock.now() - readAtMs < UNREAD_LIMIT_MS) schedule(READER_CHECK_INTERVAL_MS);
-    else {
-      readAtMs = clock.now();
-      cancelRead = options.topic.readFrom(nextOffset, waitMs ?? 0, (outcome) => {
-        receive(outcome, false);
-      });
-    }
+    else cancelRead = options.topic.readFrom(nextOffset, waitMs ?? 0, startRead(false));
+  };
+  /** Returns the handler of the outcome, which counts unless the read was replaced. */
+  const startRead = (isComplete: boolean): ((outcome: StoreRead) => void) => {
+    const readRound = round;
+    readAtMs = clock.now();
+    readEra = board.read('store').era;
+    return (outcome) => {
+      if (!isStopped && round === readRound) receive(outcome, isComplete);
+    };
   };
+  const stopUpdates = board.subscribe('store', handleNewEra);
   read();
   return () => {
     isStopped = true;
+    stopUpdates();
     cancelRead();
   };
 }
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -14,6 +14,7 @@
 import { createRunController } from '../control/requests/runController.js';
 import { createRequestSections } from '../control/requests/sections.js';
 import type { RequestBoard, RequestPosts, RequestSections } from '../control/requests/sections.js';
+import { createStoreController } from '../control/requests/storeController.js';
 import { createSpeedController } from '../control/requests/speedController.js';
 import { createSettingsController } from '../control/requests/settingsController.js';
 import { createTargetController } from '../control/requests/targetController.js';
@@ -76,6 +77,7 @@
     createDemandController(context),
     createSpeedController(context),
     createAdmissionController(context),
+    createStoreController(context),
     createRouteController(context),
     createMemberController(context),
   ];
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -169,6 +169,8 @@
   membersDigest: Type.Optional(Type.Integer()),
   /** The newest record of the receiver that the sender holds. */
   held: Type.Optional(recordVersionSchema),
+  /** The highest era of the store that the sender heard of. */
+  storeEra: Type.Optional(Type.Integer()),
 });
 export const profileFrameSchema = Type.Object({ type: Type.Literal('profile'), profile: profileSchema });
 export const membersFrameSchema = Type.Object({
