Let a target that starts or recovers find its pace, and use what it says of its speed

Cause: a target that had just started got its full share at once, and after its first rejections its failure share kept requests away, so that it was nearly idle. Ruled out: the remaining slow time of the heartbeats as a ramp, since it says nothing about how much the target takes, and nothing after a flap. Change: after a start, an ejection or a lifted rate limit the node beside the target begins at a fifth of its slots and follows the answers. Load reports carry how much longer work takes than in recent answers; a bulk request crosses to another data centre only for a larger gain.

--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -22,18 +22,19 @@
   const suspects: TargetCandidate[] = [];
   const own = readLocalLoad(board, nowMs);
   if (own.phase === 'ready' && own.service === service) {
-    const place = { host: self.host, isOwnHost: true, isLocalDataCenter: true, isUntried: false };
+    const place = { host: self.host, isOwnHost: true, isLocalDataCenter: true, isUntried: false, loadAgeMs: 0 };
     candidates.push({ ...place, load: own, speed: getSpeed(self.host), sentSinceReport: 0 });
   }
   for (const peer of board.read('links').byHost.values()) {
-    const { host, load, lanes, sentSinceReport, lastTargetId } = peer;
+    const { host, load, loadAtMs, lanes, sentSinceReport, lastTargetId } = peer;
     if (load.service !== service || load.phase !== 'ready') continue;
     const lane = lanes[chooseLane(peer, { isUrgent, nowMs })];
     if (lane.phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
     const isUntried = lastTargetId !== load.targetId;
     const speed = getSpeed(host);
-    const candidate = { host, isOwnHost: false, isLocalDataCenter, isUntried, load, speed, sentSinceReport };
+    const place = { host, isOwnHost: false, isLocalDataCenter, isUntried, loadAgeMs: nowMs - loadAtMs };
+    const candidate = { ...place, load, speed, sentSinceReport };
     (isSuspectLane(lane, nowMs) ? suspects : candidates).push(candidate);
   }
   return candidates.length > 0 ? candidates : suspects;
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -56,6 +56,7 @@
       routeDurationMs: speeds.meanMsByRoute.get(route.name) ?? speeds.meanMs,
       serviceDurationMs: speeds.meanMs,
       targetLatencyMs: Math.min(route.targetLatencyMs, route.timeoutMs),
+      isBulk: route.isBulk,
       random,
     });
   };
--- a/src/control/requests/localLoad.ts
+++ b/src/control/requests/localLoad.ts
@@ -1,6 +1,7 @@
 import type { ReadView } from '../../core/blackboard.js';
 import { readFailureShare } from '../../policy/failureShare.js';
 import { countTokens } from '../../policy/rateGate.js';
+import { readSlowdown } from '../../policy/paceHint.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
 import type { LoadReport } from '../../schema/linkFrame.js';
 import type { TargetPhase } from '../../schema/nodeMember.js';
@@ -8,6 +9,8 @@
 
 /** Time without answers, in mean durations, after which a target with running requests counts as unresponsive. */
 const UNRESPONSIVE_DURATIONS = 5;
+/** Slowdown of the target below which load reports do not name it. */
+const MIN_REPORTED_SLOWDOWN = 1.15;
 
 /** Returns the phase of the local target that is reported to other nodes. */
 export function readAdvertisedPhase(board: RequestBoard, nowMs: number): TargetPhase {
@@ -33,11 +36,17 @@
   return sinceAnswerMs > UNRESPONSIVE_DURATIONS * expectedMs ? Math.round(sinceAnswerMs) : 0;
 }
 
+/** Returns how many requests may run at the local target at once. */
+export function readRunLimit(board: RequestBoard): number {
+  return computeRunLimit(board.read('target').slots, board.read('runs').recovery);
+}
+
 /** Returns the load of the local target. */
 export function readLocalLoad(board: RequestBoard, nowMs: number): LoadReport {
-  const { service, id, slots } = board.read('target');
+  const { service, id } = board.read('target');
   const runs = board.read('runs');
-  const { queue, running, failures, duration, gate } = runs;
+  const { queue, running, failures, duration, gate, paceHint } = runs;
+  const slowdown = readSlowdown(paceHint, nowMs);
   const stalledMs = computeStalledTime(runs, nowMs);
   return {
     phase: readAdvertisedPhase(board, nowMs),
@@ -45,10 +54,11 @@
     targetId: id,
     running: running.size,
     queued: queue.length,
-    limit: computeRunLimit(slots),
+    limit: readRunLimit(board),
     durationMs: Math.round(Math.max(stalledMs, duration.meanMs)),
     failureShare: Math.round(readFailureShare(failures, nowMs) * 100) / 100,
     ...(stalledMs > 0 ? { stalledMs } : {}),
+    ...(slowdown > MIN_REPORTED_SLOWDOWN ? { slowdown: Math.round(slowdown * 10) / 10 } : {}),
     ...(gate === undefined ? {} : { ratePerSecond: gate.perSecond, rateTokens: countTokens(gate, nowMs) }),
   };
 }
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -2,14 +2,15 @@
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
 import { addResult } from '../../policy/failureShare.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
-import { computeRunLimit } from '../../policy/runLimit.js';
 import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
-import { readAdvertisedPhase } from './localLoad.js';
+import { readAdvertisedPhase, readRunLimit } from './localLoad.js';
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
 import type { Run } from './sections.js';
+import { addPace } from '../../policy/paceHint.js';
 import { createTargetGate } from './targetGate.js';
+import { createTargetRecovery } from './targetRecovery.js';
 import { createWaitingBodies } from './waitingBodies.js';
 import type { WaitingBody } from './waitingBodies.js';
 
@@ -27,6 +28,7 @@
   const { section } = runs;
   const { queue, running, duration, durationByRoute, startedByRoute, counts } = section;
   const bodies = createWaitingBodies();
+  const recovery = createTargetRecovery(context, section);
   let consecutiveTimeouts = 0;
 
   const countResult = (result: string): void => {
@@ -98,6 +100,8 @@
     section.answeredAtMs = clock.now();
     run.hasFailed = isTargetFailure(answer);
     addFailureSample(run.hasFailed);
+    // A target may fail requests because of their calls, which says nothing about its own room.
+    if (!run.hasFailed) recovery.observeRun(run, false);
     board.post('target', { type: 'answered' });
     if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
     run.events.answer(answer);
@@ -105,6 +109,7 @@
   const fail = (run: Run, failure: RunFailure): void => {
     if (run.phase !== 'running') return;
     addFailureSample(failure.kind !== 'timedOut');
+    recovery.observeRun(run, true);
     if (failure.kind === 'connectionLost') {
       board.post('quarantine', { type: 'requestLost', fingerprint: computeFingerprint(run.request) });
       board.post('target', { type: 'suspect' });
@@ -140,6 +145,7 @@
           run.events.grantBody(bytes);
         },
         notice: (notice) => {
+          if (notice.pace !== undefined) addPace(section.paceHint, notice.pace, clock.now());
           board.post('target', { type: 'notice', id, startedAtMs, sentAtMs: run.startedAtMs, notice });
         },
       },
@@ -172,7 +178,7 @@
     refuseRun(run, 'queueFull', 'the node keeps no more bodies of waiting requests');
   };
   const startQueued = (): void => {
-    const limit = computeRunLimit(board.read('target').slots);
+    const limit = readRunLimit(board);
     gate.updateRate();
     for (const run of gate.takeTooLate())
       refuseRun(run, 'queueFull', 'the target takes fewer requests than wait for it');
@@ -292,6 +298,7 @@
       refuseRun(run, phase === 'draining' ? 'leaving' : 'noTarget', `the target is ${phase}`);
   };
   const handleTargetChange = (): void => {
+    recovery.followTarget();
     refuseQueued();
     startQueued();
   };
--- a/src/control/requests/runPort.ts
+++ b/src/control/requests/runPort.ts
@@ -26,6 +26,8 @@
   /** Requests per second that it takes from all nodes together; undefined if it names no limit. */
   ratePerSecond: number | undefined;
   isLeaving: boolean;
+  /** How long work takes there now, relative to the usual duration; undefined if it does not say. */
+  pace: number | undefined;
   /** A limit that could not be read; it changes nothing. */
   unreadableLimit: string | undefined;
 }
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -12,6 +12,9 @@
 import type { RateGate } from '../../policy/rateGate.js';
 import type { RouteTable } from '../../policy/routeTable.js';
 import type { RecordOrder } from '../../policy/memberOrder.js';
+import { createPaceHint } from '../../policy/paceHint.js';
+import type { PaceHint } from '../../policy/paceHint.js';
+import type { RecoveryPace } from '../../policy/recoveryPace.js';
 import { createRunQueue } from '../../policy/runQueue.js';
 import type { StopPlan } from '../../policy/stopPlan.js';
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
@@ -135,6 +138,10 @@
     failures: FailureShare;
     /** Holds back requests to a target that named a limit. */
     gate: RateGate | undefined;
+    /** Limits the concurrent requests while the target starts or recovers. */
+    recovery: RecoveryPace | undefined;
+    /** What the target says of how long work takes there now. */
+    paceHint: PaceHint;
     /** Bytes of streamed bodies that are kept for queued requests. */
     waitingBodyBytes: number;
     /** Monotonic time (ms) of the target's last answer. */
@@ -273,6 +280,8 @@
       startedByRoute: new Map(),
       failures: createFailureShare(),
       gate: undefined,
+      recovery: undefined,
+      paceHint: createPaceHint(),
       waitingBodyBytes: 0,
       answeredAtMs: options.nowMs,
       counts: new Map(),
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -2,6 +2,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Gauge, Registry } from 'prom-client';
 import type { DurationSample } from '../control/requests/context.js';
+import { readRunLimit } from '../control/requests/localLoad.js';
 import type { RequestBoard } from '../control/requests/sections.js';
 import { addGauge } from './addGauge.js';
 
@@ -84,6 +85,9 @@
     'Requests that wait for the local target',
     () => board.read('runs').queue.length,
   );
+  addGauge(registry, 'hemlock_target_limit', 'Maximum number of concurrent requests at the local target', () =>
+    readRunLimit(board),
+  );
   addGauge(
     registry,
     'hemlock_run_duration_ms',
--- a/src/http/responseCheck.ts
+++ b/src/http/responseCheck.ts
@@ -43,6 +43,16 @@
 
 const DECIMAL_NUMBER = /^\d+(\.\d+)?$/;
 
+/** Position of the pace among the figures of the load header, after running, waiting and slots. */
+const PACE_POSITION = 3;
+/** The pace in the load header of a target that works as fast as usual. */
+const USUAL_PACE = 100;
+
+function parsePace(load: string | undefined): number | undefined {
+  const figure = load?.split(',')[PACE_POSITION]?.trim();
+  return figure !== undefined && DECIMAL_NUMBER.test(figure) ? Number(figure) / USUAL_PACE : undefined;
+}
+
 /** Reads what a target says about itself in the head of a response. Of several limits the lowest one holds. */
 export function parseTargetNotice({ rawHeaders }: ResponseHead, names: RequestHeaderNames): TargetNotice {
   const limits = listHeader(rawHeaders, names.rateLimit).flatMap((value) => value.split(','));
@@ -50,6 +60,7 @@
   return {
     ratePerSecond: readable.length > 0 ? Math.min(...readable.map(Number)) : undefined,
     isLeaving: findHeader(rawHeaders, names.leaving)?.trim() === '1',
+    pace: parsePace(findHeader(rawHeaders, names.load)),
     unreadableLimit: limits.length > readable.length ? limits.join(',') : undefined,
   };
 }
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -1,5 +1,6 @@
 import type { Random } from '../core/random.js';
 import type { LoadReport } from '../schema/linkFrame.js';
+import { decaySlowdown } from './paceHint.js';
 import { computeTokenWait } from './rateGate.js';
 import type { TargetSpeed } from './targetSpeed.js';
 
@@ -12,6 +13,8 @@
   speed: TargetSpeed;
   /** True when this node has not sent a request to the target, so it has no observations of its own. */
   isUntried: boolean;
+  /** Age of the load report (ms). */
+  loadAgeMs: number;
   /** Requests sent to the target that its load report does not include yet. */
   sentSinceReport: number;
 }
@@ -24,11 +27,15 @@
   serviceDurationMs: number;
   /** Time within which the answer has its full worth (ms). */
   targetLatencyMs: number;
+  /** Large bodies or answers, which cost more to send to another data centre. */
+  isBulk: boolean;
   random: Random;
 }
 
 /** Cost of sending a request to another data centre, as a share of the target latency. */
 const CROSS_DATA_CENTER_COST = 0.2;
+/** The same for large bodies or answers. */
+const BULK_CROSS_DATA_CENTER_COST = 0.4;
 /** Cost of one failed attempt, in multiples of the target latency. */
 const FAILURE_COST = 2;
 /** Cost of a target whose slots are all in use but that has no queue, as a share of the duration of a run. */
@@ -91,13 +98,14 @@
 
 function estimateCost(candidate: TargetCandidate, input: TargetChoiceInput): number {
   const { load, sentSinceReport } = candidate;
-  const { slowness } = candidate.speed;
-  const { routeDurationMs, serviceDurationMs, targetLatencyMs } = input;
+  const { routeDurationMs, serviceDurationMs, targetLatencyMs, isBulk } = input;
+  const slowness = candidate.speed.slowness * decaySlowdown(load.slowdown ?? 1, candidate.loadAgeMs);
   const stalledMs = load.stalledMs ?? 0;
   const waitMs = estimateWait(load, sentSinceReport, Math.max(stalledMs, slowness * serviceDurationMs));
   const durationMs = Math.max(stalledMs, slowness * routeDurationMs);
   const usedShare = Math.min(1, (load.running + load.queued + sentSinceReport) / Math.max(1, load.limit));
-  const crossingMs = candidate.isLocalDataCenter ? 0 : CROSS_DATA_CENTER_COST * targetLatencyMs;
+  const crossingCost = isBulk ? BULK_CROSS_DATA_CENTER_COST : CROSS_DATA_CENTER_COST;
+  const crossingMs = candidate.isLocalDataCenter ? 0 : crossingCost * targetLatencyMs;
   const failureMs = FAILURE_COST * load.failureShare * targetLatencyMs;
   return MIN_COST_MS + waitMs + durationMs * (1 + FULL_TARGET_COST * usedShare) + crossingMs + failureMs;
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -90,6 +90,8 @@
   failureShare: Type.Number(),
   /** Time for which the target has answered none of its running requests (ms); absent while it answers as expected. */
   stalledMs: Type.Optional(Type.Number()),
+  /** How much longer than in its recent answers the target takes now; absent while it is about 1. */
+  slowdown: Type.Optional(Type.Number()),
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
   ratePerSecond: Type.Optional(Type.Number()),
   /** Number of requests that may start at once under that rate. */
--- a/tests/requests/targetLimit.test.ts
+++ b/tests/requests/targetLimit.test.ts
@@ -127,7 +127,7 @@
     target.respond = ({ request }, events) => {
       if (request.path !== '/order/late') return 'answer';
       sendLateAnswer = () => {
-        events.notice({ ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined });
+        events.notice({ ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined, pace: undefined });
       };
       return 'handled';
     };
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -57,21 +57,47 @@
     });
   });
 
+  const silent: TargetNotice = {
+    ratePerSecond: undefined,
+    isLeaving: false,
+    unreadableLimit: undefined,
+    pace: undefined,
+  };
   const notices: [string, string, TargetNotice][] = [
-    ['no limit', '', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined }],
-    ['a limit', 'Test-Limit: 19.5\r\n', { ratePerSecond: 19.5, isLeaving: false, unreadableLimit: undefined }],
-    ['a limit of 0', 'test-limit: 0\r\n', { ratePerSecond: 0, isLeaving: false, unreadableLimit: undefined }],
-    ['a negative limit', 'test-limit: -3\r\n', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: '-3' }],
-    ['a text', 'test-limit: some\r\n', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: 'some' }],
+    ['no limit', '', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined, pace: undefined }],
+    [
+      'a limit',
+      'Test-Limit: 19.5\r\n',
+      { ratePerSecond: 19.5, isLeaving: false, unreadableLimit: undefined, pace: undefined },
+    ],
+    [
+      'a limit of 0',
+      'test-limit: 0\r\n',
+      { ratePerSecond: 0, isLeaving: false, unreadableLimit: undefined, pace: undefined },
+    ],
+    [
+      'a negative limit',
+      'test-limit: -3\r\n',
+      { ratePerSecond: undefined, isLeaving: false, unreadableLimit: '-3', pace: undefined },
+    ],
+    [
+      'a text',
+      'test-limit: some\r\n',
+      { ratePerSecond: undefined, isLeaving: false, unreadableLimit: 'some', pace: undefined },
+    ],
     [
       'several limits, of which the lowest holds',
       'test-limit: 30\r\ntest-limit: 20, x\r\n',
-      { ratePerSecond: 20, isLeaving: false, unreadableLimit: '30,20, x' },
+      { ratePerSecond: 20, isLeaving: false, unreadableLimit: '30,20, x', pace: undefined },
     ],
+    ['its pace', 'test-load: 3,0,8,250\r\n', { ...silent, pace: 2.5 }],
+    ['a load without a pace', 'test-load: 3,0,8\r\n', silent],
+    ['a negative pace', 'test-load: 3,0,8,-100\r\n', silent],
+    ['a text as its pace', 'test-load: 3,0,8,fast\r\n', silent],
     [
       'that it leaves',
       'test-leaving: 1\r\n',
-      { ratePerSecond: undefined, isLeaving: true, unreadableLimit: undefined },
+      { ratePerSecond: undefined, isLeaving: true, unreadableLimit: undefined, pace: undefined },
     ],
   ];
   for (const [name, header, notice] of notices) {
