--- a/src/control/requests/localLoad.ts
+++ b/src/control/requests/localLoad.ts
@@ -45,9 +45,10 @@
 export function readLocalLoad(board: RequestBoard, nowMs: number): LoadReport {
   const { service, id } = board.read('target');
   const runs = board.read('runs');
-  const { queue, running, failures, duration, gate, paceHint } = runs;
+  const { queue, running, failures, unserved, duration, gate, paceHint } = runs;
   const slowdown = readSlowdown(paceHint, nowMs);
   const stalledMs = computeStalledTime(runs, nowMs);
+  const unservedShare = limitDecimals(readFailureShare(unserved, nowMs));
   return {
     phase: readAdvertisedPhase(board, nowMs),
     service,
@@ -56,9 +57,15 @@
     queued: queue.length,
     limit: readRunLimit(board),
     durationMs: Math.round(Math.max(stalledMs, duration.meanMs)),
-    failureShare: Math.round(readFailureShare(failures, nowMs) * 100) / 100,
+    failureShare: limitDecimals(readFailureShare(failures, nowMs)),
+    ...(unservedShare > 0 ? { unservedShare } : {}),
     ...(stalledMs > 0 ? { stalledMs } : {}),
     ...(slowdown > MIN_REPORTED_SLOWDOWN ? { slowdown: Math.round(slowdown * 10) / 10 } : {}),
     ...(gate === undefined ? {} : { ratePerSecond: gate.perSecond, rateTokens: countTokens(gate, nowMs) }),
   };
 }
+
+/** Rounds to two decimals to keep messages short. */
+function limitDecimals(value: number): number {
+  return Math.round(value * 100) / 100;
+}
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -71,6 +71,9 @@
   const addFailureSample = (isFailure: boolean): void => {
     addResult(section.failures, isFailure, clock.now());
   };
+  const addServedSample = (isServed: boolean): void => {
+    addResult(section.unserved, !isServed, clock.now());
+  };
   const addDurationSample = ({ request: { route } }: Run, durationMs: number): void => {
     const nowMs = clock.now();
     addDuration(duration, durationMs, nowMs);
@@ -102,6 +105,7 @@
     addFailureSample(run.hasFailed);
     // A target may fail requests because of their calls, which says nothing about its own room.
     if (!run.hasFailed) recovery.observeRun(run, false);
+    addServedSample(true);
     board.post('target', { type: 'answered' });
     if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
     run.events.answer(answer);
@@ -110,6 +114,7 @@
     if (run.phase !== 'running') return;
     addFailureSample(failure.kind !== 'timedOut');
     recovery.observeRun(run, true);
+    addServedSample(failure.ran !== 'no');
     if (failure.kind === 'connectionLost') {
       board.post('quarantine', { type: 'requestLost', fingerprint: computeFingerprint(run.request) });
       board.post('target', { type: 'suspect' });
@@ -203,6 +208,7 @@
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
     endQueued(run);
+    addServedSample(false);
     countResult('tooLate');
     reportRun(run, 'tooLate', 'the deadline passed in the queue');
     run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
@@ -234,6 +240,7 @@
     if (run.phase === 'queued') {
       queue.drop(run);
       endQueued(run);
+      addServedSample(false);
       countResult('cancelled');
     } else if (run.phase === 'running' && (run.request.isIdempotent || !run.isBodyComplete)) {
       run.target?.cancel();
