--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -38,12 +38,12 @@
 /** Maximum share of the slots that admitted requests may occupy. */
 const MAX_SLOT_SHARE = 0.92;
 /**
- * Share of the room that is divided in proportion to demand, so that each kind of requests keeps something in a flood of
- * others. A fixed share of the demand would take all room at a multiple of the capacity, that of urgent requests included.
+ * Share of the room that is divided evenly among the kinds of requests, so that each keeps something in a flood of others. A
+ * fixed share of each demand would take all room at a multiple of the capacity, that of urgent requests included.
  */
 const COMMON_SHARE = 0.1;
-/** Maximum share of a demand that is admitted for this. */
-const MAX_COMMON_FRACTION = 0.25;
+/** Admitted share from which a kind of requests is not limited; below 1 for rounding. */
+const ALMOST_ALL = 1 - 1e-9;
 /** Time within which an existing queue is drained (ms). */
 const DRAIN_MS = 400;
 /** Minimum share of the slots that admitted requests get, regardless of the queue length. */
@@ -160,23 +160,46 @@
   share: number,
   fractions: Map<string, number>,
 ): void {
-  const affected = demands.filter(({ work, perSecond }) => perSecond > 0 && (work.get(service) ?? 0) > 0);
   const computeBusySlots = ({ perSecond, work }: RouteDemand): number => (perSecond * (work.get(service) ?? 0)) / 1000;
-  const totalSlots = affected.reduce((sum, demand) => sum + computeBusySlots(demand), 0);
-  const commonFraction = Math.min(MAX_COMMON_FRACTION, (COMMON_SHARE * share * slots) / totalSlots);
-  let freeSlots = share * slots - commonFraction * totalSlots;
+  const affected = demands.filter((demand) => computeBusySlots(demand) > 0);
+  const requested = affected.map(computeBusySlots);
+  const granted = splitEvenly(COMMON_SHARE * share * slots, requested);
+  let freeSlots = share * slots - computeSum(granted);
   const priorities = [...new Set(affected.map(({ priority }) => priority))].sort((left, right) => left - right);
   for (const priority of priorities) {
-    const routes = affected.filter((demand) => demand.priority === priority);
-    const requestedSlots = (1 - commonFraction) * routes.reduce((sum, demand) => sum + computeBusySlots(demand), 0);
-    const grantedSlots = Math.max(0, Math.min(requestedSlots, freeSlots));
-    freeSlots -= grantedSlots;
-    const fraction = requestedSlots <= 0 ? 1 : commonFraction + (1 - commonFraction) * (grantedSlots / requestedSlots);
-    if (fraction >= 1) continue;
-    for (const demand of routes) {
-      const kind = getKind(demand);
-      fractions.set(kind, (fractions.get(kind) ?? 1) * fraction);
-      demand.perSecond *= fraction;
-    }
+    const indexes = affected.flatMap((demand, index) => (demand.priority === priority ? [index] : []));
+    const missing = indexes.map((index) => (requested[index] ?? 0) - (granted[index] ?? 0));
+    const missingSlots = computeSum(missing);
+    const part = missingSlots <= 0 ? 0 : Math.max(0, Math.min(1, freeSlots / missingSlots));
+    freeSlots -= part * missingSlots;
+    for (const [position, index] of indexes.entries())
+      granted[index] = (granted[index] ?? 0) + part * (missing[position] ?? 0);
   }
+  for (const [index, demand] of affected.entries()) {
+    const fraction = (granted[index] ?? 0) / (requested[index] ?? 1);
+    if (fraction >= ALMOST_ALL) continue;
+    const kind = getKind(demand);
+    fractions.set(kind, (fractions.get(kind) ?? 1) * fraction);
+    demand.perSecond *= fraction;
+  }
+}
+
+/**
+ * Divides a total among requests for parts of it such that nobody who gets less than requested gets less than another. So a
+ * kind of requests that needs little keeps all of it, whatever the others ask for.
+ */
+function splitEvenly(total: number, requested: readonly number[]): number[] {
+  const granted = requested.map(() => 0);
+  const ascending = [...requested.keys()].sort((left, right) => (requested[left] ?? 0) - (requested[right] ?? 0));
+  let rest = total;
+  for (const [position, index] of ascending.entries()) {
+    const part = Math.min(requested[index] ?? 0, rest / (ascending.length - position));
+    granted[index] = part;
+    rest -= part;
+  }
+  return granted;
+}
+
+function computeSum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
--- a/tests/requests/callGraph.test.ts
+++ b/tests/requests/callGraph.test.ts
@@ -131,6 +131,20 @@
     expect((fractions.get('order') ?? 0) >= 0.25).toEqual(true);
   });
 
+  // Guards against refusals of a kind of requests that needs little of the short service, in a flood of others.
+  it('should give the most urgent route the room first, and a small one all that it needs', () => {
+    const demands = [
+      buildDemand('check', 0, 200, 60),
+      buildDemand('lookup', 1, 500, 80),
+      buildDemand('view', 2, 20, 20),
+    ];
+    const fractions = computeAdmission(demands, [stock], buildCorrections());
+    expect(fractions.get('check')).toEqual(undefined);
+    expect(fractions.get('view')).toEqual(undefined);
+    const lookup = fractions.get('lookup') ?? 1;
+    expect(lookup > 0.1 && lookup < 0.2).toEqual(true);
+  });
+
   // Guards against refusals by chance: with few requests per node, the estimated load exceeds the capacity now and then.
   it('should not refuse requests for an excess within the error of the estimate while no queue has formed', () => {
     const demands = [{ ...buildDemand('check', 0, 100, 190), variance: 800 }];
