Let calls of running requests inherit urgency and go before new requests

Cause: calls name no parent and had the priority of their own route, so they waited behind new requests when most runs of their tree were done. Correlations of counts show the calls of routes only after 2 to 3 s.

The node beside the target finds the run to which a call belongs by the time left, else by the routes that call this one. Run requests carry the priority of the parent and a flag, so both are inherited at any depth; queues order by priority, then started before new, then timely before late. Matches by time left also show which routes call which, within a second of a start.

Ruled out: counting all requests that leave a queue without their turn as not served, which limited urgent trees whose calls do not wait.

--- a/src/control/requests/demandController.ts
+++ b/src/control/requests/demandController.ts
@@ -1,9 +1,13 @@
 import { scheduleRepeated } from '../../core/clock.js';
 import { addCallSample, estimateCalls } from '../../policy/callGraph.js';
+import { addMatchSample, estimateMatchedCalls, mergeCallEstimates } from '../../policy/callMatches.js';
+import type { MatchCount, MatchCounts } from '../../policy/callMatches.js';
+import { collectCallers } from '../../policy/parentRun.js';
 import { countRecentSamples } from '../../policy/durationEstimate.js';
 import { collectServiceRates, computeLowMedian } from '../../policy/fleetDemand.js';
 import type { NodeView } from '../../policy/fleetDemand.js';
 import type { Profile } from '../../schema/linkFrame.js';
+import type { ReadView } from '../../core/blackboard.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
 
@@ -11,6 +15,8 @@
 const SAMPLE_INTERVAL_MS = 250;
 /** Number of samples between two estimates of the calls, which change slowly. */
 const SAMPLES_PER_ESTIMATE = 8;
+/** Number of samples after the start in which calls are estimated each time, so that they are known soon. */
+const FIRST_SAMPLES = 24;
 /** Weight of a new sample in the smoothed demand. */
 const SMOOTHING_WEIGHT = 0.5;
 /** Routes with a lower request rate are left out of the profile. */
@@ -25,8 +31,10 @@
   const demand = board.claim('demand', 'demandController');
   const { section } = demand;
   const perSecond = new Map<string, number>();
+  const startedPerSecond = new Map<string, number>();
   const previousArrived = new Map<string, number>();
   const previousStarted = new Map<string, number>();
+  const previousMatches: MatchCounts = new Map();
   let calls: Profile['calls'] = [];
   let samples = 0;
   let stopTicks = (): void => undefined;
@@ -42,11 +50,26 @@
     }
     return increments;
   };
-  const updateDemand = (arrived: ReadonlyMap<string, number>): void => {
-    for (const [route, count] of arrived) {
+  const computeMatchIncrements = (counts: ReadView<MatchCounts>): MatchCounts => {
+    const increments: MatchCounts = new Map();
+    for (const [route, byCalled] of counts) {
+      let previous = previousMatches.get(route);
+      if (previous === undefined) previousMatches.set(route, (previous = new Map()));
+      const increment = new Map<string, MatchCount>();
+      increments.set(route, increment);
+      for (const [called, { net, gross }] of byCalled) {
+        const known = previous.get(called) ?? { net: 0, gross: 0 };
+        increment.set(called, { net: net - known.net, gross: gross - known.gross });
+        previous.set(called, { net, gross });
+      }
+    }
+    return increments;
+  };
+  const updateRates = (rates: Map<string, number>, counts: ReadonlyMap<string, number>): void => {
+    for (const [route, count] of counts) {
       const rate = (count * 1000) / SAMPLE_INTERVAL_MS;
-      const known = perSecond.get(route);
-      perSecond.set(route, known === undefined ? rate : known + SMOOTHING_WEIGHT * (rate - known));
+      const known = rates.get(route);
+      rates.set(route, known === undefined ? rate : known + SMOOTHING_WEIGHT * (rate - known));
     }
   };
   /** Returns one map per other service in this data centre: the mean requests per second per host, by route. */
@@ -75,12 +98,17 @@
     };
   };
   const updateCalls = (): void => {
-    calls = estimateCalls(section.callEstimator).map((call) => ({ ...call, perRun: limitDecimals(call.perRun) }));
+    const { callEstimator, matchEstimator } = section;
+    const matched = estimateMatchedCalls(matchEstimator);
+    const merged = mergeCallEstimates(estimateCalls(callEstimator), matched, matchEstimator.ran);
+    calls = merged.map((call) => ({ ...call, perRun: limitDecimals(call.perRun) }));
+    section.callersByRoute = collectCallers(calls, { startedPerSecond, arrivedPerSecond: perSecond });
   };
   const runTick = (): void => {
     const arrived = computeIncrements(board.read('entries').arrivedByRoute, previousArrived);
     const ran = computeIncrements(board.read('runs').startedByRoute, previousStarted);
-    updateDemand(arrived);
+    updateRates(perSecond, arrived);
+    updateRates(startedPerSecond, ran);
     const others = readOtherServiceRates();
     const sampleSeconds = SAMPLE_INTERVAL_MS / 1000;
     // Hosts of other services receive client requests like this one, but not the calls of the local target. The low
@@ -94,7 +122,9 @@
       arrived: new Map(netArrived),
       isClientTrafficExcluded: others.length > 0,
     });
-    if (samples++ % SAMPLES_PER_ESTIMATE === 0) updateCalls();
+    addMatchSample(section.matchEstimator, ran, computeMatchIncrements(board.read('entries').matchedCalls));
+    if (samples < FIRST_SAMPLES || samples % SAMPLES_PER_ESTIMATE === 0) updateCalls();
+    samples++;
     section.profile = buildProfile();
     demand.publishChange();
   };
--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -45,6 +45,8 @@
   readonly organisation: ReadView<Organisation> | undefined;
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** True for a call of a running request, whose priority it has taken over. */
+  readonly isStarted: boolean;
   /** True if the request may take the lane of urgent requests. */
   readonly isUrgent: boolean;
   /** Version of the configuration by which the route was chosen. */
@@ -77,19 +79,23 @@
   route: ReadView<Route>;
   service: string;
   organisation: ReadView<Organisation> | undefined;
+  /** Priority of the run that makes this call; undefined for requests of clients. */
+  parentPriority: number | undefined;
   configurationVersion: number;
   nowMs: number;
 }): Entry {
-  const { request, reply, route, service, organisation, configurationVersion, nowMs } = options;
-  const priority = organisation?.priority ?? route.priority;
+  const { request, reply, route, service, organisation, parentPriority, configurationVersion, nowMs } = options;
+  const ownPriority = organisation?.priority ?? route.priority;
   return {
     request,
     reply,
     route,
     service,
     organisation,
-    priority,
-    isUrgent: priority === 0 && !route.isBulk,
+    priority: parentPriority ?? ownPriority,
+    isStarted: parentPriority !== undefined,
+    // Links have an urgent lane only to services that the configuration shows to get urgent requests.
+    isUrgent: ownPriority === 0 && !route.isBulk,
     configurationVersion,
     arrivedAtMs: nowMs,
     deadlineAtMs: nowMs + Math.min(request.timeLeftMs, route.timeoutMs),
@@ -108,12 +114,13 @@
 
 /** Builds the request that is sent to the target's node. */
 export function buildRun(entry: Entry, callerService: string, nowMs: number): RunRequest {
-  const { request, route, service, priority, organisation, arrivedAtMs, deadlineAtMs } = entry;
+  const { request, route, service, priority, isStarted, organisation, arrivedAtMs, deadlineAtMs } = entry;
   return {
     requestId: request.requestId,
     service,
     route: route.name,
     priority,
+    ...(isStarted ? { isStarted } : {}),
     isIdempotent: route.isIdempotent,
     method: request.method,
     path: request.path,
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,8 +1,10 @@
 import { hashToUnit } from '../../core/hash.js';
+import { addMatches } from '../../policy/callMatches.js';
 import { computeShedRetryDelay, RETRY_AFTER_MS } from '../../policy/nextStep.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { formatKind } from '../../policy/requestKind.js';
 import { choosePart } from '../../policy/partChoice.js';
+import { findParentRun } from '../../policy/parentRun.js';
 import { resolveSuspect } from '../../policy/quarantine.js';
 import { computeStopRetryDelay, isTakenWhileStopping } from '../../policy/stopPlan.js';
 import { findCaller } from '../../policy/organisations.js';
@@ -47,6 +49,7 @@
       ms: Math.round(clock.now() - entry.arrivedAtMs),
       arrivals: entry.arrivals,
       offers: entry.offers,
+      ...(entry.isStarted ? { parentPriority: entry.priority } : {}),
       configuration: configurationVersion,
       ...(version === configurationVersion ? {} : { configurationAtEnd: version }),
       detail,
@@ -105,6 +108,7 @@
       route,
       service,
       organisation: caller.type === 'organisation' ? caller.organisation : undefined,
+      parentPriority: caller.type === 'anonymous' ? findParentPriority(request, route) : undefined,
       configurationVersion: version,
       nowMs: clock.now(),
     });
@@ -118,6 +122,17 @@
     startEntry(entry);
     return buildHandle(entry);
   };
+  /** Returns the priority of the run of the local target that makes this call; undefined for a request of a client. */
+  const findParentPriority = (request: ClientRequest, route: ReadView<Route>): number | undefined => {
+    const { running } = board.read('runs');
+    if (running.size === 0) return undefined;
+    const nowMs = clock.now();
+    const { timeLeftMs } = request;
+    addMatches(section.matchedCalls, running, { called: route.name, timeLeftMs, nowMs });
+    const callers = board.read('demand').callersByRoute.get(route.name);
+    if (callers === undefined) return undefined;
+    return findParentRun({ runs: running, callers, timeLeftMs, nowMs })?.priority;
+  };
   /** Returns the refusal of a request that may not end before this node closes. */
   const findStopRefusal = (request: ClientRequest, route: ReadView<Route>): Refusal | undefined => {
     const { stop } = board.read('node');
@@ -140,7 +155,7 @@
       refuse(entry, { kind: 'quarantined', detail: 'requests with this fingerprint crash their targets' });
       return;
     }
-    const fraction = readFraction(entry);
+    const fraction = entry.isStarted ? undefined : readFraction(entry);
     if (fraction !== undefined && hashToUnit(entry.request.requestId) >= fraction) {
       const retryAfterMs = computeShedRetryDelay(entry.route.targetLatencyMs, random());
       refuse(entry, {
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -72,6 +72,10 @@
   const addServedSample = (isServed: boolean): void => {
     addResult(section.unserved, !isServed, clock.now());
   };
+  /** Counts a call that left the queue without its turn. New requests wait behind calls, so they say nothing of these. */
+  const addMissedTurn = ({ isStarted }: Run): void => {
+    if (isStarted) addServedSample(false);
+  };
   const addDurationSample = ({ request: { route } }: Run, durationMs: number): void => {
     const nowMs = clock.now();
     addDuration(duration, durationMs, nowMs);
@@ -202,7 +206,7 @@
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
     endQueued(run);
-    addServedSample(false);
+    addMissedTurn(run);
     countResult('tooLate');
     reportRun(run, 'tooLate', 'the deadline passed in the queue');
     run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
@@ -234,7 +238,7 @@
     if (run.phase === 'queued') {
       queue.drop(run);
       endQueued(run);
-      addServedSample(false);
+      addMissedTurn(run);
       countResult('cancelled');
     } else if (run.phase === 'running' && (run.request.isIdempotent || !run.isBodyComplete)) {
       run.target?.cancel();
@@ -257,7 +261,9 @@
     }
     const run: Run = {
       request,
+      route: request.route,
       priority: request.priority,
+      isStarted: request.isStarted === true,
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + request.timeLeftMs,
       worthUntilMs: nowMs + request.worthLeftMs,
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -2,12 +2,15 @@
 import type { ServiceCorrection } from '../../policy/admission.js';
 import type { CallGraphEstimator } from '../../policy/callGraph.js';
 import { createCallGraphEstimator } from '../../policy/callGraph.js';
+import { createCallMatchEstimator } from '../../policy/callMatches.js';
+import type { CallMatchEstimator, MatchCounts } from '../../policy/callMatches.js';
 import { createDurationEstimate } from '../../policy/durationEstimate.js';
 import type { DurationEstimate } from '../../policy/durationEstimate.js';
 import { createFailureShare } from '../../policy/failureShare.js';
 import type { FailureShare } from '../../policy/failureShare.js';
 import type { FleetBudget } from '../../policy/fleetBudget.js';
 import { updateDigest } from '../../policy/membersDigest.js';
+import type { RouteCallers } from '../../policy/parentRun.js';
 import type { PartCredits } from '../../policy/partChoice.js';
 import type { RateGate } from '../../policy/rateGate.js';
 import type { RouteTable } from '../../policy/routeTable.js';
@@ -58,7 +61,10 @@
 /** One request at the node of its target. Times are monotonic (ms). */
 export interface Run {
   readonly request: RunRequest;
+  readonly route: string;
   readonly priority: number;
+  /** True for a call of a running request. */
+  readonly isStarted: boolean;
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
   readonly worthUntilMs: number;
@@ -134,7 +140,7 @@
     startedByRoute: Map<string, number>;
     /** Recent share of runs that the target rejected, lost or failed. */
     failures: FailureShare;
-    /** Recent share of requests that the target rejected or that left the queue without their turn. */
+    /** Recent share of requests that the target rejected, and of calls that left the queue without their turn. */
     unserved: FailureShare;
     /** Holds back requests to a target that named a limit. */
     gate: RateGate | undefined;
@@ -152,11 +158,19 @@
     latencyByRoute: Map<string, DurationEstimate>;
     /** Number of requests that entered at this node so far, by route. */
     arrivedByRoute: Map<string, number>;
+    /** Requests that entered so far with the time left of a run of the local target. */
+    matchedCalls: MatchCounts;
     /** Number of ended requests, by result. */
     counts: Map<string, number>;
   };
   /** The demand observed by this node, as reported to its peers. */
-  demand: { profile: Profile; callEstimator: CallGraphEstimator };
+  demand: {
+    profile: Profile;
+    callEstimator: CallGraphEstimator;
+    matchEstimator: CallMatchEstimator;
+    /** By called route: the routes of the local target's runs that call it. */
+    callersByRoute: ReadonlyMap<string, RouteCallers>;
+  };
   /** Expected run durations at the targets of each service. */
   speeds: { byService: ReadonlyMap<string, ServiceSpeeds> };
   admission: {
@@ -290,9 +304,15 @@
       partCredits: new Map(),
       latencyByRoute: new Map(),
       arrivedByRoute: new Map(),
+      matchedCalls: new Map(),
       counts: new Map(),
     },
-    demand: { profile: createEmptyProfile(), callEstimator: createCallGraphEstimator() },
+    demand: {
+      profile: createEmptyProfile(),
+      callEstimator: createCallGraphEstimator(),
+      matchEstimator: createCallMatchEstimator(),
+      callersByRoute: new Map(),
+    },
     speeds: { byService: new Map() },
     admission: { fractions: new Map(), wasteLimits: new Map(), chances: new Map(), corrections: new Map() },
     budgets: { byService: new Map() },
--- a/src/control/requests/targetGate.ts
+++ b/src/control/requests/targetGate.ts
@@ -42,7 +42,7 @@
   const findExcessiveWait = (run: Run): number | undefined => {
     if (section.gate === undefined) return undefined;
     const nowMs = clock.now();
-    const waitMs = computeGateWait(section.gate, queue.countAhead(run.priority), nowMs);
+    const waitMs = computeGateWait(section.gate, queue.countAhead(run), nowMs);
     const usefulUntilMs = run.worthUntilMs > nowMs ? run.worthUntilMs : run.deadlineAtMs;
     return nowMs + waitMs + duration.meanMs > usefulUntilMs && waitMs > 0 ? waitMs : undefined;
   };
--- /dev/null
+++ b/src/policy/callMatches.ts
@@ -0,0 +1,149 @@
+import type { CallEstimate } from './callGraph.js';
+import { MAX_EXCESS_MS, MAX_SHORTFALL_MS } from './parentRun.js';
+import type { RunUnderWay } from './parentRun.js';
+
+/** Requests that entered with the time left of a run, less those expected to match by chance. */
+export interface MatchCount {
+  net: number;
+  /** Sum of the absolute weights, which is the variance of `net` if all matches are by chance. */
+  gross: number;
+}
+
+/** Counts by route of the runs and route of the requests. */
+export type MatchCounts = Map<string, Map<string, MatchCount>>;
+
+/** Sums over recent intervals. */
+export interface CallMatchEstimator {
+  readonly matches: MatchCounts;
+  /** Runs started, by route. */
+  readonly ran: Map<string, number>;
+}
+
+/** Distance of the two windows in which matches by chance are counted (ms). */
+const CONTROL_DISTANCE_MS = 20;
+const CONTROL_WEIGHT = -0.5;
+/** Factor by which the sums decay per interval. */
+const DECAY_FACTOR = 0.97;
+/** Number of matches from which they count. */
+const MIN_MATCHES = 10;
+const MIN_STANDARD_ERRORS = 3;
+const MIN_CALLS_PER_RUN = 0.1;
+/** Share of the calls estimated otherwise from which matches replace that estimate. */
+const MIN_MATCHED_SHARE = 0.6;
+/**
+ * Ratio of both estimates within which the total of the other one holds: fewer runs are younger than the parent than older,
+ * so chance matches are underestimated by up to a fifth.
+ */
+const MAX_TOTAL_RATIO = 1.35;
+
+/**
+ * Counts the runs under way that a request matches by its time left. As calls often carry the time that their run has
+ * left, this shows within a second which routes call which, where correlations of counts need several and take the runs
+ * of two routes at one service for each other. What matches in two windows beside the expected one is subtracted.
+ *
+ * @example
+ * addMatches(counts, runs, { called: 'scan', timeLeftMs: 812, nowMs: clock.now() });
+ */
+export function addMatches(
+  counts: MatchCounts,
+  runs: Iterable<RunUnderWay>,
+  request: { called: string; timeLeftMs: number; nowMs: number },
+): void {
+  const { called, timeLeftMs, nowMs } = request;
+  for (const { route, deadlineAtMs } of runs) {
+    const weight = computeMatchWeight(timeLeftMs - (deadlineAtMs - nowMs));
+    if (weight === 0 || route === called) continue;
+    const count = getCount(counts, route, called);
+    count.net += weight;
+    count.gross += Math.abs(weight);
+  }
+}
+
+/** Creates an estimator without matches. */
+export function createCallMatchEstimator(): CallMatchEstimator {
+  return { matches: new Map(), ran: new Map() };
+}
+
+/** Adds the runs started and the matches counted in one interval. */
+export function addMatchSample(
+  estimator: CallMatchEstimator,
+  ran: ReadonlyMap<string, number>,
+  counts: ReadonlyMap<string, ReadonlyMap<string, MatchCount>>,
+): void {
+  for (const [route, sum] of estimator.ran) estimator.ran.set(route, sum * DECAY_FACTOR);
+  for (const [route, count] of ran) estimator.ran.set(route, (estimator.ran.get(route) ?? 0) + count);
+  for (const byCalled of estimator.matches.values()) {
+    for (const sum of byCalled.values()) {
+      sum.net *= DECAY_FACTOR;
+      sum.gross *= DECAY_FACTOR;
+    }
+  }
+  for (const [route, byCalled] of counts) {
+    for (const [called, { net, gross }] of byCalled) {
+      const sum = getCount(estimator.matches, route, called);
+      sum.net += net;
+      sum.gross += gross;
+    }
+  }
+}
+
+/** Estimates the calls per run from the matches; those that chance may explain are left out. */
+export function estimateMatchedCalls({ matches, ran }: CallMatchEstimator): CallEstimate[] {
+  return [...matches].flatMap(([route, byCalled]) =>
+    [...byCalled].flatMap(([called, { net, gross }]) => {
+      const perRun = net / Math.max(1, ran.get(route) ?? 0);
+      const isCertain = net >= MIN_MATCHES && net > MIN_STANDARD_ERRORS * Math.sqrt(gross);
+      return isCertain && perRun >= MIN_CALLS_PER_RUN ? [{ ran: route, called, perRun }] : [];
+    }),
+  );
+}
+
+/**
+ * Combines both estimates. For a called route whose calls mostly carry the time left of their run, the matches show which
+ * routes call it; others carry the time limit of their own route, and the matches are too few.
+ */
+export function mergeCallEstimates(
+  correlated: readonly CallEstimate[],
+  matched: readonly CallEstimate[],
+  ran: ReadonlyMap<string, number>,
+): CallEstimate[] {
+  const correlatedSums = computeCallSums(correlated, ran);
+  const matchedSums = computeCallSums(matched, ran);
+  const getRatio = (called: string): number =>
+    (correlatedSums.get(called) ?? 0) / Math.max(Number.MIN_VALUE, matchedSums.get(called) ?? 0);
+  const isMatched = (called: string): boolean => getRatio(called) <= 1 / MIN_MATCHED_SHARE;
+  const computeScale = (ratio: number): number => (ratio > 1 / MAX_TOTAL_RATIO && ratio < MAX_TOTAL_RATIO ? ratio : 1);
+  return [
+    ...matched
+      .filter(({ called }) => isMatched(called))
+      .map((call) => ({ ...call, perRun: call.perRun * computeScale(getRatio(call.called)) })),
+    ...correlated.filter(({ called }) => !isMatched(called)),
+  ];
+}
+
+/** Sums the calls to each route over the runs of all routes. */
+function computeCallSums(calls: readonly CallEstimate[], ran: ReadonlyMap<string, number>): Map<string, number> {
+  const sums = new Map<string, number>();
+  for (const call of calls) {
+    sums.set(call.called, (sums.get(call.called) ?? 0) + call.perRun * (ran.get(call.ran) ?? 0));
+  }
+  return sums;
+}
+
+function computeMatchWeight(excessMs: number): number {
+  if (isInWindow(excessMs)) return 1;
+  const isControl = isInWindow(excessMs - CONTROL_DISTANCE_MS) || isInWindow(excessMs + CONTROL_DISTANCE_MS);
+  return isControl ? CONTROL_WEIGHT : 0;
+}
+
+function isInWindow(excessMs: number): boolean {
+  return excessMs >= -MAX_SHORTFALL_MS && excessMs <= MAX_EXCESS_MS;
+}
+
+function getCount(counts: MatchCounts, route: string, called: string): MatchCount {
+  let byCalled = counts.get(route);
+  if (byCalled === undefined) counts.set(route, (byCalled = new Map()));
+  let count = byCalled.get(called);
+  if (count === undefined) byCalled.set(called, (count = { net: 0, gross: 0 }));
+  return count;
+}
--- a/src/policy/runQueue.ts
+++ b/src/policy/runQueue.ts
@@ -5,6 +5,8 @@
 export interface QueuedRun {
   /** 0 is the most urgent. */
   readonly priority: number;
+  /** True for a call of a running request. */
+  readonly isStarted: boolean;
   /** Time until which the answer has its full worth. */
   readonly worthUntilMs: number;
   /** True once the request was removed before its turn. */
@@ -12,7 +14,8 @@
 }
 
 /**
- * Waiting requests, ordered by priority; within a priority those that can still be answered at full worth come first.
+ * Waiting requests, ordered by priority. Within a priority, calls of running requests come before new requests, since the
+ * work of their trees is lost without them; of each of the two, those that can still be answered at full worth come first.
  */
 export interface RunQueue<Run extends QueuedRun> {
   /** Number of waiting requests, without dropped ones. */
@@ -22,14 +25,15 @@
   takeNext(nowMs: number, expectedMs: number): Run | undefined;
   /** Drops a waiting request. */
   drop(run: Run): void;
-  /** Returns the number of waiting requests of this priority and of more urgent ones. */
-  countAhead(priority: number): number;
+  /** Returns the number of waiting requests that go before a new one like this, at most. */
+  countAhead(run: Pick<Run, 'priority' | 'isStarted'>): number;
   /** Removes and returns all waiting requests. */
   takeAll(): Run[];
 }
 
-interface PriorityRuns<Run> {
-  priority: number;
+interface RankRuns<Run> {
+  /** Lower ranks go first. */
+  rank: number;
   length: number;
   /** Requests that can still be answered at full worth, in order of arrival. */
   timely: Fifo<Run>;
@@ -45,18 +49,19 @@
  * const next = queue.takeNext(clock.now(), 30);
  */
 export function createRunQueue<Run extends QueuedRun>(): RunQueue<Run> {
-  const levels: PriorityRuns<Run>[] = [];
+  const levels: RankRuns<Run>[] = [];
   let length = 0;
 
-  const getLevel = (priority: number): PriorityRuns<Run> => {
-    const existing = levels.find((level) => level.priority === priority);
+  const getLevel = (run: Run): RankRuns<Run> => {
+    const rank = computeRank(run);
+    const existing = levels.find((level) => level.rank === rank);
     if (existing !== undefined) return existing;
-    const created = { priority, length: 0, timely: createFifo<Run>(), late: createFifo<Run>() };
+    const created = { rank, length: 0, timely: createFifo<Run>(), late: createFifo<Run>() };
     levels.push(created);
-    levels.sort((left, right) => left.priority - right.priority);
+    levels.sort((left, right) => left.rank - right.rank);
     return created;
   };
-  const takeFirst = (level: PriorityRuns<Run>, nowMs: number, expectedMs: number): Run | undefined => {
+  const takeFirst = (level: RankRuns<Run>, nowMs: number, expectedMs: number): Run | undefined => {
     for (let run = level.timely.takeFirst(); run !== undefined; run = level.timely.takeFirst()) {
       if (run.isDropped) continue;
       if (run.worthUntilMs >= nowMs + expectedMs) return run;
@@ -83,7 +88,7 @@
       return length;
     },
     add: (run) => {
-      const level = getLevel(run.priority);
+      const level = getLevel(run);
       level.timely.add(run);
       level.length++;
       length++;
@@ -92,12 +97,13 @@
     drop: (run) => {
       if (run.isDropped) return;
       run.isDropped = true;
-      getLevel(run.priority).length--;
+      getLevel(run).length--;
       length--;
     },
-    countAhead: (priority) => {
+    countAhead: (run) => {
+      const rank = computeRank(run);
       let count = 0;
-      for (const level of levels) if (level.priority <= priority) count += level.length;
+      for (const level of levels) if (level.rank <= rank) count += level.length;
       return count;
     },
     takeAll: () => {
@@ -107,3 +113,7 @@
     },
   };
 }
+
+function computeRank({ priority, isStarted }: Pick<QueuedRun, 'priority' | 'isStarted'>): number {
+  return 2 * priority + (isStarted ? 0 : 1);
+}
--- a/src/policy/servedShare.ts
+++ b/src/policy/servedShare.ts
@@ -22,7 +22,7 @@
 
 /**
  * Computes the chances of requests at each service from the load reports of its targets. It answers a load in which
- * targets reject a share of what reaches them although their slots are not in use, or in which requests leave the queue
+ * targets reject a share of what reaches them although their slots are not in use, or in which calls leave the queue
  * without their turn. Targets that lose more weigh less, since fewer requests are sent there.
  *
  * @param retryShare Retries that the budget allows per request to a service.
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -24,7 +24,10 @@
   requestId: Type.String(),
   service: Type.String(),
   route: Type.String(),
+  /** 0 is the most urgent; a call has that of the request to which it belongs. */
   priority: Type.Integer(),
+  /** True for a call of a running request; absent for new requests. */
+  isStarted: Type.Optional(Type.Boolean()),
   isIdempotent: Type.Boolean(),
   method: Type.String(),
   path: Type.String(),
@@ -88,7 +91,7 @@
   durationMs: Type.Number(),
   /** Share of recent requests that the target rejected, failed or did not answer, in [0, 1]. */
   failureShare: Type.Number(),
-  /** Share of recent requests that the target rejected or that left its queue without their turn; absent for none. */
+  /** Share of recent requests that the target rejected, and of calls that left its queue without their turn; absent for none. */
   unservedShare: Type.Optional(Type.Number()),
   /** Time for which the target has answered none of its running requests (ms); absent while it answers as expected. */
   stalledMs: Type.Optional(Type.Number()),
--- a/tests/requests/wholeRequests.test.ts
+++ b/tests/requests/wholeRequests.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createEmptyProfile, createUnknownLoad } from '../../src/control/requests/sections.js';
 import type { NodeView } from '../../src/policy/fleetDemand.js';
+import { findParentRun } from '../../src/policy/parentRun.js';
 import { computeServiceChances } from '../../src/policy/servedShare.js';
 import { createTreeChanceEstimator } from '../../src/policy/treeChance.js';
 import { limitWaste } from '../../src/policy/wasteLimit.js';
@@ -88,6 +89,54 @@
   });
 });
 
+describe('calls of running requests', () => {
+  // Guards against trees that wait behind new requests for their last calls: a quarter of the orders completed.
+  it('should take over the urgency of their request at any depth and go before new requests', () => {
+    const { fleet, load } = createLoad();
+    load.send(calmDemand, 6000);
+    const firstSend = fleet.sends.length;
+    const overload = { lookup: 240, order: 120, query: 480 };
+    const sent = load.send(overload, 2000);
+    expect(computeCompletedShare(sent.get('order')) > 0.85).toEqual(true);
+    expect(computeCompletedShare(sent.get('query')) < 0.6).toEqual(true);
+
+    const sends = fleet.sends.slice(firstSend).map(({ request }) => request);
+    const treesOfOrders = new Set(sends.filter(({ route }) => route === 'order').map(({ path }) => path.split('/')[2]));
+    const rollsOfOrders = sends.filter(({ route, path }) => route === 'roll' && treesOfOrders.has(path.split('/')[2]));
+    expect(rollsOfOrders.length > 400).toEqual(true);
+    const inherited = rollsOfOrders.filter(({ priority, isStarted }) => priority === 0 && isStarted === true);
+    expect(inherited.length / rollsOfOrders.length > 0.95).toEqual(true);
+    // Requests of clients are never taken for calls.
+    const queries = sends.filter(({ route }) => route === 'query');
+    expect(queries.some(({ priority, isStarted }) => priority !== 1 || isStarted === true)).toEqual(false);
+  });
+
+  const callers = { routes: new Set(['scan']), callShare: 1 };
+  const runs = [
+    { route: 'scan', priority: 2, deadlineAtMs: 1800 },
+    { route: 'scan', priority: 0, deadlineAtMs: 1500 },
+    { route: 'page', priority: 0, deadlineAtMs: 1800 },
+  ];
+
+  it('should belong to the run with the same time left', () => {
+    const parent = findParentRun({ runs, callers, timeLeftMs: 802, nowMs: 1000 });
+    expect(parent?.priority).toEqual(2);
+  });
+
+  it('should belong to the most urgent run with enough time if their time tells nothing', () => {
+    expect(findParentRun({ runs, callers, timeLeftMs: 300, nowMs: 1000 })?.priority).toEqual(0);
+    expect(findParentRun({ runs, callers, timeLeftMs: 700, nowMs: 1000 })?.priority).toEqual(2);
+  });
+
+  // Guards against clients that get ahead of others with requests to a route that targets call, too.
+  it('should not include requests without such a match to a route that clients use most', () => {
+    const shared = { ...callers, callShare: 0.3 };
+    expect(findParentRun({ runs, callers: shared, timeLeftMs: 300, nowMs: 1000 })).toEqual(undefined);
+    expect(findParentRun({ runs, callers: shared, timeLeftMs: 500, nowMs: 1000 })?.priority).toEqual(0);
+    expect(findParentRun({ runs: [], callers, timeLeftMs: 300, nowMs: 1000 })).toEqual(undefined);
+  });
+});
+
 describe('the chance of requests at a service', () => {
   const buildView = (change: Partial<LoadReport>): NodeView => ({
     load: { ...createUnknownLoad(), phase: 'ready', service: 'rolls', limit: 10, ...change },
