Let organisations take turns in the queue of a target

Cause: within a priority the queue is in order of arrival, so all organisations wait behind one that sends many times its usual demand. Start-time fair queueing by the expected duration of runs; one flow without organisations, in the order of before. Ruled out: round robin, where a newly active flow waits for all others once.

--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -38,11 +38,12 @@
   };
   const reportRun = (run: Run, outcome: string, detail: string): void => {
     const nowMs = clock.now();
-    const { requestId, service, route } = run.request;
+    const { requestId, service, route, organisation } = run.request;
     const { id: target, phase } = board.read('target');
     const inputs = {
       service,
       route,
+      ...(organisation === undefined ? {} : { organisation }),
       target,
       targetPhase: phase,
       waitedMs: Math.round((run.startedAtMs || nowMs) - run.arrivedAtMs),
@@ -264,6 +265,8 @@
       route: request.route,
       priority: request.priority,
       isStarted: request.isStarted === true,
+      flow: request.organisation ?? '',
+      costMs: Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs),
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + request.timeLeftMs,
       worthUntilMs: nowMs + request.worthLeftMs,
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -65,6 +65,9 @@
   readonly priority: number;
   /** True for a call of a running request. */
   readonly isStarted: boolean;
+  /** Organisation that sent it; empty if none did. */
+  readonly flow: string;
+  readonly costMs: number;
   readonly arrivedAtMs: number;
   readonly deadlineAtMs: number;
   readonly worthUntilMs: number;
--- a/src/policy/runQueue.ts
+++ b/src/policy/runQueue.ts
@@ -1,5 +1,5 @@
-import { createFifo } from '../core/fifo.js';
-import type { Fifo } from '../core/fifo.js';
+import { createFairQueue } from './fairQueue.js';
+import type { FairQueue } from './fairQueue.js';
 
 /** A request that waits for the local target. Times are monotonic (ms). */
 export interface QueuedRun {
@@ -7,6 +7,10 @@
   readonly priority: number;
   /** True for a call of a running request. */
   readonly isStarted: boolean;
+  /** Organisation that sent it; empty if none did. */
+  readonly flow: string;
+  /** Expected duration of its run (ms); greater than 0. */
+  readonly costMs: number;
   /** Time until which the answer has its full worth. */
   readonly worthUntilMs: number;
   /** True once the request was removed before its turn. */
@@ -16,6 +20,7 @@
 /**
  * Waiting requests, ordered by priority. Within a priority, calls of running requests come before new requests, since the
  * work of their trees is lost without them; of each of the two, those that can still be answered at full worth come first.
+ * Among these, organisations take turns in proportion to the time of their runs.
  */
 export interface RunQueue<Run extends QueuedRun> {
   /** Number of waiting requests, without dropped ones. */
@@ -35,10 +40,10 @@
   /** Lower ranks go first. */
   rank: number;
   length: number;
-  /** Requests that can still be answered at full worth, in order of arrival. */
-  timely: Fifo<Run>;
+  /** Requests that can still be answered at full worth. */
+  timely: FairQueue<Run>;
   /** Requests too late for their full worth, served after the timely ones. */
-  late: Fifo<Run>;
+  late: FairQueue<Run>;
 }
 
 /**
@@ -56,21 +61,19 @@
     const rank = computeRank(run);
     const existing = levels.find((level) => level.rank === rank);
     if (existing !== undefined) return existing;
-    const created = { rank, length: 0, timely: createFifo<Run>(), late: createFifo<Run>() };
+    const created = { rank, length: 0, timely: createTurns<Run>(), late: createTurns<Run>() };
     levels.push(created);
     levels.sort((left, right) => left.rank - right.rank);
     return created;
   };
   const takeFirst = (level: RankRuns<Run>, nowMs: number, expectedMs: number): Run | undefined => {
-    for (let run = level.timely.takeFirst(); run !== undefined; run = level.timely.takeFirst()) {
-      if (run.isDropped) continue;
-      if (run.worthUntilMs >= nowMs + expectedMs) return run;
+    const isTimely = (run: Run): boolean => {
+      if (run.isDropped) return false;
+      if (run.worthUntilMs >= nowMs + expectedMs) return true;
       level.late.add(run);
-    }
-    for (let run = level.late.takeFirst(); run !== undefined; run = level.late.takeFirst()) {
-      if (!run.isDropped) return run;
-    }
-    return undefined;
+      return false;
+    };
+    return level.timely.takeFirst(isTimely) ?? level.late.takeFirst(({ isDropped }) => !isDropped);
   };
   const takeNext = (nowMs: number, expectedMs: number): Run | undefined => {
     for (const level of levels) {
@@ -117,3 +120,7 @@
 function computeRank({ priority, isStarted }: Pick<QueuedRun, 'priority' | 'isStarted'>): number {
   return 2 * priority + (isStarted ? 0 : 1);
 }
+
+function createTurns<Run extends QueuedRun>(): FairQueue<Run> {
+  return createFairQueue<Run>({ getFlow: ({ flow }) => flow, getCost: ({ costMs }) => costMs });
+}
