--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -40,11 +40,12 @@
   };
   const reportRun = (run: Run, outcome: string, detail: string): void => {
     const nowMs = clock.now();
-    const { requestId, service, route } = run.request;
+    const { requestId, service, route, organisation } = run.request;
     const { id: target, phase } = board.read('target');
     const inputs = {
       service,
       route,
+      ...(organisation === undefined ? {} : { organisation }),
       target,
       targetPhase: phase,
       waitedMs: Math.round((run.startedAtMs || nowMs) - run.arrivedAtMs),
@@ -74,6 +75,10 @@
   const addServedSample = (isServed: boolean): void => {
     addResult(section.unserved, !isServed, clock.now());
   };
+  /** Counts a call that left the queue without its turn. New requests wait behind calls, so they say nothing of these. */
+  const addMissedTurn = ({ isStarted }: Run): void => {
+    if (isStarted) addServedSample(false);
+  };
   const addDurationSample = ({ request: { route } }: Run, durationMs: number): void => {
     const nowMs = clock.now();
     addDuration(duration, durationMs, nowMs);
@@ -208,7 +213,7 @@
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
     endQueued(run);
-    addServedSample(false);
+    addMissedTurn(run);
     countResult('tooLate');
     reportRun(run, 'tooLate', 'the deadline passed in the queue');
     run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
@@ -240,7 +245,7 @@
     if (run.phase === 'queued') {
       queue.drop(run);
       endQueued(run);
-      addServedSample(false);
+      addMissedTurn(run);
       countResult('cancelled');
     } else if (run.phase === 'running' && (run.request.isIdempotent || !run.isBodyComplete)) {
       run.target?.cancel();
@@ -263,7 +268,11 @@
     }
     const run: Run = {
       request,
+      route: request.route,
       priority: request.priority,
+      isStarted: request.isStarted === true,
+      flow: request.organisation ?? '',
+      costMs: Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs),
       arrivedAtMs: nowMs,
       deadlineAtMs: nowMs + request.timeLeftMs,
       worthUntilMs: nowMs + request.worthLeftMs,
