Apply the quotas of organisations over the whole fleet

A limit of an organisation holds over all nodes, but each node sees only the requests that enter there. Even shares waste what skewed demand needs, a counter in the store costs a call per request, and an allocator by a lease in the store is out of reach for nodes that the store turns away (docs/design/quotas.md).

Each node owns 1/N of every quota and lends it to one allocator, which it chooses by the order of the host names alone. The allocator grants tokens to the nodes where requests arrive. Nothing runs where no organisation has a limit.

--- a/src/control/requests/candidates.ts
+++ b/src/control/requests/candidates.ts
@@ -26,8 +26,8 @@
     candidates.push({ ...place, load: own, speed: getSpeed(self.host), sentSinceReport: 0 });
   }
   for (const peer of board.read('links').byHost.values()) {
-    const { host, load, lanes, sentSinceReport, lastTargetId } = peer;
-    if (load.service !== service || load.phase !== 'ready') continue;
+    const { host, load, lanes, sentSinceReport, lastTargetId, takesRuns } = peer;
+    if (!takesRuns || load.service !== service || load.phase !== 'ready') continue;
     const lane = lanes[chooseLane(peer, { isUrgent, nowMs })];
     if (lane.phase !== 'up') continue;
     const isLocalDataCenter = members.get(host)?.dataCenter === self.dataCenter;
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -15,6 +15,7 @@
 import { createEntry } from './entry.js';
 import type { ClientReply, ClientRequest, Entry } from './entry.js';
 import { createEntryAttempts } from './entryAttempts.js';
+import { createEntryQuota } from './entryQuota.js';
 import type { RunHandle } from './runPort.js';
 
 export interface EntryController extends Controller {
@@ -56,6 +57,7 @@
     entry.isEnded = true;
     entry.cancelDeadline();
     open.delete(entry);
+    quota.cancel(entry);
     section.open = open.size;
     section.counts.set(outcome, (section.counts.get(outcome) ?? 0) + 1);
     if (outcome === 'answered') {
@@ -72,6 +74,7 @@
     else entry.reply.refuse(finalRefusal);
   };
   const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse } });
+  const quota = createEntryQuota(context, { send: attempts.sendEntry, refuse });
   const expire = (entry: Entry): void => {
     if (entry.isEnded) return;
     attempts.cancelEntry(entry);
@@ -149,7 +152,7 @@
       });
       return;
     }
-    attempts.sendEntry(entry);
+    quota.takeToken(entry);
   };
   const isQuarantined = (request: ClientRequest): boolean => {
     const { byFingerprint } = board.read('quarantine');
@@ -163,7 +166,9 @@
       attempts.cancelEntry(entry);
     },
     grantAnswer: (bytes) => entry.attempt?.handle?.grantAnswer(bytes),
-    sendBody: (data, isLast) => entry.attempt?.handle?.sendBody(data, isLast),
+    sendBody: (data, isLast) => {
+      if (!quota.retainBody(entry, data, isLast)) entry.attempt?.handle?.sendBody(data, isLast);
+    },
   });
   const chooseService = (route: ReadView<Route>): string => {
     let credits = section.partCredits.get(route.name);
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -204,7 +204,8 @@
             if (frame.to === board.read('members').self.host) lane = acceptHello(connection, frame);
             else refuseHello(connection, frame);
           } else if (lane?.runs.isCurrent(connection) === true) {
-            lane.usedAtMs = clock.now();
+            // All nodes ask the allocator some times a second, which needs no status and profile of it at that rate.
+            if (frame.type !== 'quotaAsk') lane.usedAtMs = clock.now();
             lane.runs.receive(frame);
             if (frame.type === 'run') {
               lane.owedRunId = frame.id;
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -58,6 +58,10 @@
       outgoing.sendToDataCenter({ type: 'members', members: [...post.members], isComplete: false });
       return;
     }
+    if (post.type === 'quotaAsk') {
+      outgoing.send(post.frame, post.host);
+      return;
+    }
     const { reportId, fingerprints } = post;
     outgoing.send({ type: 'crash', reportId, fingerprints: [...fingerprints] });
   });
@@ -66,6 +70,7 @@
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
+      board.subscribe('quotas', outgoing.updatePeers);
       // Peers that do not read the store learn from the status that there is a new configuration.
       board.subscribe('routes', broadcastStatus);
       board.subscribe('target', broadcastStatus);
--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -42,6 +42,7 @@
     membersDigest: undefined,
     held: undefined,
     profile: createEmptyProfile(),
+    takesRuns: true,
     lastTargetId: '',
   };
 }
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -210,11 +210,23 @@
       openLane(member, 'routine');
       if (urgentServices.has(member.service)) openLane(member, 'urgent');
     }
+    const kept = openQuotaLinks(chosen);
     for (const [key, lane] of outgoing) {
       const isMember = members.has(lane.peer.host);
-      if (!isMember || (!chosen.has(lane.peer.host) && lane.peer.outstanding === 0)) closeLane(key, lane);
+      if (!isMember || (!kept.has(lane.peer.host) && lane.peer.outstanding === 0)) closeLane(key, lane);
     }
   };
+  /** Opens links to the hosts that quotas need in addition; returns all hosts with a link. */
+  const openQuotaLinks = (chosen: ReadonlySet<string>): ReadonlySet<string> => {
+    const { candidates } = board.read('quotas');
+    for (const host of candidates) {
+      const member = board.read('members').byHost.get(host);
+      if (member !== undefined && !chosen.has(host)) openLane(member, 'routine');
+    }
+    // Else most nodes would place requests at the targets of the same few hosts.
+    for (const peer of byHost.values()) peer.takesRuns = chosen.has(peer.host);
+    return candidates.length === 0 ? chosen : new Set([...chosen, ...candidates]);
+  };
   const closeLane = (key: string, lane: OutgoingLane): void => {
     outgoing.delete(key);
     byHost.delete(lane.peer.host);
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -1,4 +1,4 @@
-import type { LinkFrame } from '../../schema/linkFrame.js';
+import type { LinkFrame, QuotaGrantFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { isInOwnDataCenter } from './context.js';
 import type { LinkConnection, RequestContext } from './context.js';
@@ -98,6 +98,11 @@
         board.post('quarantine', { type: 'report', reportId, fingerprints, source: host });
       } else if (frame.type === 'pull') {
         respondToPull(frame.what, connection);
+      } else if (frame.type === 'quotaAsk') {
+        const respond = (grant: QuotaGrantFrame): void => connection?.send(grant);
+        board.post('quotas', { type: 'ask', host, frame, respond });
+      } else if (frame.type === 'quotaGrant') {
+        board.post('quotas', { type: 'grant', host, frame });
       }
     },
     listPulls: () => {
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -17,11 +17,20 @@
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
-import type { LinkLane, LoadReport, Profile, RecordVersion, RunRequest } from '../../schema/linkFrame.js';
+import type {
+  LinkLane,
+  LoadReport,
+  Profile,
+  QuotaAskFrame,
+  RecordVersion,
+  RunRequest,
+} from '../../schema/linkFrame.js';
 import type { Heartbeat, NodeMember, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { SuspectState } from '../../schema/state.js';
+import { createQuotaSection } from './quotaSection.js';
+import type { QuotaPost, QuotaSection } from './quotaSection.js';
 import type { RunAttempt, RunEvents, RunHandle, TargetNotice } from './runPort.js';
 
 /** One connection to a peer on one lane. */
@@ -50,6 +59,8 @@
   /** The version of this node's own record that the peer holds; undefined until it was received. */
   held: RecordVersion | undefined;
   profile: Profile;
+  /** False if the link only serves the quotas: this node then sends no requests over it. */
+  takesRuns: boolean;
   /** Id of the target to which the last request was sent; empty before the first one. */
   lastTargetId: string;
 }
@@ -162,6 +173,7 @@
     corrections: Map<string, ServiceCorrection>;
   };
   budgets: { byService: Map<string, FleetBudget> };
+  quotas: QuotaSection;
   quarantine: {
     byFingerprint: Map<number, SuspectState>;
     reportIds: Set<string>;
@@ -204,13 +216,15 @@
     | { type: 'send'; attempt: RunAttempt; isUrgent: boolean }
     | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
     /** Passes records that were read from the store to the peers in the own data centre. */
-    | { type: 'members'; members: readonly NodeMember[] };
+    | { type: 'members'; members: readonly NodeMember[] }
+    | { type: 'quotaAsk'; host: string; frame: QuotaAskFrame };
   runs: { type: 'accept'; attempt: RunAttempt };
   entries: never;
   demand: never;
   speeds: never;
   admission: never;
   budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
+  quotas: QuotaPost;
   quarantine:
     | { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string }
     | { type: 'requestLost'; fingerprint: number }
@@ -288,6 +302,7 @@
     speeds: { byService: new Map() },
     admission: { fractions: new Map(), corrections: new Map() },
     budgets: { byService: new Map() },
+    quotas: createQuotaSection(options.self.incarnation),
     quarantine: { byFingerprint: new Map(), reportIds: new Set(), lostRequests: [] },
     decisions: { lines: [], nextLine: 0, dropped: 0 },
   };
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -4,6 +4,7 @@
 import type { DurationSample } from '../control/requests/context.js';
 import type { RequestBoard } from '../control/requests/sections.js';
 import { addGauge } from './addGauge.js';
+import { addQuotaMetrics } from './quotaMetrics.js';
 
 export interface DurationMetrics {
   record(sample: DurationSample): void;
@@ -98,5 +99,14 @@
   );
   addGauge(registry, 'hemlock_members', 'Other known nodes', () => board.read('members').byHost.size);
   addGauge(registry, 'hemlock_log_lines_dropped', 'Log lines that were dropped', () => board.read('decisions').dropped);
-  return { renderText: () => registry.metrics() };
+  let hasQuotas = false;
+  return {
+    renderText: () => {
+      if (!hasQuotas && board.read('quotas').isActive) {
+        hasQuotas = true;
+        addQuotaMetrics(registry, board);
+      }
+      return registry.metrics();
+    },
+  };
 }
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -9,6 +9,7 @@
 import type { LinkController } from '../control/requests/linkController.js';
 import { createMemberController } from '../control/requests/memberController.js';
 import { createNodeController } from '../control/requests/nodeController.js';
+import { createQuotaController } from '../control/requests/quotaController.js';
 import { createQuarantineController } from '../control/requests/quarantineController.js';
 import { createRouteController } from '../control/requests/routeController.js';
 import { createRunController } from '../control/requests/runController.js';
@@ -73,6 +74,7 @@
     createQuarantineController(context),
     entries,
     links,
+    createQuotaController(context),
     createDemandController(context),
     createSpeedController(context),
     createAdmissionController(context),
--- /dev/null
+++ b/src/policy/quotaShare.ts
@@ -0,0 +1,50 @@
+/** The member counts that a host has seen lately. Times are monotonic (ms). */
+export interface MemberCounts {
+  current: number;
+  grownAtMs: number;
+  /** Earlier, larger counts, and until when they apply. */
+  earlier: { count: number; untilMs: number }[];
+  hasShare: boolean;
+}
+
+/** Time for which a larger count goes on to apply, since other hosts may not have heard of the change (ms). */
+const COUNT_HOLD_MS = 5000;
+/**
+ * Time after its member list was complete, and after the list last grew, at which a new process has a share (ms). The first is longer than a
+ * loan of its predecessor lasts.
+ */
+const JOIN_WAIT_MS = 2000;
+const GROWTH_WAIT_MS = 1000;
+
+export function createMemberCounts(): MemberCounts {
+  return { current: 0, grownAtMs: -Infinity, earlier: [], hasShare: false };
+}
+
+/** Records the number of hosts in the member list, this one included. */
+export function observeMemberCount(counts: MemberCounts, count: number, nowMs: number): void {
+  counts.earlier = counts.earlier.filter(({ untilMs }) => untilMs > nowMs);
+  if (count > counts.current) counts.grownAtMs = nowMs;
+  if (count < counts.current) counts.earlier.push({ count: counts.current, untilMs: nowMs + COUNT_HOLD_MS });
+  counts.current = count;
+}
+
+/**
+ * Computes the share of all quotas that a host owns; undefined while a new process may not know all hosts, or they may not
+ * know it. Hosts whose lists differ for a short time own too little rather than too much.
+ *
+ * @param completeAtMs When the member list was complete; undefined if it is not.
+ * @example
+ * observeMemberCount(counts, byHost.size + 1, nowMs);
+ * const share = computeQuotaShare(counts, { completeAtMs, nowMs });
+ */
+export function computeQuotaShare(
+  counts: MemberCounts,
+  { completeAtMs, nowMs }: { completeAtMs: number | undefined; nowMs: number },
+): number | undefined {
+  if (completeAtMs === undefined) return undefined;
+  const isJoined = nowMs - completeAtMs >= JOIN_WAIT_MS && nowMs - counts.grownAtMs >= GROWTH_WAIT_MS;
+  counts.hasShare ||= isJoined;
+  if (!counts.hasShare) return undefined;
+  const held = counts.earlier.filter(({ untilMs }) => untilMs > nowMs).map(({ count }) => count);
+  return 1 / Math.max(1, counts.current, ...held);
+}
--- a/src/schema/decision.ts
+++ b/src/schema/decision.ts
@@ -18,6 +18,8 @@
   Type.Literal('storeChanged'),
   Type.Literal('quarantineChanged'),
   Type.Literal('admissionChanged'),
+  /** The allocator that this node follows, or an organisation that begins or ends to exceed its quota here. */
+  Type.Literal('quotaChanged'),
   Type.Literal('heartbeatIgnored'),
   Type.Literal('nodeChanged'),
   /** An invalid message, such as a malformed heartbeat. */
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -193,6 +193,59 @@
   fingerprints: Type.Array(Type.Integer()),
 });
 
+/** Tokens of one organisation that a host wants. */
+export const quotaWantSchema = Type.Object({
+  organisation: Type.String(),
+  /** Number of requests that wait for a token. */
+  count: Type.Integer({ minimum: 0 }),
+  /** Number of requests that are expected soon. */
+  ahead: Type.Integer({ minimum: 0 }),
+});
+export type QuotaWant = Static<typeof quotaWantSchema>;
+/** What an allocator grants of the quota of one organisation. */
+export const quotaGrantSchema = Type.Object({
+  organisation: Type.String(),
+  tokens: Type.Integer({ minimum: 0 }),
+  /** Time until there is room again for this host (ms); 0 if all waiting requests got their token. */
+  waitMs: Type.Number({ minimum: 0 }),
+  /** Mean time between two tokens for this host from then on (ms). */
+  stepMs: Type.Number({ minimum: 0 }),
+});
+export type QuotaGrant = Static<typeof quotaGrantSchema>;
+
+/** Asks an allocator for tokens and lends it the share of the sender. */
+export const quotaAskFrameSchema = Type.Object({
+  type: Type.Literal('quotaAsk'),
+  /** Rises with each ask of the sender's process. */
+  ask: Type.Integer({ minimum: 0 }),
+  /** The process of the sender. */
+  incarnation: Type.String(),
+  /** Absent if nothing is lent. */
+  loan: Type.Optional(
+    Type.Object({
+      share: Type.Number({ minimum: 0, maximum: 1 }),
+      /** The newest stamp received: the process of the allocator and the time on its clock. */
+      allocator: Type.String(),
+      stampMs: Type.Number(),
+    }),
+  ),
+  wants: Type.Array(quotaWantSchema),
+});
+export type QuotaAskFrame = Static<typeof quotaAskFrameSchema>;
+export const quotaGrantFrameSchema = Type.Object({
+  type: Type.Literal('quotaGrant'),
+  /** The ask that this responds to; -1 if it responds to none. */
+  ask: Type.Integer({ minimum: -1 }),
+  /** The process of the allocator. */
+  incarnation: Type.String(),
+  /** Time on the clock of the allocator (ms). */
+  stampMs: Type.Number(),
+  /** True when the allocator stops and counts no loan any more. */
+  isReturned: Type.Boolean(),
+  grants: Type.Array(quotaGrantSchema),
+});
+export type QuotaGrantFrame = Static<typeof quotaGrantFrameSchema>;
+
 /** All frames between nodes that serve routed requests. Each frame is encoded as one msgpack record. */
 export const linkFrameSchema = Type.Union([
   runFrameSchema,
@@ -208,6 +261,8 @@
   pullFrameSchema,
   configurationFrameSchema,
   crashFrameSchema,
+  quotaAskFrameSchema,
+  quotaGrantFrameSchema,
 ]);
 export type LinkFrame = Static<typeof linkFrameSchema>;
 export type HelloFrame = Static<typeof helloFrameSchema>;
--- a/src/schema/refusal.ts
+++ b/src/schema/refusal.ts
@@ -7,6 +7,8 @@
   Type.Literal('noRoute'),
   /** The key is missing or belongs to no organisation. */
   Type.Literal('unauthorized'),
+  /** The organisation has used up its quota. */
+  Type.Literal('quotaExceeded'),
   Type.Literal('noTarget'),
   Type.Literal('overloaded'),
   Type.Literal('quarantined'),
@@ -36,6 +38,7 @@
   noConfiguration: 503,
   noRoute: 404,
   unauthorized: 401,
+  quotaExceeded: 429,
   noTarget: 503,
   overloaded: 503,
   quarantined: 503,
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -22,6 +22,13 @@
   /** Number of retries per window that are allowed in addition. */
   retryExtra: Type.Number({ minimum: 0, description: 'a number of at least 0: retries per window' }),
   retryWindowSeconds: Type.Number({ exclusiveMinimum: 0, description: 'seconds' }),
+  /**
+   * Bound of the quotas of organisations: in any window of this length, over all nodes, at most rate x window x (1 + excess) +
+   * burst + slack requests of an organisation reach targets.
+   */
+  quotaWindowSeconds: Type.Optional(Type.Number({ exclusiveMinimum: 0, description: 'seconds' })),
+  quotaExcess: Type.Optional(Type.Number({ minimum: 0, description: 'a number of at least 0: share of the quota' })),
+  quotaSlack: Type.Optional(Type.Number({ minimum: 0, description: 'a number of at least 0: requests per window' })),
 });
 export type RequestBounds = Static<typeof requestBoundsSchema>;
 
