--- a/src/control/requests/quotaExchange.ts
+++ b/src/control/requests/quotaExchange.ts
@@ -1,4 +1,4 @@
-import { listAllocatorCandidates, sortAllocators } from '../../policy/allocatorChoice.js';
+import { computeSettledStart, listAllocatorCandidates, sortAllocators } from '../../policy/allocatorChoice.js';
 import type { PoolMember } from '../../policy/allocatorChoice.js';
 import { applyQuotaGrant, computeQuotaWant } from '../../policy/quotaDemand.js';
 import type { QuotaTime } from '../../policy/quotaDemand.js';
@@ -22,8 +22,6 @@
 const REPEAT_ASK_MS = 100;
 /** Time between two updates that shows that this process was paused (ms): what is unanswered says nothing of the allocator. */
 const PAUSED_MS = 400;
-/** Time since its start after which the nodes are linked to a process (ms). */
-const SETTLED_MS = 5000;
 
 /** The asks and grants that this node exchanges with allocators and lenders. */
 export interface QuotaExchange {
@@ -62,11 +60,6 @@
 
   const isLinked = (host: string): boolean =>
     host === board.read('members').self.host || board.read('links').byHost.get(host)?.lanes.routine.phase === 'up';
-  const isSettled = (host: string): boolean => {
-    const { self, byHost } = board.read('members');
-    const startedAtMs = host === self.host ? self.startedAtMs : byHost.get(host)?.startedAtMs;
-    return startedAtMs !== undefined && clock.wallTime() - startedAtMs >= SETTLED_MS;
-  };
   const readShare = (nowMs: number): number | undefined =>
     computeQuotaShare(section.members, { completeAtMs: board.read('members').completeAtMs, nowMs });
   const buildGrant = (ask: number, grants: QuotaGrantFrame['grants']): QuotaGrantFrame => ({
@@ -149,12 +142,24 @@
     if (ranking?.digest !== digest) ranking = { digest, members: sortAllocators(self, byHost.values()) };
     return ranking.members;
   };
+  const buildSettledCheck = (): ((host: string) => boolean) => {
+    const { self, byHost } = board.read('members');
+    const getStart = (host: string): number => (byHost.get(host) ?? self).startedAtMs;
+    const starts = [self, ...byHost.values()].map(({ startedAtMs }) => startedAtMs);
+    const settledStartMs = computeSettledStart(starts, clock.wallTime());
+    return (host) => getStart(host) <= settledStartMs;
+  };
   const followAllocator = (nowMs: number): void => {
     const { self } = board.read('members');
     if (pool.isReturned) suspendAllocator(lender, self.host, nowMs);
     const ranked = readRanked();
     const hosts = ranked.map(({ host }) => host);
-    const { follow, probe } = chooseAllocator(lender, { ranked: hosts, isLinked, isSettled, nowMs });
+    const { follow, probe } = chooseAllocator(lender, {
+      ranked: hosts,
+      isLinked,
+      isSettled: buildSettledCheck(),
+      hasShare: readShare(nowMs) !== undefined,
+    });
     updateCandidates(listAllocatorCandidates(ranked, self, (host) => lender.avoidedUntilMs.has(host)));
     if (probe !== undefined && !isAskUnderWay(probe, nowMs)) deliverAsk(probe, []);
     if (follow === lender.allocator) return;
--- a/src/policy/allocatorChoice.ts
+++ b/src/policy/allocatorChoice.ts
@@ -10,6 +10,10 @@
 const MAX_POOL_HOSTS = 128;
 /** Number of hosts of the pool, and of the own data centre in it, to which a node keeps a link. */
 const LINKED_CANDIDATES = 2;
+/** Time since its start after which the nodes are linked to a process (ms). */
+const SETTLED_MS = 5000;
+/** Time within which the processes of a fleet start together (ms). */
+const START_SPREAD_MS = 3000;
 
 /**
  * Ranks the hosts of the pool of `self` by a hash of their names. All nodes with the same member list have the same order,
@@ -27,6 +31,16 @@
     .map(({ member: { host, dataCenter } }) => ({ host, dataCenter }));
 }
 
+/**
+ * Returns the Unix time (ms) up to which processes must have started to be settled: all nodes know those that have run for some time, and
+ * those that started together with most of the fleet.
+ */
+export function computeSettledStart(startedAtMs: readonly number[], nowWallMs: number): number {
+  const sorted = [...startedAtMs].sort((left, right) => left - right);
+  const median = sorted[Math.floor(sorted.length / 2)] ?? -Infinity;
+  return Math.max(nowWallMs - SETTLED_MS, median + START_SPREAD_MS);
+}
+
 /**
  * Lists the hosts to which a node must have a link, so that it reaches an allocator when the first one fails or its data
  * centre is cut off. Hosts that do not respond do not count.
--- a/src/policy/quotaDemand.ts
+++ b/src/policy/quotaDemand.ts
@@ -23,6 +23,8 @@
   stepMs: number;
   /** Time at which all refused requests could have had their turn. */
   roomAtMs: number;
+  /** Time at which tokens were last asked for ahead of time. */
+  aheadAskedAtMs: number;
   /** Time of the last refusal; -Infinity while the organisation is inside its quota here. */
   refusedAtMs: number;
 }
@@ -61,6 +63,7 @@
     emptyUntilMs: -Infinity,
     stepMs: 0,
     roomAtMs: -Infinity,
+    aheadAskedAtMs: -Infinity,
     refusedAtMs: -Infinity,
   };
 }
@@ -130,7 +133,7 @@
   return isQuiet && demand.waiting.length === 0 && demand.refusedAtMs === -Infinity;
 }
 
-/** Computes what to ask for; undefined if nothing is wanted, or there is no room yet. */
+/** Computes what to ask for now; undefined if nothing is wanted, or there is no room yet. */
 export function computeQuotaWant(
   demand: QuotaDemand<TokenRequest>,
   organisation: string,
@@ -139,6 +142,7 @@
   if (nowMs < demand.emptyUntilMs) return undefined;
   const count = demand.waiting.length;
   const ahead = computeAhead(demand, { nowMs, elapsedMs });
+  if (ahead > 0) demand.aheadAskedAtMs = nowMs;
   return count + ahead > 0 ? { organisation, count, ahead } : undefined;
 }
 
@@ -154,7 +158,7 @@
   // Without a grant that names a time, no allocator has responded, and the next one is followed after some time.
   const leastMs = nowMs < demand.emptyUntilMs ? MIN_RETRY_DELAY_MS : UNANSWERED_RETRY_DELAY_MS;
   demand.roomAtMs = Math.min(
-    nowMs + MAX_RETRY_DELAY_MS,
+    nowMs + MAX_RETRY_DELAY_MS / (1 + RETRY_JITTER),
     Math.max(nowMs, demand.emptyUntilMs, demand.roomAtMs) + demand.stepMs,
   );
   return Math.max(leastMs, demand.roomAtMs - nowMs) * (1 + RETRY_JITTER * random);
@@ -170,6 +174,8 @@
 }
 
 function computeAhead(demand: QuotaDemand<TokenRequest>, { nowMs, elapsedMs }: QuotaTime): number {
+  // What is asked ahead may be granted in part or not at all.
+  if (nowMs - demand.aheadAskedAtMs < 1000 * MIN_AHEAD_SECONDS) return 0;
   const perSecond = readRate(demand, nowMs);
   if (perSecond < MIN_AHEAD_PER_SECOND) return 0;
   const inHand = countTokens(demand, elapsedMs);
--- a/src/policy/quotaLender.ts
+++ b/src/policy/quotaLender.ts
@@ -43,7 +43,8 @@
   isLinked: (host: string) => boolean;
   /** True when the process has run long enough that all nodes are linked to it. */
   isSettled: (host: string) => boolean;
-  nowMs: number;
+  /** True once this host has a share to lend, so that a change of the allocator costs tokens. */
+  hasShare: boolean;
 }
 
 /** Whom to follow from now on, and who is asked for a sign of life since it would be the better choice. */
@@ -98,21 +99,34 @@
 }
 
 /**
- * Chooses the allocator: the first host in the order that responds. The one that is followed is left for an earlier host only when
- * that has shown that it responds, since a change costs the tokens that are saved up.
+ * Chooses the allocator: the first host in the order that is linked and settled. The one that is followed is left for an earlier
+ * host only when that has shown that it responds, since a change costs the tokens that are saved up.
  *
  * @example
  * const { follow, probe } = chooseAllocator(lender, view);
  */
 export function chooseAllocator(lender: QuotaLender, view: AllocatorView): AllocatorChoice {
-  const { ranked, isLinked, isSettled, nowMs } = view;
-  const isAvoided = (host: string): boolean => (lender.avoidedUntilMs.get(host) ?? -Infinity) > nowMs;
+  const { ranked, isLinked, isSettled, hasShare } = view;
+  const linked = ranked.filter((host) => isLinked(host) && !lender.avoidedUntilMs.has(host));
+  const settled = linked.filter(isSettled);
+  const choices = settled.length > 0 ? settled : linked;
+  const [best] = choices;
   const current = lender.allocator;
-  if (current === undefined || !ranked.includes(current) || isAvoided(current))
-    return { follow: ranked.find((host) => isLinked(host) && !isAvoided(host)), probe: undefined };
-  const better = ranked.find((host) => host === current || (isLinked(host) && !isAvoided(host) && isSettled(host)));
-  if (better === undefined || better === current) return { follow: current, probe: undefined };
-  return lender.stamps.has(better) ? { follow: better, probe: undefined } : { follow: current, probe: better };
+  const isKept = current !== undefined && isKeptAllocator(lender, view, current, settled.length > 0);
+  if (!isKept || best === undefined || !hasShare) return { follow: best, probe: undefined };
+  if (best === current || ranked.indexOf(current) < ranked.indexOf(best)) return { follow: current, probe: undefined };
+  return lender.stamps.has(best) ? { follow: best, probe: undefined } : { follow: current, probe: best };
+}
+
+/** An allocator that responds is kept while its connection is replaced. */
+function isKeptAllocator(
+  lender: QuotaLender,
+  { ranked, isSettled }: AllocatorView,
+  current: string,
+  needsSettled: boolean,
+): boolean {
+  if (!ranked.includes(current) || lender.avoidedUntilMs.has(current)) return false;
+  return !needsSettled || isSettled(current);
 }
 
 /** True while the share is lent to a process other than that of `host`. */
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -42,8 +42,8 @@
 const AHEAD_RESERVE_SHARE = 0.25;
 /** Bounds of the time after which a host that got too few tokens asks again (ms); the minimum bounds the messages. */
 const MIN_WAIT_MS = 40;
-const MAX_WAIT_MS = 2000;
-/** The same while an organisation is not known here yet, since the host has a newer configuration (ms). */
+const MAX_WAIT_MS = 500;
+/** The same while nothing is lent here yet, or the organisation is not known yet since the host has a newer configuration (ms). */
 const UNKNOWN_WAIT_MS = 50;
 const MAX_STEP_MS = 30_000;
 
@@ -184,6 +184,7 @@
   bucket.shortAtMs.set(host, nowMs);
   for (const [other, atMs] of bucket.shortAtMs) if (nowMs - atMs > COMPETING_MS) bucket.shortAtMs.delete(other);
   const competing = bucket.shortAtMs.size;
+  if (pool.shares === 0) return { waitMs: UNKNOWN_WAIT_MS, stepMs: UNKNOWN_WAIT_MS };
   const perMs = (getFraction(pool) * bucket.limit.perSecond) / 1000;
   const waitMs = (Math.max(0, 1 - bucket.tokens) + competing - 1) / perMs;
   return {
