--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -18,6 +18,7 @@
 import { createEntry } from './entry.js';
 import type { ClientReply, ClientRequest, Entry } from './entry.js';
 import { createEntryAttempts } from './entryAttempts.js';
+import { createEntryQuota } from './entryQuota.js';
 import type { RunHandle } from './runPort.js';
 
 export interface EntryController extends Controller {
@@ -60,6 +61,7 @@
     entry.isEnded = true;
     entry.cancelDeadline();
     open.delete(entry);
+    quota.cancel(entry);
     section.open = open.size;
     section.counts.set(outcome, (section.counts.get(outcome) ?? 0) + 1);
     if (outcome === 'answered') {
@@ -76,6 +78,13 @@
     else entry.reply.refuse(finalRefusal);
   };
   const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse } });
+  const quota = createEntryQuota(context, {
+    send: (entry) => {
+      countDemand(entry);
+      attempts.sendEntry(entry);
+    },
+    refuse,
+  });
   const expire = (entry: Entry): void => {
     if (entry.isEnded) return;
     attempts.cancelEntry(entry);
@@ -114,7 +123,6 @@
     });
     open.add(entry);
     section.open = open.size;
-    section.arrivedByRoute.set(route.name, (section.arrivedByRoute.get(route.name) ?? 0) + 1);
     board.post('budgets', { type: 'request', service });
     entry.cancelDeadline = deadlines.add(entry.deadlineAtMs + FALLBACK_DELAY_MS, () => {
       expire(entry);
@@ -157,6 +165,7 @@
     }
     const fraction = entry.isStarted ? undefined : readFraction(entry);
     if (fraction !== undefined && hashToUnit(entry.request.requestId) >= fraction) {
+      countDemand(entry);
       const retryAfterMs = computeShedRetryDelay(entry.route.targetLatencyMs, random());
       refuse(entry, {
         kind: 'overloaded',
@@ -165,7 +174,11 @@
       });
       return;
     }
-    attempts.sendEntry(entry);
+    quota.takeToken(entry);
+  };
+  /** Counts a request for admission, which divides the room among requests inside the quotas only. */
+  const countDemand = ({ route: { name } }: Entry): void => {
+    section.arrivedByRoute.set(name, (section.arrivedByRoute.get(name) ?? 0) + 1);
   };
   /** Returns the admitted share of requests like this one; undefined if it is not limited. */
   const readFraction = ({ route, priority }: Entry): number | undefined => {
@@ -184,7 +197,9 @@
       attempts.cancelEntry(entry);
     },
     grantAnswer: (bytes) => entry.attempt?.handle?.grantAnswer(bytes),
-    sendBody: (data, isLast) => entry.attempt?.handle?.sendBody(data, isLast),
+    sendBody: (data, isLast) => {
+      if (!quota.retainBody(entry, data, isLast)) entry.attempt?.handle?.sendBody(data, isLast);
+    },
   });
   const chooseService = (route: ReadView<Route>): string => {
     let credits = section.partCredits.get(route.name);
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -217,7 +217,8 @@
             else refuseHello(connection, frame);
           } else if (lane?.runs.isCurrent(connection) === true) {
             const nowMs = clock.now();
-            lane.peer.usedAtMs = nowMs;
+            // All nodes ask the allocator some times a second, which needs no status and profile of it at that rate.
+            if (frame.type !== 'quotaAsk') lane.peer.usedAtMs = nowMs;
             if (frame.type === 'run') lane.owed ??= { runId: frame.id, sinceMs: nowMs };
             lane.runs.receive(frame);
             options.updates.receive(lane.peer.host, frame, connection);
