--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -97,6 +97,12 @@
     () => board.read('routes').version,
   );
   addGauge(registry, 'hemlock_members', 'Other known nodes', () => board.read('members').byHost.size);
+  addGauge(
+    registry,
+    'hemlock_store_era',
+    'Era of the store, which rises when it comes back from an older copy; 0 if it names none',
+    () => board.read('store').era ?? 0,
+  );
   addGauge(registry, 'hemlock_log_lines_dropped', 'Log lines that were dropped', () => board.read('decisions').dropped);
   return { renderText: () => registry.metrics() };
 }
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -29,6 +29,7 @@
   storeGoesSilent: 'goesSilent',
   storeLosesAnswers: 'losesAnswers',
   storeForgets: 'compacts',
+  storeFromCopy: 'fromCopy',
 };
 const targetFaults: Partial<Record<PlannedFault['kind'], SoakTargetFault>> = {
   targetFails: 'fails',
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -21,6 +21,8 @@
   Type.Literal('storeGoesSilent'),
   /** The store deletes all records except the newest value of each key. */
   Type.Literal('storeForgets'),
+  /** The store comes back from a copy that was taken at the start of the fault. */
+  Type.Literal('storeFromCopy'),
   /** From here to `targetRejects`: the target injects the corresponding `SoakTargetFault` into a share of requests. */
   Type.Literal('targetFails'),
   Type.Literal('targetSilent'),
@@ -106,8 +108,12 @@
 
 /** Faults of a target that a soak test injects; see `TargetFaultKind` of the stand-in targets. */
 export type SoakTargetFault = 'none' | 'fails' | 'silent' | 'truncates' | 'garbles' | 'losesAnswer' | 'rejects';
-/** Faults of the store; `compacts` deletes all records except the newest value of each key. */
-export type SoakStoreFault = 'none' | 'refuses' | 'slow' | 'silent' | 'goesSilent' | 'losesAnswers' | 'compacts';
+/**
+ * Faults of the store; `compacts` deletes all records except the newest value of each key, `fromCopy` takes a copy, from which
+ * the store comes back when the fault ends.
+ */
+export type SoakStoreFault =
+  'none' | 'refuses' | 'slow' | 'silent' | 'goesSilent' | 'losesAnswers' | 'compacts' | 'fromCopy';
 
 /** The fleet under test; its functions start, stop and disturb real processes. */
 export interface SoakFleet {
--- a/tests/requests/metrics.test.ts
+++ b/tests/requests/metrics.test.ts
@@ -21,6 +21,7 @@
     const text = await createRequestMetrics(node.board, durations).renderText();
     expect(text).toEqual(expect.includes('hemlock_requests{result="answered"} 1'));
     expect(text).toEqual(expect.includes('hemlock_configuration_version 4'));
+    expect(text).toEqual(expect.includes('hemlock_store_era 0'));
     for (const place of ['entry', 'target']) {
       expect(
         new RegExp(`hemlock_duration_ms\\{place="${place}",route="check",quantile="0.99"\\} 2\\d\\b`).test(text),
@@ -50,5 +51,6 @@
     await servers.stop();
     expect(response.status).toEqual(200);
     expect(text).toEqual(expect.includes('hemlock_configuration_version 4'));
+    expect(text).toEqual(expect.includes('hemlock_store_era 0'));
   });
 });
