Tell refused clients when there will be room, and refuse hopeless requests early

Cause: Retry-After was 0.4 of the target latency whatever the load, and requests waited in a queue up to their deadline. A request that cannot end in time is refused as not run when it arrives, or when half the mean duration of its route is left.

Ruled out: the fixed share of the target latency, which clients with little time left do not honour.

--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -2,6 +2,7 @@
 import type { FailedAttempt } from '../../policy/nextStep.js';
 import { hasRetryToken } from '../../policy/fleetBudget.js';
 import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
+import { limitRetryDelay } from '../../policy/shedDelay.js';
 import { chooseTarget, chooseTrial } from '../../policy/targetChoice.js';
 import { createDefaultSpeeds } from '../../policy/targetSpeed.js';
 import type { TargetCandidate } from '../../policy/targetChoice.js';
@@ -24,6 +25,8 @@
 export interface EntryAttempts {
   /** Sends a request to the target with the shortest expected latency; refuses it if there is no target. */
   sendEntry(entry: Entry): void;
+  /** Limits the delay after which the client of a refused request should retry (ms) to what it honours; adds jitter. */
+  limitRetryDelay(entry: Entry, delayMs: number): number;
   /** Cancels the current attempt. */
   cancelEntry(entry: Entry): void;
 }
@@ -148,13 +151,13 @@
     };
     board.post('decisions', { kind: 'attemptFailed', id: entry.request.requestId, outcome: step.type, inputs });
     if (step.type === 'refuse') {
-      abandonEntry(entry, step.refusal);
+      abandonEntry(entry, limitRefusal(entry, step.refusal));
       return;
     }
     const candidate = chooseNext(entry);
     const isRetryFutile = failure.kind === 'targetFailed' && (isDemandLimited() || !isHealthy(candidate));
     if (candidate === undefined || isRetryFutile) {
-      abandonEntry(entry, createNoTargetRefusal(entry, failure));
+      abandonEntry(entry, limitRefusal(entry, createNoTargetRefusal(entry, failure)));
       return;
     }
     if (step.type === 'retry') board.post('budgets', { type: 'retry', service: entry.service });
@@ -165,6 +168,17 @@
     if (entry.failedAnswer === undefined || entry.isAnswering) callbacks.refuse(entry, refusal);
     else deliverAnswer(entry, entry.failedAnswer);
   };
+  const limitEntryDelay = (entry: Entry, delayMs: number): number =>
+    limitRetryDelay({
+      delayMs,
+      timeLeftMs: entry.deadlineAtMs - clock.now(),
+      expectedMs: latencyByRoute.get(entry.route.name)?.meanMs ?? 0,
+      random,
+    });
+  const limitRefusal = (entry: Entry, refusal: Refusal): Refusal =>
+    refusal.retryAfterMs === undefined
+      ? refusal
+      : { ...refusal, retryAfterMs: limitEntryDelay(entry, refusal.retryAfterMs) };
   /** While demand is limited, most failures are failures of downstream calls, and a retry would add to the demand. */
   const isDemandLimited = (): boolean => board.read('admission').fractions.size > 0;
   const isHealthy = (candidate: TargetCandidate | undefined): boolean =>
@@ -172,7 +186,8 @@
   const createNoTargetRefusal = ({ service }: Entry, failure: RunFailure | undefined): Refusal => {
     if (failure !== undefined && failure.ran !== 'no') return { kind: 'failed', detail: failure.kind };
     const detail = `no other target of ${service}${failure === undefined ? '' : ` after ${failure.kind}`}`;
-    return { kind: 'noTarget', detail, retryAfterMs: RETRY_AFTER_MS };
+    const kind = failure?.kind === 'queueFull' ? 'overloaded' : 'noTarget';
+    return { kind, detail, retryAfterMs: failure?.roomMs ?? RETRY_AFTER_MS };
   };
   return {
     sendEntry: (entry) => {
@@ -180,6 +195,7 @@
       if (candidate === undefined) callbacks.refuse(entry, createNoTargetRefusal(entry, undefined));
       else send(entry, candidate);
     },
+    limitRetryDelay: limitEntryDelay,
     cancelEntry: (entry) => {
       entry.attempt?.handle?.cancel();
     },
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,10 +1,11 @@
 import { hashToUnit } from '../../core/hash.js';
 import { addMatches } from '../../policy/callMatches.js';
-import { computeShedRetryDelay, RETRY_AFTER_MS } from '../../policy/nextStep.js';
+import { RETRY_AFTER_MS } from '../../policy/nextStep.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { formatKind } from '../../policy/requestKind.js';
 import { choosePart } from '../../policy/partChoice.js';
 import { findParentRun } from '../../policy/parentRun.js';
+import { estimateRoomDelay } from '../../policy/shedDelay.js';
 import { resolveSuspect } from '../../policy/quarantine.js';
 import { computeStopRetryDelay, isTakenWhileStopping } from '../../policy/stopPlan.js';
 import { findCaller } from '../../policy/organisations.js';
@@ -32,12 +33,12 @@
 
 /** Writes the requests that entered at this node: matches them to routes, sends, retries and answers them. */
 export function createEntryController(context: RequestContext): EntryController {
-  const { board, clock, deadlines, random, io } = context;
+  const { board, clock, deadlines, io } = context;
   const entries = board.claim('entries', 'entryController');
   const { section } = entries;
   const open = new Set<Entry>();
 
-  const report = (entry: Entry, outcome: string, detail: string): void => {
+  const report = (entry: Entry, outcome: string, detail: string, retryAfterMs?: number): void => {
     const { route, service, organisation, request, configurationVersion } = entry;
     const { version } = board.read('routes');
     const kind = outcome === 'answered' ? 'requestEnded' : 'requestRefused';
@@ -49,6 +50,7 @@
       ms: Math.round(clock.now() - entry.arrivedAtMs),
       arrivals: entry.arrivals,
       offers: entry.offers,
+      ...(retryAfterMs === undefined ? {} : { retryAfterMs: Math.round(retryAfterMs) }),
       ...(entry.isStarted ? { parentPriority: entry.priority } : {}),
       configuration: configurationVersion,
       ...(version === configurationVersion ? {} : { configurationAtEnd: version }),
@@ -56,7 +58,7 @@
     };
     board.post('decisions', { kind, id: request.requestId, outcome, inputs });
   };
-  const end = (entry: Entry, outcome: string, detail: string): void => {
+  const end = (entry: Entry, outcome: string, detail: string, retryAfterMs?: number): void => {
     entry.isEnded = true;
     entry.cancelDeadline();
     open.delete(entry);
@@ -66,12 +68,12 @@
       const durationMs = clock.now() - entry.arrivedAtMs;
       io.recordDuration({ place: 'entry', route: entry.route.name, durationMs });
     }
-    report(entry, outcome, detail);
+    report(entry, outcome, detail, retryAfterMs);
   };
   const refuse = (entry: Entry, refusal: Refusal): void => {
     if (entry.isEnded) return;
     const finalRefusal = entry.mayHaveRun ? removeNotRunGuarantee(refusal) : refusal;
-    end(entry, finalRefusal.kind, finalRefusal.detail);
+    end(entry, finalRefusal.kind, finalRefusal.detail, finalRefusal.retryAfterMs);
     if (entry.isAnswering) entry.reply.abort();
     else entry.reply.refuse(finalRefusal);
   };
@@ -157,7 +159,7 @@
     }
     const fraction = entry.isStarted ? undefined : readFraction(entry);
     if (fraction !== undefined && hashToUnit(entry.request.requestId) >= fraction) {
-      const retryAfterMs = computeShedRetryDelay(entry.route.targetLatencyMs, random());
+      const retryAfterMs = attempts.limitRetryDelay(entry, estimateRoomDelay(fraction));
       refuse(entry, {
         kind: 'overloaded',
         detail: `${Math.round(fraction * 100)}% of the requests of this route are admitted`,
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -15,6 +15,8 @@
 
 /** Time past its deadline after which a running request is abandoned, so that the target can time out first (ms). */
 const ABANDON_DELAY_MS = 15;
+/** Share of the mean duration of its route below which the time left of a request is too short to start it. */
+const MIN_DURATION_SHARE = 0.5;
 /** Failures that show that the target as a whole does not work. */
 const ejectingFailures: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
 /** Number of consecutive requests without an answer in time after which the target is ejected. */
@@ -32,9 +34,15 @@
   const countResult = (result: string): void => {
     counts.set(result, (counts.get(result) ?? 0) + 1);
   };
-  const refuse = (events: RunEvents, kind: RunFailureKind, detail: string): void => {
+  const refuse = (events: RunEvents, kind: RunFailureKind, detail: string, roomMs?: number): void => {
     countResult(kind);
-    events.fail({ kind, ran: 'no', hasArrived: false, detail });
+    events.fail({
+      kind,
+      ran: 'no',
+      hasArrived: false,
+      detail,
+      ...(roomMs === undefined ? {} : { roomMs: Math.round(roomMs) }),
+    });
   };
   const reportRun = (run: Run, outcome: string, detail: string): void => {
     const nowMs = clock.now();
@@ -283,10 +291,16 @@
     if (waitMs !== undefined) {
       const { ratePerSecond } = board.read('target');
       const detail = `the target ${id} takes ${ratePerSecond ?? 0} requests/s, a wait of ${Math.round(waitMs)} ms`;
-      refuse(events, 'queueFull', detail);
+      refuse(events, 'queueFull', detail, waitMs);
+      return;
+    }
+    const slotWaitMs = estimateSlotWait(run);
+    if (nowMs + slotWaitMs + run.costMs > run.deadlineAtMs && slotWaitMs > 0) {
+      const detail = `${queue.length} requests wait, which takes ${Math.round(slotWaitMs)} ms`;
+      refuse(events, 'queueFull', detail, slotWaitMs);
       return;
     }
-    run.cancelDeadline = deadlines.add(run.deadlineAtMs, () => {
+    run.cancelDeadline = deadlines.add(computeQueueDeadline(run), () => {
       expire(run);
     });
     attempt.handle = {
@@ -301,6 +315,11 @@
     queue.add(run);
     startQueued();
   };
+  /** Estimates how long a new request would wait for a slot (ms); 0 if none waits before it. */
+  const estimateSlotWait = (run: Run): number => {
+    const limit = computeRunLimit(board.read('target').slots);
+    return running.size < limit ? 0 : (queue.countAhead(run) / limit) * duration.meanMs;
+  };
   const refuseQueued = (): void => {
     const phase = readAdvertisedPhase(board, clock.now());
     if (phase === 'ready') return;
@@ -322,3 +341,8 @@
     stop: () => undefined,
   };
 }
+
+/** Returns until when a request may wait (ms): when it starts later, its run would most probably not end in time. */
+function computeQueueDeadline({ arrivedAtMs, deadlineAtMs, costMs }: Run): number {
+  return Math.max(arrivedAtMs, deadlineAtMs - MIN_DURATION_SHARE * costMs);
+}
--- a/src/policy/fairQueue.ts
+++ b/src/policy/fairQueue.ts
@@ -4,6 +4,8 @@
 /** A queue that serves several flows in proportion to the cost of what they take. */
 export interface FairQueue<Item> {
   add(item: Item): void;
+  /** Estimates the number of items that go before a new one of this flow. */
+  countAhead(flow: string): number;
   /**
    * Removes and returns the next item for which `accept` returns true. Items before it for which it returns false are
    * removed, too, and cost their flow nothing.
@@ -82,6 +84,7 @@
       heap.push(flow);
       sortUp(heap);
     },
+    countAhead: (name) => ((flows.get(name)?.items.length ?? 0) + 1) * heap.length,
     takeFirst: (accept) => {
       for (let flow = heap[0]; flow !== undefined; flow = heap[0]) {
         const item = flow.items.takeFirst();
--- a/src/policy/nextStep.ts
+++ b/src/policy/nextStep.ts
@@ -28,28 +28,8 @@
 const MIN_FAILURE_STATUS = 500;
 /** Maximum number of nodes that may refuse a request before the client gets a refusal. */
 const MAX_OFFERS = 4;
-/** Delay after which a refused client may retry (ms). */
+/** Delay after which a refused client may retry if nothing is known of when there is room (ms). */
 export const RETRY_AFTER_MS = 250;
-/**
- * Retry delay of a request shed by overload, as a share of the target latency: long enough for capacity to become free,
- * short enough for the answer to keep its worth.
- */
-const SHED_RETRY_DELAY_SHARE = 0.4;
-const MIN_SHED_RETRY_DELAY_MS = 50;
-const MAX_SHED_RETRY_DELAY_MS = 1500;
-
-/**
- * Computes the delay after which a client should retry a request that was refused because of overload (ms).
- *
- * @param random In [0, 1); adds jitter, so that refused clients do not retry at the same time.
- */
-export function computeShedRetryDelay(targetLatencyMs: number, random: number): number {
-  const meanMs = Math.min(
-    MAX_SHED_RETRY_DELAY_MS,
-    Math.max(MIN_SHED_RETRY_DELAY_MS, SHED_RETRY_DELAY_SHARE * targetLatencyMs),
-  );
-  return meanMs * (0.75 + 0.5 * random);
-}
 
 /** True when the status of a target's answer reports a failure of the target. */
 export function isTargetFailure({ status }: { status: number }): boolean {
@@ -82,10 +62,10 @@
 }
 
 function buildRefusal(failure: RunFailure): Refusal {
-  const { kind, detail, ran } = failure;
+  const { kind, detail, ran, roomMs = RETRY_AFTER_MS } = failure;
   if (ran !== 'no') return { kind: kind === 'timedOut' ? 'timedOut' : 'failed', detail: `${kind}: ${detail}` };
-  if (kind === 'tooLate') return { kind: 'tooLate', detail, retryAfterMs: RETRY_AFTER_MS };
+  if (kind === 'tooLate') return { kind: 'tooLate', detail, retryAfterMs: roomMs };
   if (kind === 'quarantined') return { kind: 'quarantined', detail };
   const isRejected = kind === 'rejected' || kind === 'misdirected';
-  return { kind: isRejected ? 'rejected' : 'overloaded', detail: `${kind}: ${detail}`, retryAfterMs: RETRY_AFTER_MS };
+  return { kind: isRejected ? 'rejected' : 'overloaded', detail: `${kind}: ${detail}`, retryAfterMs: roomMs };
 }
--- a/src/policy/runQueue.ts
+++ b/src/policy/runQueue.ts
@@ -30,8 +30,8 @@
   takeNext(nowMs: number, expectedMs: number): Run | undefined;
   /** Drops a waiting request. */
   drop(run: Run): void;
-  /** Returns the number of waiting requests that go before a new one like this, at most. */
-  countAhead(run: Pick<Run, 'priority' | 'isStarted'>): number;
+  /** Estimates the number of waiting requests that go before a new one like this. */
+  countAhead(run: Pick<Run, 'priority' | 'isStarted' | 'flow'>): number;
   /** Removes and returns all waiting requests. */
   takeAll(): Run[];
 }
@@ -106,7 +106,11 @@
     countAhead: (run) => {
       const rank = computeRank(run);
       let count = 0;
-      for (const level of levels) if (level.rank <= rank) count += level.length;
+      for (const level of levels) {
+        if (level.rank < rank) count += level.length;
+        // A request of an organisation waits for its own requests and as many of each other one.
+        if (level.rank === rank) count += Math.min(level.length, level.timely.countAhead(run.flow));
+      }
       return count;
     },
     takeAll: () => {
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -75,6 +75,8 @@
   /** True when the request was written to a target, so that it counts as an arrival there. */
   hasArrived: Type.Boolean(),
   detail: Type.String(),
+  /** Time until the target is expected to have room (ms); absent if unknown. */
+  roomMs: Type.Optional(Type.Number()),
 });
 export type RunFailure = Static<typeof runFailureSchema>;
 
--- a/tests/requests/runQueue.test.ts
+++ b/tests/requests/runQueue.test.ts
@@ -27,8 +27,8 @@
     queue.add(buildQueuedRun('call', { isStarted: true }));
     queue.add(buildQueuedRun('routine call', { isStarted: true, priority: 2 }));
     queue.add(buildQueuedRun('urgent', { priority: 0 }));
-    expect(queue.countAhead({ priority: 1, isStarted: true })).toEqual(3);
-    expect(queue.countAhead({ priority: 1, isStarted: false })).toEqual(5);
+    expect(queue.countAhead({ priority: 1, isStarted: true, flow: '' })).toEqual(3);
+    expect(queue.countAhead({ priority: 1, isStarted: false, flow: '' })).toEqual(5);
     expect(takeNames(queue)).toEqual(['urgent', 'call', 'late call', 'new', 'late', 'routine call']);
     expect(queue.length).toEqual(0);
   });
