Withdraw keys also where the store turns away its readers

Tests of each case of a withdrawn key showed two faults.

In a fleet of more than 25 hosts, three nodes of each data centre wait for changes and pass them on. Nodes that the store turns away while it serves others are alive, so nobody took their place: when it turned away the three readers of each data centre, a withdrawn key was accepted on all hosts for up to 120 s. The status of a node now says that it cannot read the configuration (only while that is so). When all readers that a node is linked to say so, the node reads itself once a second, less often in large data centres: 20 reads a second and data centre if the store turns all away. Ruled out: ranking such readers last, as silent ones are. When the store is down, their successors would follow one after another until all hosts wait at it.

A restarted process applied what the store gave it and served by it before it had heard from its peers: with a store that is behind, a withdrawn key was accepted for a moment after a restart.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -75,6 +75,7 @@
     configurationVersion: board.read('routes').version,
     memberCount: board.read('members').byHost.size + 1,
     membersDigest: board.read('members').digest,
+    ...(board.read('routes').isStoreLost ? { isStoreLost: true } : {}),
   });
   const isStatusDue = (lane: IncomingLane, nowMs: number, isActive: boolean): boolean => {
     const { statusAtMs, loadAtMs, idleIntervalMs } = lane;
--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -38,6 +38,7 @@
     sentSinceReport: 0,
     outstanding: 0,
     configurationVersion: -1,
+    isStoreLost: false,
     memberCount: 0,
     membersDigest: undefined,
     held: undefined,
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -143,6 +143,7 @@
       peer.held?.revision !== frame.held?.revision;
     updateLoad(peer, frame.load);
     peer.configurationVersion = frame.configurationVersion;
+    peer.isStoreLost = frame.isStoreLost ?? false;
     peer.memberCount = frame.memberCount;
     peer.membersDigest = frame.membersDigest;
     peer.held = frame.held;
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -4,8 +4,10 @@
 import { compileSchema } from '../../schema/validate.js';
 import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
 import type { RequestContext } from './context.js';
-import { readReaderPlace } from './storeReading.js';
-import { startTopicWatcher } from './topicWatcher.js';
+import type { RequestPosts } from './sections.js';
+import { createFirstConfiguration } from './firstConfiguration.js';
+import { isReadingTurnedAway, readReaderPlace } from './storeReading.js';
+import { startTopicWatcher, UNREAD_LIMIT_MS } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It is short, so that each change is applied as soon as possible. */
 const READ_PAUSE_MS = 20;
@@ -18,6 +20,12 @@
 const FEW_READERS_WAIT_SHARE = 0.4;
 /** Minimum wait of a read (ms), which limits the calls however short the bound is. */
 const MIN_READ_WAIT_MS = 500;
+/**
+ * Time after which a node reads the configuration itself while the store turns away the readers of its data centre (ms). It
+ * grows with the hosts, so that a store that turns all of them away gets no more than 20 reads a second of a data centre.
+ */
+const MIN_UNREAD_LIMIT_MS = 1000;
+const UNREAD_LIMIT_PER_HOST_MS = 50;
 
 const validator = compileSchema(routeConfigurationSchema);
 
@@ -36,7 +44,15 @@
     return Math.max(MIN_READ_WAIT_MS, Math.round(share * configurationApplyMs * (place + 1) ** 2));
   };
 
-  routes.handlePosts(({ configuration, source }) => {
+  /** While the readers are turned away, this node reads itself: the store may serve it. */
+  const getUnreadLimitMs = (): number => {
+    const { self, byHost } = board.read('members');
+    if (!isReadingTurnedAway(board, clock.now())) return UNREAD_LIMIT_MS;
+    let hosts = 1;
+    for (const { dataCenter } of byHost.values()) if (dataCenter === self.dataCenter) hosts++;
+    return Math.max(MIN_UNREAD_LIMIT_MS, hosts * UNREAD_LIMIT_PER_HOST_MS);
+  };
+  const apply = ({ configuration, source }: RequestPosts['routes']): void => {
     const { section } = routes;
     const { version } = configuration;
     if (version <= section.version) return;
@@ -46,6 +62,17 @@
     section.appliedAtMs = clock.now();
     board.post('decisions', { kind: 'configurationApplied', outcome: `version ${version}`, inputs });
     routes.publishChange();
+  };
+  const first = createFirstConfiguration(context, apply);
+  const recordStoreState = (isReached: boolean): void => {
+    if (routes.section.isStoreLost === !isReached) return;
+    routes.section.isStoreLost = !isReached;
+    routes.publishChange();
+  };
+
+  routes.handlePosts((post) => {
+    if (routes.section.table === undefined) first.add(post);
+    else apply(post);
   });
   return {
     start: () => {
@@ -64,13 +91,14 @@
             }
           }
         },
-        // Only the watcher of the member topic updates the state of the store.
-        reportRead: () => undefined,
+        getUnreadLimitMs,
+        reportRead: recordStoreState,
         name: 'configuration',
       });
     },
     stop: () => {
       stopWatcher();
+      first.stop();
     },
   };
 }
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -53,6 +53,8 @@
   /** Number of requests sent and not settled yet. */
   outstanding: number;
   configurationVersion: number;
+  /** True while it cannot read the configuration from the store. */
+  isStoreLost: boolean;
   memberCount: number;
   /** Undefined until a status with a digest was received. */
   membersDigest: number | undefined;
@@ -116,7 +118,13 @@
     /** Which requests this node still takes; undefined until it stops. */
     stop: StopPlan | undefined;
   };
-  routes: { table: RouteTable | undefined; version: number; appliedAtMs: number };
+  routes: {
+    table: RouteTable | undefined;
+    version: number;
+    appliedAtMs: number;
+    /** True while this node cannot read the configuration from the store. */
+    isStoreLost: boolean;
+  };
   members: {
     self: NodeMember;
     byHost: Map<string, NodeMember>;
@@ -253,7 +261,7 @@
   return {
     settings: { current: options.settings },
     node: { phase: 'starting', startedAtMs: options.nowMs, stop: undefined },
-    routes: { table: undefined, version: -1, appliedAtMs: options.nowMs },
+    routes: { table: undefined, version: -1, appliedAtMs: options.nowMs, isStoreLost: false },
     members: {
       self: options.self,
       byHost: new Map(),
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -6,7 +6,7 @@
 /** Interval at which a node that does not read the topic checks whether it has to (ms). */
 const READER_CHECK_INTERVAL_MS = 500;
 /** Time after which a node that does not read the topic reads it once, in case its peers missed a change (ms). */
-const UNREAD_LIMIT_MS = 120_000;
+export const UNREAD_LIMIT_MS = 120_000;
 
 export interface TopicWatcherOptions {
   topic: KeyedTopic;
@@ -23,6 +23,10 @@
    * its peers.
    */
   getWaitMs: () => number | undefined;
+  /**
+   * Returns the time after which a node that learns of changes from its peers reads the topic itself (ms); 120 s by default.
+   */
+  getUnreadLimitMs?: () => number;
 }
 
 /**
@@ -96,7 +100,8 @@
       return;
     }
     const waitMs = checkWait();
-    if (waitMs === undefined && clock.now() - readAtMs < UNREAD_LIMIT_MS) schedule(READER_CHECK_INTERVAL_MS);
+    const unreadLimitMs = options.getUnreadLimitMs?.() ?? UNREAD_LIMIT_MS;
+    if (waitMs === undefined && clock.now() - readAtMs < unreadLimitMs) schedule(READER_CHECK_INTERVAL_MS);
     else {
       readAtMs = clock.now();
       cancelRead = options.topic.readFrom(nextOffset, waitMs ?? 0, (outcome) => {
--- a/src/policy/storeReaders.ts
+++ b/src/policy/storeReaders.ts
@@ -39,6 +39,24 @@
   return ahead;
 }
 
+/**
+ * True when the store turns away those nodes that wait for changes for this one, as far as it is linked to them. They are alive, so no others
+ * take their place, and the store may serve other nodes.
+ *
+ * @param isTurnedAway Undefined for a host without a link.
+ */
+export function hasLostReaders(
+  { self, members, isSilent }: StoreReaderInput,
+  isTurnedAway: (host: string) => boolean | undefined,
+): boolean {
+  const readers = [...members.values()]
+    .filter(({ host, dataCenter }) => dataCenter === self.dataCenter && !isSilent(host))
+    .sort((left, right) => computeRank(left.host) - computeRank(right.host))
+    .slice(0, READERS_PER_DATA_CENTER);
+  const known = readers.map(({ host }) => isTurnedAway(host)).filter((state) => state !== undefined);
+  return known.length > 0 && known.every((state) => state);
+}
+
 function computeRank(host: string): number {
   return hashToUnit(`reader ${host}`);
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -167,6 +167,8 @@
   memberCount: Type.Integer(),
   /** Digest of the versions of all member records known to the sender, including its own. */
   membersDigest: Type.Optional(Type.Integer()),
+  /** True while the sender cannot read the configuration from the store. */
+  isStoreLost: Type.Optional(Type.Boolean()),
   /** The newest record of the receiver that the sender holds. */
   held: Type.Optional(recordVersionSchema),
 });
--- a/tests/requests/storeReaders.test.ts
+++ b/tests/requests/storeReaders.test.ts
@@ -102,6 +102,17 @@
     expect(countNodesAtVersion(fleet, 2)).toEqual(60);
   });
 
+  // Guards against a store that is down or overloaded getting reads from all nodes at once.
+  it('should keep the reads of a large fleet few while the store turns all nodes away', () => {
+    const fleet = createLargeFleet(buildHosts(90));
+    fleet.store.blockedHosts.add('*');
+    fleet.clock.advance(5000);
+    const before = fleet.store.calls.reads;
+    fleet.clock.advance(10_000);
+    // 20 a second for each data centre, and those of the readers.
+    expect(fleet.store.calls.reads - before).toBeLessThanOrEqual(10 * (3 * 20 + 9 * 3));
+  });
+
   // Guards against nodes without requests that wait for news on links which went silent with the connections to the store.
   it('should reach idle nodes over new links when all connections went silent', () => {
     const hosts = buildHosts(60);
