--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -83,6 +83,7 @@
       memberCount: board.read('members').byHost.size + 1,
       membersDigest: board.read('members').digest,
       ...(era === undefined ? {} : { storeEra: era }),
+      ...(board.read('routes').isStoreLost ? { isStoreLost: true } : {}),
     };
   };
   const isActive = ({ peer, runs }: IncomingLane, nowMs: number): boolean =>
