Check a configuration of routed requests before it is published

Cause: a configuration with a fault, or with a version that is not above the one in force, is ignored by all nodes, and an entry that another one replaces is served as it stands; an operator learns of both only from the nodes' logs. Ruled out: importing the decoder of the published form into the cli; the command takes it as a function, and platform/checkMain.ts passes it. Change: hemlockctl check FILE [--against FILE]. policy/configurationCheck.ts lists what never applies and what contradicts, policy/configurationChanges.ts what differs by name; keys are counted and not printed.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import sade from 'sade';
 import type { LazyOutput } from 'sade';
+import { addCheckCommand } from './commands/check.js';
 import { addDiffCommand } from './commands/diff.js';
 import { addDrainCommand } from './commands/drain.js';
 import { addExplainCommand } from './commands/explain.js';
@@ -14,10 +15,11 @@
 import { EXIT_INVALID } from './commandResult.js';
 
 /** Options whose values are always strings; sade converts other values that look like numbers. */
-const TEXT_OPTIONS = ['log', 'node', 'operator', 'service', 'change-id', 'file'];
+const TEXT_OPTIONS = ['log', 'node', 'operator', 'service', 'change-id', 'file', 'against'];
 
 const cli = sade('hemlockctl').version('0.1.0').option('--json', 'Print the result as JSON', false);
 addValidateCommand(cli);
+addCheckCommand(cli);
 addPublishCommand(cli);
 addDiffCommand(cli);
 addShowCommand(cli);
--- a/src/cli/readDocument.ts
+++ b/src/cli/readDocument.ts
@@ -5,27 +5,36 @@
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
 
 /**
- * Reads a service configuration and lists its faults.
+ * Reads a JSON file; `content` says in the error message what it should contain.
  *
  * @throws FailureError `fileUnreadable` when the file cannot be read or is not JSON.
  */
-export function readDocumentFaults(path: string): { value: unknown; faults: Fault[] } {
+export function readJsonFile(path: string, content: string): unknown {
   let text: string;
   try {
     text = readFileSync(path, 'utf8');
   } catch (error) {
-    const message = `cannot read ${path}: ${String(error)}; pass the path of a service configuration file`;
+    const message = `cannot read ${path}: ${String(error)}; pass the path of a ${content} file`;
     throw new FailureError({ kind: 'fileUnreadable', message, path });
   }
   try {
-    const value: unknown = JSON.parse(text);
-    return { value, faults: validateServiceConfiguration(value) };
+    return JSON.parse(text) as unknown;
   } catch (error) {
     const message = `cannot parse ${path} as JSON: ${String(error)}; correct the file`;
     throw new FailureError({ kind: 'fileUnreadable', message, path });
   }
 }
 
+/**
+ * Reads a service configuration and lists its faults.
+ *
+ * @throws FailureError `fileUnreadable` when the file cannot be read or is not JSON.
+ */
+export function readDocumentFaults(path: string): { value: unknown; faults: Fault[] } {
+  const value = readJsonFile(path, 'service configuration');
+  return { value, faults: validateServiceConfiguration(value) };
+}
+
 /**
  * Reads a service configuration and requires it to be valid.
  *
--- a/src/schema/commandReport.ts
+++ b/src/schema/commandReport.ts
@@ -42,6 +42,23 @@
 });
 export type DocumentDifference = Static<typeof documentDifferenceSchema>;
 
+/** What a configuration of routed requests contains to no effect, or contradicting. */
+export const configurationFindingSchema = Type.Object({
+  /** `unmatched`: it never applies; `contradiction`: limits or names that exclude each other; `note`: it may be intended. */
+  kind: Type.Union([Type.Literal('unmatched'), Type.Literal('contradiction'), Type.Literal('note')]),
+  path: Type.String(),
+  detail: Type.String(),
+});
+export type ConfigurationFinding = Static<typeof configurationFindingSchema>;
+
+/** One difference between two configurations of routed requests. */
+export const configurationChangeSchema = Type.Union([
+  Type.Object({ type: Type.Literal('added'), path: Type.String() }),
+  Type.Object({ type: Type.Literal('removed'), path: Type.String() }),
+  Type.Object({ type: Type.Literal('changed'), path: Type.String(), before: Type.String(), after: Type.String() }),
+]);
+export type ConfigurationChange = Static<typeof configurationChangeSchema>;
+
 /** Hosts, grouped by whether their nodes have applied a configuration version. */
 export const waitReportSchema = Type.Object({
   service: Type.String(),
--- a/tests/cli/usage.test.ts
+++ b/tests/cli/usage.test.ts
@@ -5,7 +5,7 @@
 import { expect } from 'earl';
 import { runHemlockctl } from '../fixtures/runHemlockctl.js';
 
-const commands = ['validate', 'publish', 'diff', 'show', 'history', 'status', 'drain', 'wait', 'explain'];
+const commands = ['validate', 'check', 'publish', 'diff', 'show', 'history', 'status', 'drain', 'wait', 'explain'];
 
 describe('usage of hemlockctl', () => {
   it('should show examples in the help of each command', async () => {
