Test a leave through series of faults with restores of the store

Guards against orders of restores, kills, late responses, late writes, refused reads and cut links that the single tests do not have. Ruled out: kills of the peers in the series, since a leave that neither the store nor a peer has is lost.

--- a/tests/requests/storeFromCopy.test.ts
+++ b/tests/requests/storeFromCopy.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createRandom } from '../../src/core/random.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
 import type { StoreCopy } from '../fixtures/fakeStore.js';
 import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
@@ -156,6 +157,53 @@
   });
 });
 
+describe('a target that left, through a series of faults', () => {
+  // Guards against an order of restores, kills, late responses and refusals after which the leave is forgotten.
+  for (let seed = 1; seed <= 20; seed++) {
+    it(`should not receive requests, seed ${seed}`, () => {
+      const fleet = createFleet({ seed });
+      const random = createRandom(seed);
+      let copy = fleet.store.takeCopy();
+      const faults: (() => void)[] = [
+        () => {
+          fleet.store.restoreCopy(copy);
+        },
+        () => {
+          copy = fleet.store.takeCopy();
+        },
+        () => {
+          restart(fleet, ['a2']);
+        },
+        () => {
+          fleet.store.delayResponses('a2', { count: 3, lateMs: 3000 * random() });
+        },
+        () => {
+          fleet.store.delayWrites('a2', { count: 1, lateMs: 5000 * random() });
+        },
+        () => {
+          fleet.store.refuseReads('a2', 3);
+        },
+        () => {
+          const peer = random() < 0.5 ? 'a1' : 'a3';
+          fleet.links.cut('a2', peer);
+          fleet.clock.schedule(2000 * random(), () => {
+            fleet.links.heal('a2', peer);
+          });
+        },
+      ];
+      expect(sendLeave(fleet)).toEqual(true);
+      for (let step = 0; step < 14; step++) {
+        faults[Math.floor(random() * faults.length)]?.();
+        fleet.clock.advance(1500 * random());
+      }
+      fleet.clock.advance(10_000);
+      expect(readStored(fleet, 'a2')?.target?.phase).toEqual('left');
+      restart(fleet, ['a1', 'a2', 'a3']);
+      expect(countLateArrivals(fleet)).toEqual(0);
+    });
+  }
+});
+
 describe('an acknowledgement while the store comes back from an older copy', () => {
   // Guards against an acknowledgement by a write that was lost with the records of the old era.
   it('should not count a write whose response arrives late from before the restore', () => {
