Count demand by route and priority where organisations replace priorities

Cause: admission used the priority of the route, so requests of an urgent organisation were refused like all others. Profiles list the part of the demand whose priority differs from its route, bounded by routes times priorities and absent without organisations.

--- a/src/control/requests/demandController.ts
+++ b/src/control/requests/demandController.ts
@@ -32,6 +32,7 @@
   const { section } = demand;
   const perSecond = new Map<string, number>();
   const startedPerSecond = new Map<string, number>();
+  const priorityRates = new Map<string, { route: string; priority: number; perSecond: number; count: number }>();
   const previousArrived = new Map<string, number>();
   const previousStarted = new Map<string, number>();
   const previousMatches: MatchCounts = new Map();
@@ -65,6 +66,23 @@
     }
     return increments;
   };
+  /** Updates the rates of the requests whose organisation replaced the priority of the route. */
+  const updatePriorityRates = (arrived: ReadView<ReadonlyMap<string, ReadonlyMap<number, number>>>): void => {
+    for (const [route, counts] of arrived) {
+      for (const [priority, count] of counts) {
+        const name = `${priority} ${route}`;
+        let known = priorityRates.get(name);
+        if (known === undefined) priorityRates.set(name, (known = { route, priority, perSecond: 0, count: 0 }));
+        const rate = ((count - known.count) * 1000) / SAMPLE_INTERVAL_MS;
+        known.perSecond += SMOOTHING_WEIGHT * (rate - known.perSecond);
+        known.count = count;
+      }
+    }
+  };
+  const listPriorityRates = (): NonNullable<Profile['priorities']> =>
+    [...priorityRates.values()].flatMap(({ route, priority, perSecond: rate }) =>
+      rate < MIN_RATE_PER_SECOND ? [] : [{ route, priority, perSecond: limitDecimals(rate) }],
+    );
   const updateRates = (rates: Map<string, number>, counts: ReadonlyMap<string, number>): void => {
     for (const [route, count] of counts) {
       const rate = (count * 1000) / SAMPLE_INTERVAL_MS;
@@ -84,10 +102,12 @@
   };
   const buildProfile = (): Profile => {
     const { durationByRoute } = board.read('runs');
+    const priorities = listPriorityRates();
     return {
       demand: [...perSecond].flatMap(([route, rate]) =>
         rate < MIN_RATE_PER_SECOND ? [] : [{ route, perSecond: limitDecimals(rate) }],
       ),
+      ...(priorities.length === 0 ? {} : { priorities }),
       calls,
       durations: [...durationByRoute].map(([route, estimate]) => ({
         route,
@@ -109,6 +129,7 @@
     const ran = computeIncrements(board.read('runs').startedByRoute, previousStarted);
     updateRates(perSecond, arrived);
     updateRates(startedPerSecond, ran);
+    updatePriorityRates(board.read('entries').arrivedByPriority);
     const others = readOtherServiceRates();
     const sampleSeconds = SAMPLE_INTERVAL_MS / 1000;
     // Hosts of other services receive client requests like this one, but not the calls of the local target. The low
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -116,7 +116,7 @@
     });
     open.add(entry);
     section.open = open.size;
-    section.arrivedByRoute.set(route.name, (section.arrivedByRoute.get(route.name) ?? 0) + 1);
+    countArrival(entry);
     board.post('budgets', { type: 'request', service });
     entry.cancelDeadline = deadlines.add(entry.deadlineAtMs + FALLBACK_DELAY_MS, () => {
       expire(entry);
@@ -124,6 +124,15 @@
     startEntry(entry);
     return buildHandle(entry);
   };
+  const countArrival = ({ route, organisation }: Entry): void => {
+    const { arrivedByRoute, arrivedByPriority } = section;
+    arrivedByRoute.set(route.name, (arrivedByRoute.get(route.name) ?? 0) + 1);
+    const priority = organisation?.priority ?? route.priority;
+    if (priority === route.priority) return;
+    let byPriority = arrivedByPriority.get(route.name);
+    if (byPriority === undefined) arrivedByPriority.set(route.name, (byPriority = new Map()));
+    byPriority.set(priority, (byPriority.get(priority) ?? 0) + 1);
+  };
   /** Returns the priority of the run of the local target that makes this call; undefined for a request of a client. */
   const findParentPriority = (request: ClientRequest, route: ReadView<Route>): number | undefined => {
     const { running } = board.read('runs');
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -161,6 +161,8 @@
     latencyByRoute: Map<string, DurationEstimate>;
     /** Number of requests that entered at this node so far, by route. */
     arrivedByRoute: Map<string, number>;
+    /** The part of it whose organisation replaced the priority of the route, by route and priority. */
+    arrivedByPriority: Map<string, Map<number, number>>;
     /** Requests that entered so far with the time left of a run of the local target. */
     matchedCalls: MatchCounts;
     /** Number of ended requests, by result. */
@@ -307,6 +309,7 @@
       partCredits: new Map(),
       latencyByRoute: new Map(),
       arrivedByRoute: new Map(),
+      arrivedByPriority: new Map(),
       matchedCalls: new Map(),
       counts: new Map(),
     },
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -1,5 +1,6 @@
 import type { LoadReport, Profile } from '../schema/linkFrame.js';
 import type { ServiceCapacity } from './admission.js';
+import { formatKind } from './requestKind.js';
 import { createWorkEstimator } from './routeWork.js';
 import type { ServiceChance } from './servedShare.js';
 import { createTreeChanceEstimator } from './treeChance.js';
@@ -87,7 +88,8 @@
 
 /**
  * Computes the client demand for each route, with the run time that one request takes at the route's services and at
- * their downstream services, and the chance that it finishes. Routes that mostly get internal calls are left out.
+ * their downstream services, and the chance that it finishes. Requests whose organisation replaced the priority of the route
+ * are a demand of their own. Routes that mostly get internal calls are left out.
  *
  * @param findRoute Returns the route with a name; undefined when it is no longer configured.
  * @param chances By service.
@@ -99,6 +101,7 @@
 ): TreeDemand[] {
   const rates = collectRates(views);
   const variances = computeRateVariances(views);
+  const priorityRates = collectPriorityRates(views);
   const calls = mergeCalls(views);
   const durations = mergeDurations(views, calls);
   const listParts = (name: string): { service: string; share: number }[] => {
@@ -124,8 +127,14 @@
     const found = findRoute(route);
     if (found === undefined || (internalRates.get(route) ?? 0) > INTERNAL_SHARE * perSecond) return [];
     const variance = variances.get(route) ?? 0;
-    const { priority } = found;
-    return [{ route, priority, perSecond, variance, work: computeWork(route), chance: computeChance(route) }];
+    const shared = { route, work: computeWork(route), chance: computeChance(route) };
+    return splitByPriority(perSecond, priorityRates.get(route), found.priority).map(({ priority, rate }) => ({
+      ...shared,
+      priority,
+      kind: formatKind({ name: route, priority: found.priority }, priority),
+      perSecond: rate,
+      variance: perSecond > 0 ? (variance * rate) / perSecond : 0,
+    }));
   });
 }
 
@@ -165,6 +174,29 @@
   return rates;
 }
 
+/** Collects the rates of requests whose priority differs from that of their route, by route and priority. */
+function collectPriorityRates(views: readonly NodeView[]): Map<string, Map<number, number>> {
+  const rates = new Map<string, Map<number, number>>();
+  for (const { profile, weight } of views) {
+    for (const { route, priority, perSecond } of profile.priorities ?? []) {
+      const byPriority = rates.get(route) ?? new Map<number, number>();
+      rates.set(route, byPriority.set(priority, (byPriority.get(priority) ?? 0) + weight * perSecond));
+    }
+  }
+  return rates;
+}
+
+/** Splits the rate of a route by priority; what is not counted by priority has that of the route. */
+function splitByPriority(
+  perSecond: number,
+  byPriority: ReadonlyMap<number, number> | undefined,
+  routePriority: number,
+): { priority: number; rate: number }[] {
+  const replaced = [...(byPriority ?? [])].map(([priority, rate]) => ({ priority, rate }));
+  const rest = replaced.reduce((left, { rate }) => left - rate, perSecond);
+  return [{ priority: routePriority, rate: Math.max(0, rest) }, ...replaced].filter(({ rate }) => rate > 0);
+}
+
 /**
  * Computes the variance of the rates of `collectRates`, by route. A node's count of requests varies like a Poisson
  * variable, and a node that represents others multiplies its deviation.
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -108,6 +108,10 @@
 export const profileSchema = Type.Object({
   /** Rate of requests from clients and the local target that entered at the node. */
   demand: Type.Array(Type.Object({ route: Type.String(), perSecond: Type.Number() })),
+  /** The part of the demand whose priority differs from that of its route; absent where organisations replace none. */
+  priorities: Type.Optional(
+    Type.Array(Type.Object({ route: Type.String(), priority: Type.Integer(), perSecond: Type.Number() })),
+  ),
   /** Mean number of downstream calls to the route `called` per run of the local target for the route `ran`. */
   calls: Type.Array(Type.Object({ ran: Type.String(), called: Type.String(), perRun: Type.Number() })),
   /** Durations of the local target's runs. */
