--- /dev/null
+++ b/src/control/requests/run.ts
@@ -0,0 +1,68 @@
+import type { RunRequest } from '../../schema/linkFrame.js';
+import type { RunEvents, RunHandle } from './runPort.js';
+
+/** Share of the mean duration of its route below which the time left of a request is too short to start it. */
+const MIN_DURATION_SHARE = 0.5;
+/** One request at the node of its target. Times are monotonic (ms). */
+export interface Run {
+  readonly request: RunRequest;
+  readonly route: string;
+  readonly priority: number;
+  /** True for a call of a running request. */
+  readonly isStarted: boolean;
+  /** Organisation that sent it; empty if none did. */
+  readonly flow: string;
+  /** Expected duration (ms). */
+  readonly costMs: number;
+  readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
+  readonly worthUntilMs: number;
+  /** Receives the outcome. */
+  readonly events: RunEvents;
+  phase: 'queued' | 'running' | 'ended';
+  /** 0 until the request is sent to the target. */
+  startedAtMs: number;
+  isDropped: boolean;
+  /** True once the target answered with an error. */
+  hasFailed: boolean;
+  /** True once the whole body of the request arrived at this node. */
+  isBodyComplete: boolean;
+  /** Controls the request at the target while it runs. */
+  target: RunHandle | undefined;
+  cancelDeadline: () => void;
+}
+
+/** Creates a request that waits for its turn. */
+export function createRun(options: {
+  request: RunRequest;
+  events: RunEvents;
+  nowMs: number;
+  /** Expected duration (ms). */
+  costMs: number;
+}): Run {
+  const { request, events, nowMs, costMs } = options;
+  return {
+    request,
+    route: request.route,
+    priority: request.priority,
+    isStarted: request.isStarted === true,
+    flow: request.organisation ?? '',
+    costMs,
+    arrivedAtMs: nowMs,
+    deadlineAtMs: nowMs + request.timeLeftMs,
+    worthUntilMs: nowMs + request.worthLeftMs,
+    events,
+    phase: 'queued',
+    startedAtMs: 0,
+    isDropped: false,
+    hasFailed: false,
+    isBodyComplete: !request.isStreamed,
+    target: undefined,
+    cancelDeadline: () => undefined,
+  };
+}
+
+/** Returns until when a request may wait (ms): when it starts later, its run would most probably not end in time. */
+export function computeQueueDeadline({ arrivedAtMs, deadlineAtMs, costMs }: Run): number {
+  return Math.max(arrivedAtMs, deadlineAtMs - MIN_DURATION_SHARE * costMs);
+}
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -1,22 +1,20 @@
 import { isTargetFailure } from '../../policy/nextStep.js';
-import { addDuration, createDurationEstimate } from '../../policy/durationEstimate.js';
-import { addResult } from '../../policy/failureShare.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
 import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
 import { readAdvertisedPhase } from './localLoad.js';
+import { computeQueueDeadline, createRun } from './run.js';
+import type { Run } from './run.js';
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
-import type { Run } from './sections.js';
+import { createRunSamples } from './runSamples.js';
 import { createTargetGate } from './targetGate.js';
 import { createWaitingBodies } from './waitingBodies.js';
 import type { WaitingBody } from './waitingBodies.js';
 
 /** Time past its deadline after which a running request is abandoned, so that the target can time out first (ms). */
 const ABANDON_DELAY_MS = 15;
-/** Share of the mean duration of its route below which the time left of a request is too short to start it. */
-const MIN_DURATION_SHARE = 0.5;
 /** Failures that show that the target as a whole does not work. */
 const ejectingFailures: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
 /** Number of consecutive requests without an answer in time after which the target is ejected. */
@@ -28,6 +26,7 @@
   const runs = board.claim('runs', 'runController');
   const { section } = runs;
   const { queue, running, duration, durationByRoute, startedByRoute, counts } = section;
+  const samples = createRunSamples(section, clock);
   const bodies = createWaitingBodies();
   let consecutiveTimeouts = 0;
 
@@ -75,36 +74,10 @@
     reportRun(run, outcome, detail);
     startQueued();
   };
-  const addFailureSample = (isFailure: boolean): void => {
-    addResult(section.failures, isFailure, clock.now());
-  };
-  const addServedSample = (isServed: boolean): void => {
-    addResult(section.unserved, !isServed, clock.now());
-  };
-  /** Counts a call that left the queue without its turn. New requests wait behind calls, so they say nothing of these. */
-  const addMissedTurn = ({ isStarted }: Run): void => {
-    if (isStarted) addServedSample(false);
-  };
-  const addDurationSample = ({ request: { route } }: Run, durationMs: number): void => {
-    const nowMs = clock.now();
-    addDuration(duration, durationMs, nowMs);
-    let routeDuration = durationByRoute.get(route);
-    if (routeDuration === undefined) durationByRoute.set(route, (routeDuration = createDurationEstimate()));
-    addDuration(routeDuration, durationMs, nowMs);
-  };
-  /**
-   * Counts a run that ended without an answer if it already took longer than most. Without it, a target too slow for its
-   * callers to wait would be known only by its fastest runs.
-   */
-  const addUnansweredSample = (run: Run): void => {
-    const durationMs = clock.now() - run.startedAtMs;
-    const meanMs = durationByRoute.get(run.request.route)?.meanMs ?? Infinity;
-    if (durationMs > meanMs) addDurationSample(run, durationMs);
-  };
   const endAnswered = (run: Run, detail: string): void => {
     const durationMs = clock.now() - run.startedAtMs;
     // A failing target may answer quickly, which says nothing about its speed.
-    if (!run.hasFailed) addDurationSample(run, durationMs);
+    if (!run.hasFailed) samples.addDuration(run, durationMs);
     io.recordDuration({ place: 'target', route: run.request.route, durationMs });
     end(run, 'answered', detail);
   };
@@ -113,16 +86,16 @@
     consecutiveTimeouts = 0;
     section.answeredAtMs = clock.now();
     run.hasFailed = isTargetFailure(answer);
-    addFailureSample(run.hasFailed);
-    addServedSample(true);
+    samples.addFailure(run.hasFailed);
+    samples.addServed(true);
     board.post('target', { type: 'answered' });
     if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
     run.events.answer(answer);
   };
   const fail = (run: Run, failure: RunFailure): void => {
     if (run.phase !== 'running') return;
-    addFailureSample(failure.kind !== 'timedOut');
-    addServedSample(failure.ran !== 'no');
+    samples.addFailure(failure.kind !== 'timedOut');
+    samples.addServed(failure.ran !== 'no');
     if (failure.kind === 'connectionLost') {
       board.post('quarantine', { type: 'requestLost', fingerprint: computeFingerprint(run.request) });
       board.post('target', { type: 'suspect' });
@@ -215,7 +188,7 @@
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
     endQueued(run);
-    addMissedTurn(run);
+    samples.addMissedTurn(run);
     countResult('tooLate');
     reportRun(run, 'tooLate', 'the deadline passed in the queue');
     run.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail: 'the deadline passed in the queue' });
@@ -240,18 +213,18 @@
         isDown: false,
       });
     run.target?.cancel();
-    addUnansweredSample(run);
+    samples.addUnanswered(run);
     fail(run, { kind: 'timedOut', ran: 'unknown', hasArrived: true, detail: 'no answer in time' });
   };
   const cancel = (run: Run): void => {
     if (run.phase === 'queued') {
       queue.drop(run);
       endQueued(run);
-      addMissedTurn(run);
+      samples.addMissedTurn(run);
       countResult('cancelled');
     } else if (run.phase === 'running' && (run.request.isIdempotent || !run.isBodyComplete)) {
       run.target?.cancel();
-      addUnansweredSample(run);
+      samples.addUnanswered(run);
       end(run, 'cancelled', 'the caller cancelled the request');
     }
   };
@@ -268,25 +241,8 @@
       refuse(events, 'leaving', `the target ${id} is leaving`);
       return;
     }
-    const run: Run = {
-      request,
-      route: request.route,
-      priority: request.priority,
-      isStarted: request.isStarted === true,
-      flow: request.organisation ?? '',
-      costMs: Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs),
-      arrivedAtMs: nowMs,
-      deadlineAtMs: nowMs + request.timeLeftMs,
-      worthUntilMs: nowMs + request.worthLeftMs,
-      events,
-      phase: 'queued',
-      startedAtMs: 0,
-      isDropped: false,
-      hasFailed: false,
-      isBodyComplete: !request.isStreamed,
-      target: undefined,
-      cancelDeadline: () => undefined,
-    };
+    const costMs = Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs);
+    const run = createRun({ request, events, nowMs, costMs });
     const waitMs = gate.findExcessiveWait(run);
     if (waitMs !== undefined) {
       const { ratePerSecond } = board.read('target');
@@ -341,8 +297,3 @@
     stop: () => undefined,
   };
 }
-
-/** Returns until when a request may wait (ms): when it starts later, its run would most probably not end in time. */
-function computeQueueDeadline({ arrivedAtMs, deadlineAtMs, costMs }: Run): number {
-  return Math.max(arrivedAtMs, deadlineAtMs - MIN_DURATION_SHARE * costMs);
-}
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -21,12 +21,14 @@
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
-import type { LinkLane, LoadReport, Profile, RecordVersion, RunRequest } from '../../schema/linkFrame.js';
-import type { Heartbeat, NodeMember, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
+import type { LinkLane, LoadReport, Profile, RecordVersion } from '../../schema/linkFrame.js';
+import type { Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { SuspectState } from '../../schema/state.js';
-import type { RunAttempt, RunEvents, RunHandle, TargetNotice } from './runPort.js';
+import type { Run } from './run.js';
+import type { RunAttempt, TargetNotice } from './runPort.js';
+import type { TargetState } from './targetState.js';
 
 /** One connection to a peer on one lane. */
 export interface LinkState {
@@ -58,54 +60,6 @@
   lastTargetId: string;
 }
 
-/** One request at the node of its target. Times are monotonic (ms). */
-export interface Run {
-  readonly request: RunRequest;
-  readonly route: string;
-  readonly priority: number;
-  /** True for a call of a running request. */
-  readonly isStarted: boolean;
-  /** Organisation that sent it; empty if none did. */
-  readonly flow: string;
-  readonly costMs: number;
-  readonly arrivedAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly worthUntilMs: number;
-  /** Receives the outcome. */
-  readonly events: RunEvents;
-  phase: 'queued' | 'running' | 'ended';
-  /** 0 until the request is sent to the target. */
-  startedAtMs: number;
-  isDropped: boolean;
-  /** True once the target answered with an error. */
-  hasFailed: boolean;
-  /** True once the whole body of the request arrived at this node. */
-  isBodyComplete: boolean;
-  /** Controls the request at the target while it runs. */
-  target: RunHandle | undefined;
-  cancelDeadline: () => void;
-}
-
-/** State of the local target. Times are monotonic (ms) unless noted otherwise. */
-export interface TargetState {
-  phase: TargetPhase;
-  id: string;
-  /** Unix time of its start (ms). */
-  startedAtMs: number;
-  sequence: number;
-  service: string;
-  address: string;
-  slots: number;
-  coldUntilMs: number;
-  lastHeartbeatMs: number;
-  /** Until when the target receives no requests, since it refused connections or did not answer; 0 if not ejected. */
-  ejectedUntilMs: number;
-  /** Requests per second that the target takes from all nodes together; undefined while it names no limit. */
-  ratePerSecond: number | undefined;
-  /** Time of the last answer that named a limit. */
-  rateNamedAtMs: number;
-}
-
 /** All shared state of a request node. docs/design.md lists writer, readers and size bound of each section. */
 export interface RequestSections {
   settings: { current: RequestSettings };
--- a/src/control/requests/targetGate.ts
+++ b/src/control/requests/targetGate.ts
@@ -1,6 +1,7 @@
 import { changeRate, computeGateWait, createRateGate, takeToken } from '../../policy/rateGate.js';
 import type { RequestContext } from './context.js';
-import type { RequestSections, Run } from './sections.js';
+import type { Run } from './run.js';
+import type { RequestSections } from './sections.js';
 
 /** Interval between checks whether queued requests still start in time (ms). */
 const QUEUE_CHECK_INTERVAL_MS = 100;
--- a/src/control/requests/waitingBodies.ts
+++ b/src/control/requests/waitingBodies.ts
@@ -1,5 +1,5 @@
 import { STREAM_WINDOW_BYTES } from '../../schema/linkFrame.js';
-import type { Run } from './sections.js';
+import type { Run } from './run.js';
 
 /**
  * Maximum number of bytes kept of one body: senders stop at the flow-control window, after the bytes that they had read
