--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -82,7 +82,7 @@
   const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse } });
   const quota = createEntryQuota(context, {
     send: (entry) => {
-      countDemand(entry);
+      countArrival(entry);
       attempts.sendEntry(entry);
     },
     refuse,
@@ -132,6 +132,27 @@
     startEntry(entry);
     return buildHandle(entry);
   };
+  const countOrganisation = ({ route, priority, organisation, isStarted }: Entry): void => {
+    if (isStarted) return;
+    const { arrivedByOrganisation } = section;
+    const kind = formatKind(route, priority);
+    const name = organisation?.name ?? '';
+    let counts = arrivedByOrganisation.get(kind);
+    if (counts === undefined) arrivedByOrganisation.set(kind, (counts = new Map()));
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  };
+  /** Counts a request for admission, which divides the room among requests inside the quotas only. */
+  const countArrival = (entry: Entry): void => {
+    const { route, organisation } = entry;
+    const { arrivedByRoute, arrivedByPriority } = section;
+    arrivedByRoute.set(route.name, (arrivedByRoute.get(route.name) ?? 0) + 1);
+    const priority = organisation?.priority ?? route.priority;
+    if (board.read('routes').table?.organisationByKey !== undefined) countOrganisation(entry);
+    if (priority === route.priority) return;
+    let byPriority = arrivedByPriority.get(route.name);
+    if (byPriority === undefined) arrivedByPriority.set(route.name, (byPriority = new Map()));
+    byPriority.set(priority, (byPriority.get(priority) ?? 0) + 1);
+  };
   /** Returns the priority of the run of the local target that makes this call; undefined for a request of a client. */
   const findParentPriority = (request: ClientRequest, route: ReadView<Route>): number | undefined => {
     const { running } = board.read('runs');
@@ -167,25 +188,23 @@
     }
     const fraction = entry.isStarted ? undefined : readFraction(entry);
     if (fraction !== undefined && hashToUnit(entry.request.requestId) >= fraction) {
-      countDemand(entry);
+      countArrival(entry);
       const retryAfterMs = attempts.limitRetryDelay(entry, estimateRoomDelay(fraction));
       refuse(entry, {
         kind: 'overloaded',
-        detail: `${Math.round(fraction * 100)}% of the requests of this route are admitted`,
+        detail: `${Math.round(fraction * 100)}% of the requests of this route${entry.organisation === undefined ? '' : ' and organisation'} are admitted`,
         retryAfterMs,
       });
       return;
     }
     quota.takeToken(entry);
   };
-  /** Counts a request for admission, which divides the room among requests inside the quotas only. */
-  const countDemand = ({ route: { name } }: Entry): void => {
-    section.arrivedByRoute.set(name, (section.arrivedByRoute.get(name) ?? 0) + 1);
-  };
   /** Returns the admitted share of requests like this one; undefined if it is not limited. */
-  const readFraction = ({ route, priority }: Entry): number | undefined => {
-    const { fractions } = board.read('admission');
-    return fractions.size === 0 ? undefined : fractions.get(formatKind(route, priority));
+  const readFraction = ({ route, priority, organisation }: Entry): number | undefined => {
+    const { fractions, organisationFractions } = board.read('admission');
+    if (fractions.size === 0) return undefined;
+    const kind = formatKind(route, priority);
+    return organisationFractions.get(kind)?.get(organisation?.name ?? '') ?? fractions.get(kind);
   };
   const isQuarantined = (request: ClientRequest): boolean => {
     const { byFingerprint } = board.read('quarantine');
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -25,21 +25,16 @@
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
 import type { RunQueue } from '../../policy/runQueue.js';
 import type { Decision } from '../../schema/decision.js';
-import type {
-  LinkLane,
-  LoadReport,
-  Profile,
-  QuotaAskFrame,
-  RecordVersion,
-  RunRequest,
-} from '../../schema/linkFrame.js';
-import type { Heartbeat, NodeMember, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
+import type { LinkLane, LoadReport, Profile, QuotaAskFrame, RecordVersion } from '../../schema/linkFrame.js';
+import type { Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { SuspectState } from '../../schema/state.js';
 import { createQuotaSection } from './quotaSection.js';
 import type { QuotaPost, QuotaSection } from './quotaSection.js';
-import type { RunAttempt, RunEvents, RunHandle, TargetNotice } from './runPort.js';
+import type { Run } from './run.js';
+import type { RunAttempt, TargetNotice } from './runPort.js';
+import type { TargetState } from './targetState.js';
 
 /** One connection to a peer on one lane. */
 export interface LinkState {
@@ -75,54 +70,6 @@
   lastTargetId: string;
 }
 
-/** One request at the node of its target. Times are monotonic (ms). */
-export interface Run {
-  readonly request: RunRequest;
-  readonly route: string;
-  readonly priority: number;
-  /** True for a call of a running request. */
-  readonly isStarted: boolean;
-  /** Organisation that sent it; empty if none did. */
-  readonly flow: string;
-  readonly costMs: number;
-  readonly arrivedAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly worthUntilMs: number;
-  /** Receives the outcome. */
-  readonly events: RunEvents;
-  phase: 'queued' | 'running' | 'ended';
-  /** 0 until the request is sent to the target. */
-  startedAtMs: number;
-  isDropped: boolean;
-  /** True once the target answered with an error. */
-  hasFailed: boolean;
-  /** True once the whole body of the request arrived at this node. */
-  isBodyComplete: boolean;
-  /** Controls the request at the target while it runs. */
-  target: RunHandle | undefined;
-  cancelDeadline: () => void;
-}
-
-/** State of the local target. Times are monotonic (ms) unless noted otherwise. */
-export interface TargetState {
-  phase: TargetPhase;
-  id: string;
-  /** Unix time of its start (ms). */
-  startedAtMs: number;
-  sequence: number;
-  service: string;
-  address: string;
-  slots: number;
-  coldUntilMs: number;
-  lastHeartbeatMs: number;
-  /** Until when the target receives no requests, since it refused connections or did not answer; 0 if not ejected. */
-  ejectedUntilMs: number;
-  /** Requests per second that the target takes from all nodes together; undefined while it names no limit. */
-  ratePerSecond: number | undefined;
-  /** Time of the last answer that named a limit. */
-  rateNamedAtMs: number;
-}
-
 /** All shared state of a request node. docs/design.md lists writer, readers and size bound of each section. */
 export interface RequestSections {
   settings: { current: RequestSettings };
@@ -190,6 +137,10 @@
     latencyByRoute: Map<string, DurationEstimate>;
     /** Number of requests that entered at this node so far, by route. */
     arrivedByRoute: Map<string, number>;
+    /** The part of it whose organisation replaced the priority of the route, by route and priority. */
+    arrivedByPriority: Map<string, Map<number, number>>;
+    /** Number of requests so far, by kind and organisation; empty where there are no organisations. */
+    arrivedByOrganisation: Map<string, Map<string, number>>;
     /** Requests that entered so far with the time left of a run of the local target. */
     matchedCalls: MatchCounts;
     /** Number of ended requests, by result. */
@@ -208,6 +159,8 @@
   admission: {
     /** Admitted share of the requests, by kind (`formatKind`); kinds without an entry are admitted completely. */
     fractions: Map<string, number>;
+    /** What each organisation gets of it at this node, by kind; only for kinds that are limited. */
+    organisationFractions: Map<string, ReadonlyMap<string, number>>;
     /** The part of it that keeps requests from being wasted, by kind. */
     wasteLimits: Map<string, number>;
     /** Share of the requests to each service that get a result. */
@@ -343,6 +296,8 @@
       partCredits: new Map(),
       latencyByRoute: new Map(),
       arrivedByRoute: new Map(),
+      arrivedByPriority: new Map(),
+      arrivedByOrganisation: new Map(),
       matchedCalls: new Map(),
       counts: new Map(),
     },
@@ -353,7 +308,13 @@
       callersByRoute: new Map(),
     },
     speeds: { byService: new Map() },
-    admission: { fractions: new Map(), wasteLimits: new Map(), chances: new Map(), corrections: new Map() },
+    admission: {
+      fractions: new Map(),
+      organisationFractions: new Map(),
+      wasteLimits: new Map(),
+      chances: new Map(),
+      corrections: new Map(),
+    },
     budgets: { byService: new Map() },
     quotas: createQuotaSection(options.self.incarnation),
     quarantine: { byFingerprint: new Map(), reportIds: new Set(), lostRequests: [] },
--- a/src/control/requests/targetRecovery.ts
+++ b/src/control/requests/targetRecovery.ts
@@ -1,7 +1,8 @@
 import { createRecoveryPace, isRecovered, updateRecoveryPace } from '../../policy/recoveryPace.js';
 import { computeRunLimit } from '../../policy/runLimit.js';
 import type { RequestContext } from './context.js';
-import type { RequestSections, Run } from './sections.js';
+import type { Run } from './run.js';
+import type { RequestSections } from './sections.js';
 
 /** Interval between checks whether a target without requests has recovered (ms). */
 const CHECK_INTERVAL_MS = 1000;
