Bound what clients outside the limits can hold and keep busy

Cause: the parser took 128 KiB of head whatever the configuration says, and parsed headers take some 13 times their bytes; nothing bounded what all connections hold together; pipelined requests were parsed before they could start; one connection could keep the event loop busy with one read; and connections without a request kept new ones out.

Ruled out: suspending Node's parser (it pauses only after a whole chunk), `socket.pause()` alone (it reads 64 KiB more into a buffer), and refusing new connections (the crowd keeps its own).

The change: requests are read in slices of 2 KiB within the configured limit; `clientBudget.ts` adds up what all clients hold and closes the connections that hold most and move least, by a pure decision in `policy/clientEviction.ts`; connections with more to read take turns; a connection without a request gives way to a new one. Setting `maxClientBytes`, metrics `hemlock_client_*`, log lines `clientsClosed`.

--- /dev/null
+++ b/src/control/requests/clientBudget.ts
@@ -0,0 +1,74 @@
+import { chooseDisplaced, selectHeaviest } from '../../policy/clientEviction.js';
+import type { ClientUse } from '../../policy/clientEviction.js';
+
+/** Reason why a connection was closed for the sake of others. */
+export type EvictionReason = 'heldBytes' | 'connections';
+
+/** A connection as the budget sees it. */
+export interface BudgetedClient extends ClientUse {
+  /** Closes the connection without a response. */
+  destroy(): void;
+}
+
+export interface ClientBudgetOptions {
+  now: () => number;
+  /** Maximum number of bytes that all connections hold together. */
+  maxHeldBytes: number;
+  /** Number of connections from which on a new one takes the place of another. */
+  maxConnections: number;
+}
+
+/** What all clients of a process occupy, and the connections that were closed to bound it. */
+export interface ClientBudget {
+  readonly heldBytes: number;
+  readonly maxHeldBytes: number;
+  readonly connections: ReadonlySet<BudgetedClient>;
+  /** Number of closed connections by reason. */
+  readonly closedCounts: ReadonlyMap<EvictionReason, number>;
+  /** Adds a new connection; if there are too many, closes the least useful one. */
+  add(client: BudgetedClient): void;
+  /** Takes a change of a connection's `heldBytes` into account; if all hold too many, closes the heaviest ones. */
+  change(client: BudgetedClient, bytes: number): void;
+  /** Removes a closed connection. */
+  remove(client: BudgetedClient): void;
+}
+
+/** Creates the common budget of all client connections of a process. */
+export function createClientBudget(options: ClientBudgetOptions): ClientBudget {
+  const { now, maxHeldBytes, maxConnections } = options;
+  const connections = new Set<BudgetedClient>();
+  const closedCounts = new Map<EvictionReason, number>();
+  let heldBytes = 0;
+
+  const remove = (client: BudgetedClient): void => {
+    if (connections.delete(client)) heldBytes -= client.heldBytes;
+  };
+  const evict = (client: BudgetedClient, reason: EvictionReason): void => {
+    closedCounts.set(reason, (closedCounts.get(reason) ?? 0) + 1);
+    // The socket closes in a later turn of the event loop; until then the connection must not be chosen again.
+    remove(client);
+    client.destroy();
+  };
+  return {
+    get heldBytes() {
+      return heldBytes;
+    },
+    maxHeldBytes,
+    connections,
+    closedCounts,
+    add: (client) => {
+      const displaced = connections.size < maxConnections ? undefined : chooseDisplaced(connections, now());
+      if (displaced !== undefined) evict(displaced, 'connections');
+      connections.add(client);
+      heldBytes += client.heldBytes;
+    },
+    change: (client, bytes) => {
+      if (!connections.has(client)) return;
+      heldBytes += bytes;
+      if (bytes <= 0 || heldBytes <= maxHeldBytes) return;
+      const heaviest = selectHeaviest(connections, { heldBytes, maxBytes: maxHeldBytes, nowMs: now() });
+      for (const heavy of heaviest) evict(heavy, 'heldBytes');
+    },
+    remove,
+  };
+}
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -1,7 +1,10 @@
 import { randomInt } from 'node:crypto';
+import { totalmem } from 'node:os';
+import { getHeapStatistics } from 'node:v8';
 import type { KeyedTopic, RequestIo } from '../control/requests/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
+import { computeClientBytes } from '../policy/clientBytes.js';
 import { startControlServers } from '../http/controlServers.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
 import { probeAddress } from '../http/probeAddress.js';
@@ -73,6 +76,10 @@
     names: headerNames,
     clock,
     maxConnections: Math.floor(settings.maxDescriptors * CLIENT_DESCRIPTOR_SHARE),
+    maxHeldBytes: settings.maxClientBytes ?? computeClientBytes(listMemoryLimits()),
+    reportEvictions: ({ reason, ...inputs }) => {
+      board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs });
+    },
     readLimits: () => board.read('routes').table?.configuration.limits,
     accept: node.acceptRequest,
   });
@@ -85,7 +92,7 @@
     reportInvalidHeartbeat: (outcome, inputs) => {
       board.post('decisions', { kind: 'faultFound', outcome, inputs });
     },
-    renderMetrics: createRequestMetrics(board, durations).renderText,
+    renderMetrics: createRequestMetrics(board, durations, requestServer.budget).renderText,
   });
   node.start();
   return {
@@ -107,3 +114,8 @@
     },
   };
 }
+
+/** Lists what bounds the memory of this process: the heap, the machine, and a limit of its control group if there is one. */
+function listMemoryLimits(): number[] {
+  return [getHeapStatistics().heap_size_limit, totalmem(), process.constrainedMemory()].filter((bytes) => bytes > 0);
+}
--- /dev/null
+++ b/src/http/checkRequestHead.ts
@@ -0,0 +1,22 @@
+import type { Refusal } from '../schema/refusal.js';
+import type { RequestLimits } from '../schema/routeConfiguration.js';
+import type { MessageHead } from './messageParser.js';
+import type { RequestHead } from './requestHead.js';
+
+/** Returns the refusal of a request whose head is invalid or beyond the limits. */
+export function checkRequestHead(
+  request: { head: RequestHead; message: MessageHead; readBytes: number },
+  limits: RequestLimits | undefined,
+): Refusal | undefined {
+  const { head, message, readBytes } = request;
+  if (message.isUpgrade) return { kind: 'malformed', detail: 'protocol upgrades are not supported' };
+  if (head.host === '') return { kind: 'malformed', detail: 'the Host header is missing' };
+  if (head.requestId === '') return { kind: 'malformed', detail: 'the header with the request id is missing' };
+  if (!message.url.startsWith('/')) return { kind: 'malformed', detail: 'the path must begin with a slash' };
+  if (limits === undefined) return undefined;
+  const { headBytes, bodyBytes } = head;
+  // `headBytes` counts a space after each colon, which clients may leave out; `readBytes` may count more than the head.
+  if (Math.min(headBytes, readBytes) > limits.maxHeaderBytes)
+    return { kind: 'headersTooLarge', detail: `${headBytes} bytes` };
+  return bodyBytes > limits.maxBodyBytes ? { kind: 'bodyTooLarge', detail: `${bodyBytes} bytes` } : undefined;
+}
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -1,36 +1,44 @@
 import type { Socket } from 'node:net';
 import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
-import { STREAM_WINDOW_BYTES, MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
-import { createMessageParser } from './messageParser.js';
+import type { BudgetedClient, ClientBudget } from '../control/requests/clientBudget.js';
+import { checkRequestHead } from './checkRequestHead.js';
+import { createClientExchange } from './clientExchange.js';
+import type { ClientExchange } from './clientExchange.js';
+import { createDeferredEvents } from './deferredEvents.js';
+import type { RequestEventKind } from './deferredEvents.js';
 import type { MessageHead, ParseError } from './messageParser.js';
+import { createReadFlow } from './readTurns.js';
+import type { ReadTurns } from './readTurns.js';
 import type { RequestHead } from './requestHead.js';
-import { createResponseWriter, formatRefusal } from './responseWriter.js';
-import type { ResponseWriter } from './responseWriter.js';
+import { createRequestReader, HEADER_OVERHEAD_BYTES, SLICE_BYTES } from './requestReader.js';
+import { formatRefusal } from './responseWriter.js';
 
 /**
  * - `idle`: no request has begun;
- * - `head`: the head of a request is being read;
+ * - `head`: the head of a request, or empty lines in front of one, are being read;
  * - `request`: a request is being read or answered;
  * - `closing`: the connection is half-closed, and what the client still sends is discarded.
  */
 export type ConnectionPhase = 'idle' | 'head' | 'request' | 'closing';
 
-export interface ClientConnection {
+export interface ClientConnection extends BudgetedClient {
   readonly phase: ConnectionPhase;
   /** Monotonic time (ms) at which the phase began. */
   readonly phaseStartedAtMs: number;
   /** Refuses the request whose head did not arrive in time, then closes the connection. */
   expire(): void;
-  /** Closes the connection without a response. */
-  destroy(): void;
 }
 
 export interface ClientConnectionOptions {
   socket: Socket;
   now: () => number;
+  /** Counts what all connections of the process hold. */
+  budget: Pick<ClientBudget, 'add' | 'change' | 'remove'>;
+  /** Shares the time for reading among the connections of the process. */
+  turns: ReadTurns;
   readHead: (message: { rawHeaders: string[]; url: string }) => RequestHead;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
@@ -41,43 +49,55 @@
   handleClose: () => void;
 }
 
-/** One request on the connection and its response. */
-interface Exchange {
-  readonly message: MessageHead;
-  readonly head: RequestHead;
-  readonly writer: ResponseWriter;
-  chunks: Buffer[];
-  bodyBytes: number;
-  /** Flow control credit: bytes of a streamed request body that may still be read. */
-  creditBytes: number;
-  handle: RunHandle | undefined;
-  /** True once the whole request was read. */
-  isRequestComplete: boolean;
-  cancelBodyTimer: () => void;
-}
-
-/** Maximum time to receive a request body if the client sent no deadline (ms). */
-const DEFAULT_BODY_TIMEOUT_MS = 30_000;
+/** Number of requests that are read and not answered yet. */
+const MAX_OPEN_REQUESTS = 1;
+/** While a client leaves more than this of its responses unread, no further request of it is taken. */
+const MAX_UNREAD_BYTES = 64 * 1024;
+/** Parser events after which other connections are read first. */
+const MAX_EVENTS_PER_TURN = 64;
+/** After a read of at least this size, which a client that sends much fills, other connections are read first. */
+const LARGE_READ_BYTES = 32 * 1024;
+/** A body counts as moving with each such number of bytes, so that single bytes do not keep a connection. */
+const PROGRESS_BYTES = 4096;
+const EMPTY = Buffer.alloc(0);
 const refusalKindByErrorCode: ReadonlyMap<string, Refusal['kind']> = new Map([
   ['HPE_HEADER_OVERFLOW', 'headersTooLarge'],
 ]);
 
-/**
- * Serves the requests of one client connection in their order. Pipelined requests are deferred until the response to
- * the request before them has ended.
- */
+/** Serves the requests of one client connection, and answers them in their order. */
 export function createClientConnection(options: ClientConnectionOptions): ClientConnection {
-  const { socket, now } = options;
+  const { socket, now, budget, turns } = options;
   let phase: ConnectionPhase = 'idle';
   let phaseStartedAtMs = now();
-  let current: Exchange | undefined;
-  /** Parser events of pipelined requests, deferred until the current exchange ends. */
-  const deferredEvents: (() => void)[] = [];
+  let movedAtMs = phaseStartedAtMs;
+  let hasSentRequest = false;
+  let heldBytes = 0;
+  let progressBytes = 0;
+  /** Requests that are not answered, in their order. */
+  const exchanges: ClientExchange[] = [];
+  /** The request whose body is being read. */
+  let reading: ClientExchange | undefined;
+  /** Received bytes that were not parsed. */
+  let unparsed: Buffer = EMPTY;
+  let isAdvancing = false;
 
   const enterPhase = (next: ConnectionPhase): void => {
     phase = next;
     phaseStartedAtMs = now();
   };
+  const findPhase = (): ConnectionPhase => {
+    if (exchanges.length > 0) return 'request';
+    return reader.isInHead ? 'head' : 'idle';
+  };
+  /** Brings phase, held bytes and reading in line with what was just done. */
+  const settle = (): void => {
+    if (phase !== 'closing' && findPhase() !== phase) enterPhase(findPhase());
+    let bytes = deferred.heldBytes + reader.heldBytes + unparsed.buffer.byteLength + socket.writableLength;
+    for (const exchange of exchanges) bytes += exchange.heldBytes;
+    const change = bytes - heldBytes;
+    heldBytes = bytes;
+    if (change !== 0) budget.change(connection, change);
+  };
   /**
    * Half-closes the connection and discards what the client still sends: closing a socket with unread data resets the
    * connection, and the client could lose the response.
@@ -85,218 +105,196 @@
   const close = (): void => {
     if (phase === 'closing') return;
     enterPhase('closing');
-    deferredEvents.length = 0;
+    abandonExchanges();
     socket.end();
-    socket.resume();
+    flow.resume();
+  };
+  const abandonExchanges = (): void => {
+    deferred.clear();
+    unparsed = EMPTY;
+    reading = undefined;
+    for (const exchange of exchanges.splice(0)) exchange.cancel();
   };
-  const formatConnectionHeaders = (): string => {
-    const isLast = phase === 'closing' || current?.isRequestComplete !== true || !current.message.shouldKeepAlive;
-    if (isLast || options.isStopping()) return 'Connection: close\r\n';
+  const formatConnectionHeaders = ({ isRequestComplete, message }: ClientExchange): string => {
+    if (!isRequestComplete || !message.shouldKeepAlive || options.isStopping()) return 'Connection: close\r\n';
     const seconds = Math.floor((options.readLimits()?.idleTimeoutMs ?? 0) / 1000);
     return seconds > 0 ? `Connection: keep-alive\r\nKeep-Alive: timeout=${seconds}\r\n` : 'Connection: keep-alive\r\n';
   };
-  const finishExchange = (exchange: Exchange, shouldKeepAlive: boolean): void => {
-    exchange.cancelBodyTimer();
-    current = undefined;
-    if (!shouldKeepAlive || options.isStopping()) {
-      close();
-      return;
-    }
-    enterPhase('idle');
-    runDeferredEvents();
+  const finishExchange = (exchange: ClientExchange): void => {
+    const index = exchanges.indexOf(exchange);
+    if (index < 0) return;
+    exchanges.splice(index, 1);
+    movedAtMs = now();
+    // The connection is closed after an incomplete request: the rest of its body must not be parsed as a request.
+    if (!exchange.isRequestComplete || !exchange.message.shouldKeepAlive || options.isStopping()) close();
+    advanceReading();
   };
-  const runDeferredEvents = (): void => {
-    while (deferredEvents.length > 0 && current?.isRequestComplete !== true) deferredEvents.shift()?.();
-    if (deferredEvents.length === 0 && phase !== 'closing' && current?.isRequestComplete !== true) socket.resume();
+  const isStartAllowed = (): boolean =>
+    socket.writable &&
+    exchanges.length < MAX_OPEN_REQUESTS &&
+    reading === undefined &&
+    socket.writableLength <= MAX_UNREAD_BYTES;
+  const isReady = (kind: RequestEventKind): boolean => {
+    if (kind === 'head') return isStartAllowed();
+    return kind === 'bodyPart' || exchanges.length === 0 || reading !== undefined;
   };
-  const runOrDefer = (event: () => void): void => {
-    if (phase === 'closing') return;
-    if (deferredEvents.length === 0 && current?.isRequestComplete !== true) {
-      event();
+  /** True if nothing more may be parsed until a response was written or read, or the body was passed on. */
+  const isBlocked = (): boolean =>
+    deferred.length > 0 || (reading === undefined ? !isStartAllowed() : reading.isBodyBlocked);
+  const deferred = createDeferredEvents(isReady);
+  const runOrDefer = (kind: RequestEventKind, dataBytes: number, run: () => void): void => {
+    if (phase !== 'closing') deferred.runOrDefer(kind, dataBytes, run);
+  };
+  /** Parses a part of what was received; returns the number of events in it. */
+  const parseSlice = (): number => {
+    const { length, eventCount, fault } = reader.readSlice(unparsed);
+    const isOver = fault !== undefined || !socket.writable;
+    unparsed = isOver || unparsed.length === length ? EMPTY : unparsed.subarray(length);
+    if (fault !== undefined) {
+      runOrDefer('fault', 0, () => {
+        handleFault(fault);
+      });
+    }
+    return eventCount;
+  };
+  /** Parses what was received, as far as other connections and earlier requests allow. */
+  const advanceReading = (): void => {
+    if (isAdvancing || flow.isTurnAdded) {
+      if (!isAdvancing) settle();
       return;
     }
-    deferredEvents.push(event);
-    socket.pause();
+    isAdvancing = true;
+    deferred.runReady();
+    let eventCount = 0;
+    while (unparsed.length > 0 && !isBlocked() && eventCount < MAX_EVENTS_PER_TURN) eventCount += parseSlice();
+    reading?.flushBody();
+    isAdvancing = false;
+    if (unparsed.length > 0 && !isBlocked()) flow.addTurn();
+    else if (unparsed.length > 0 || deferred.length > 0 || reading?.isBodyBlocked === true) flow.suspend();
+    else flow.resume();
+    settle();
   };
-  const startExchange = (message: MessageHead): void => {
-    enterPhase('request');
-    const exchange: Exchange = {
+  const startExchange = (message: MessageHead, readBytes: number): void => {
+    const head = options.readHead({ rawHeaders: message.rawHeaders, url: message.url });
+    const { readLimits, accept } = options;
+    const exchange = createClientExchange({
       message,
-      head: options.readHead({ rawHeaders: message.rawHeaders, url: message.url }),
-      writer: createResponseWriter({
-        socket,
-        method: message.method,
-        minorVersion: message.minorVersion,
-        formatConnectionHeaders,
-        grantBytes: (bytes) => exchange.handle?.grantAnswer(bytes),
-        handleEnd: () => {
-          if (current !== exchange) return;
-          // The connection is closed after an incomplete request: the rest of its body must not be parsed as a request.
-          finishExchange(exchange, exchange.isRequestComplete && message.shouldKeepAlive);
-        },
-      }),
-      chunks: [],
-      bodyBytes: 0,
-      creditBytes: STREAM_WINDOW_BYTES,
-      handle: undefined,
-      isRequestComplete: false,
-      cancelBodyTimer: () => undefined,
-    };
-    current = exchange;
-    const refusal = checkHead(exchange, options.readLimits());
-    if (refusal !== undefined) exchange.writer.refuse(refusal);
-    else if (exchange.head.hasBody) startBodyRead(exchange);
-  };
-  const startBodyRead = (exchange: Exchange): void => {
-    const { timeLeftMs, expectsContinue } = exchange.head;
-    if (expectsContinue) socket.write('HTTP/1.1 100 Continue\r\n\r\n', 'latin1');
-    const timer = setTimeout(
-      () => {
-        if (exchange.handle === undefined)
-          exchange.writer.refuse({ kind: 'readTimeout', detail: 'the request body did not arrive in time' });
+      head,
+      socket,
+      readLimits,
+      accept,
+      formatConnectionHeaders,
+      handleProgress: () => {
+        movedAtMs = now();
+        advanceReading();
       },
-      timeLeftMs === Infinity ? DEFAULT_BODY_TIMEOUT_MS : timeLeftMs,
-    );
-    exchange.cancelBodyTimer = () => {
-      clearTimeout(timer);
-    };
+      handleEnd: finishExchange,
+    });
+    exchanges.push(exchange);
+    reading = exchange;
+    const refusal = checkRequestHead({ message, head, readBytes }, readLimits());
+    if (refusal !== undefined) exchange.refuse(refusal);
+    else exchange.start();
   };
-  const receiveBody = (chunk: Buffer): void => {
-    const exchange = current;
-    if (exchange === undefined) return;
-    exchange.bodyBytes += chunk.length;
-    const maxBytes = options.readLimits()?.maxBodyBytes ?? Infinity;
-    if (exchange.bodyBytes > maxBytes) {
-      exchange.handle?.cancel();
-      refuseOrAbort(exchange, { kind: 'bodyTooLarge', detail: `more than ${maxBytes} bytes` });
-    } else if (exchange.handle !== undefined) sendBodyPart(exchange, chunk);
-    else {
-      exchange.chunks.push(chunk);
-      if (exchange.bodyBytes > MAX_UNSTREAMED_BODY_BYTES) startStream(exchange);
+  const receiveBody = (part: Buffer): void => {
+    progressBytes += part.length;
+    if (progressBytes >= PROGRESS_BYTES) {
+      progressBytes = 0;
+      movedAtMs = now();
     }
-  };
-  const startStream = (exchange: Exchange): void => {
-    exchange.cancelBodyTimer();
-    accept(exchange, { body: undefined, isStreamed: true });
-    sendBodyPart(exchange, Buffer.concat(exchange.chunks.splice(0)));
-  };
-  const sendBodyPart = (exchange: Exchange, data: Buffer): void => {
-    exchange.creditBytes -= data.length;
-    if (exchange.creditBytes <= 0) socket.pause();
-    exchange.handle?.sendBody(data, false);
+    reading?.addBody(part);
   };
   const endRequest = (): void => {
-    const exchange = current;
+    const exchange = reading;
+    reading = undefined;
     if (exchange === undefined) return;
-    exchange.isRequestComplete = true;
-    exchange.cancelBodyTimer();
-    if (exchange.handle !== undefined) exchange.handle.sendBody(new Uint8Array(), true);
-    else {
-      const { chunks } = exchange;
-      const body = exchange.head.hasBody ? Buffer.concat(chunks.splice(0)) : undefined;
-      accept(exchange, { body, isStreamed: false });
-    }
+    movedAtMs = now();
+    hasSentRequest = true;
+    exchange.endRequest();
   };
-  const accept = (exchange: Exchange, body: Pick<ClientRequest, 'body' | 'isStreamed'>): void => {
-    const { message, head, writer } = exchange;
-    const { requestId, host, headers, identityHeaders, key, timeLeftMs } = head;
-    const { method, url: path } = message;
-    exchange.handle = options.accept(
-      { requestId, method, path, host, headers, identityHeaders, key, timeLeftMs, ...body },
-      {
-        answer: writer.answer,
-        part: writer.part,
-        refuse: writer.refuse,
-        abort: () => {
-          socket.destroy();
-        },
-        grantBody: (bytes) => {
-          exchange.creditBytes += bytes;
-          if (exchange.creditBytes > 0 && !exchange.isRequestComplete) socket.resume();
-        },
-      },
-    );
-  };
-  const refuseOrAbort = (exchange: Exchange, refusal: Refusal): void => {
-    if (exchange.writer.hasBegun) socket.destroy();
-    else exchange.writer.refuse(refusal);
-  };
-  const handleParseError = ({ code, message }: ParseError): void => {
+  const handleFault = ({ code, message }: ParseError): void => {
     const refusal: Refusal = { kind: refusalKindByErrorCode.get(code) ?? 'malformed', detail: message };
-    if (current === undefined) {
+    if (reading !== undefined) reading.refuse(refusal);
+    else if (socket.writable) {
       const { head, body } = formatRefusal(refusal);
       socket.write(`${head}Connection: close\r\n\r\n${body}`);
       close();
-    } else if (current.isRequestComplete) {
-      // The invalid bytes follow a complete request, which still gets its response.
-      current.message.shouldKeepAlive = false;
-      socket.pause();
-    } else {
-      current.handle?.cancel();
-      refuseOrAbort(current, refusal);
     }
   };
-  const abandonExchange = (): void => {
-    if (current?.writer.hasEnded === false) current.handle?.cancel();
-    current?.cancelBodyTimer();
-    current = undefined;
-  };
-  const parser = createMessageParser('request', {
-    head: (message) => {
-      runOrDefer(() => {
-        startExchange(message);
-      });
-      return false;
-    },
-    body: (chunk) => {
-      runOrDefer(() => {
-        receiveBody(chunk);
-      });
-    },
-    end: () => {
-      runOrDefer(endRequest);
+  const flow = createReadFlow({ socket, turns, advance: advanceReading });
+  const reader = createRequestReader({
+    readLimits: options.readLimits,
+    events: {
+      head: (message, readBytes) => {
+        const headerCount = message.rawHeaders.length / 2;
+        runOrDefer('head', readBytes + headerCount * HEADER_OVERHEAD_BYTES, () => {
+          startExchange(message, readBytes);
+        });
+      },
+      body: (part) => {
+        runOrDefer('bodyPart', part.length, () => {
+          receiveBody(part);
+        });
+      },
+      end: () => {
+        runOrDefer('bodyPart', 0, endRequest);
+      },
     },
   });
-  socket.setNoDelay(true);
-  socket.on('data', (chunk: Buffer) => {
-    if (phase === 'closing') return;
-    if (phase === 'idle') enterPhase('head');
-    const fault = parser.parse(chunk);
-    if (fault !== undefined && socket.writable) handleParseError(fault);
-  });
-  socket.on('end', abandonExchange);
-  // A `close` event follows.
-  socket.on('error', abandonExchange);
-  socket.on('close', () => {
-    abandonExchange();
-    parser.close();
-    options.handleClose();
-  });
-  return {
+  const receive = (chunk: Buffer): void => {
+    if (phase === 'closing') {
+      if (chunk.length >= SLICE_BYTES) flow.addTurn();
+      return;
+    }
+    unparsed = unparsed.length === 0 ? chunk : Buffer.concat([unparsed, chunk]);
+    if (chunk.length >= LARGE_READ_BYTES) flow.addTurn();
+    else advanceReading();
+  };
+  const connection: ClientConnection = {
     get phase() {
       return phase;
     },
     get phaseStartedAtMs() {
       return phaseStartedAtMs;
     },
+    get standing() {
+      if (phase === 'closing') return 'closing';
+      if (exchanges.some(({ isPassedOn }) => isPassedOn)) return 'serving';
+      return hasSentRequest ? 'idle' : 'unproven';
+    },
+    get heldBytes() {
+      return heldBytes;
+    },
+    get movedAtMs() {
+      return movedAtMs;
+    },
     expire: () => {
       const { head, body } = formatRefusal({ kind: 'readTimeout', detail: 'the request head did not arrive in time' });
       socket.write(`${head}Connection: close\r\n\r\n${body}`);
       close();
+      settle();
     },
     destroy: () => {
+      enterPhase('closing');
+      abandonExchanges();
       socket.destroy();
     },
   };
-}
-
-function checkHead({ head, message }: Exchange, limits: RequestLimits | undefined): Refusal | undefined {
-  if (message.isUpgrade) return { kind: 'malformed', detail: 'protocol upgrades are not supported' };
-  if (head.host === '') return { kind: 'malformed', detail: 'the Host header is missing' };
-  if (head.requestId === '') return { kind: 'malformed', detail: 'the header with the request id is missing' };
-  if (!message.url.startsWith('/')) return { kind: 'malformed', detail: 'the path must begin with a slash' };
-  if (limits === undefined) return undefined;
-  const { headBytes, bodyBytes } = head;
-  if (headBytes > limits.maxHeaderBytes) return { kind: 'headersTooLarge', detail: `${headBytes} bytes` };
-  return bodyBytes > limits.maxBodyBytes ? { kind: 'bodyTooLarge', detail: `${bodyBytes} bytes` } : undefined;
+  socket.setNoDelay(true);
+  socket.on('data', receive);
+  socket.on('drain', () => {
+    movedAtMs = now();
+    advanceReading();
+  });
+  socket.on('end', abandonExchanges);
+  // A `close` event follows.
+  socket.on('error', abandonExchanges);
+  socket.on('close', () => {
+    abandonExchanges();
+    reader.close();
+    budget.remove(connection);
+    options.handleClose();
+  });
+  budget.add(connection);
+  return connection;
 }
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -34,6 +34,8 @@
 
 /** Parses the successive HTTP messages of one connection. */
 export interface MessageParser {
+  /** Number of headers that were read of a head that is not complete. */
+  readonly partialHeaderCount: number;
   parse(chunk: Buffer): ParseError | undefined;
   /** Signals the end of the connection, which completes a message without length or chunks. */
   finish(): ParseError | undefined;
@@ -41,8 +43,11 @@
   close(): void;
 }
 
-/** Maximum size of a message head; the lower limits of the configuration are checked on the complete head. */
-const MAX_HEAD_BYTES = 128 * 1024;
+/**
+ * Maximum size of the names and values of a head, without the bytes between them. Of requests `requestReader.ts` limits all
+ * bytes, to the limit of the configuration.
+ */
+const DEFAULT_MAX_HEAD_BYTES = 128 * 1024;
 
 /**
  * Creates a message parser on Node's internal HTTP parser. `node:http` would add streams and several objects per
@@ -52,13 +57,21 @@
  * const parser = createMessageParser('request', { head: readHead, body: collect, end: respond });
  * socket.on('data', (chunk) => parser.parse(chunk));
  */
-export function createMessageParser(kind: 'request' | 'response', events: MessageEvents): MessageParser {
+export function createMessageParser(
+  kind: 'request' | 'response',
+  events: MessageEvents,
+  options: { maxHeadBytes?: number } = {},
+): MessageParser {
+  const { maxHeadBytes = DEFAULT_MAX_HEAD_BYTES } = options;
   const parser = new HTTPParser();
-  parser.initialize(kind === 'request' ? HTTPParser.REQUEST : HTTPParser.RESPONSE, {}, MAX_HEAD_BYTES);
-  /** Headers beyond those that one parser event carries, with their URL; after the body these are trailers. */
+  parser.initialize(kind === 'request' ? HTTPParser.REQUEST : HTTPParser.RESPONSE, {}, maxHeadBytes);
+  /** Headers beyond those that one parser event carries, with their URL. */
   let flushed: { headers: string[]; url: string } = { headers: [], url: '' };
+  let isHeadComplete = false;
   if (events.begin !== undefined) parser[HTTPParser.kOnMessageBegin] = events.begin;
   parser[HTTPParser.kOnHeaders] = (headers: string[], url: string): void => {
+    // Trailers are not used, and a peer may send them without end.
+    if (isHeadComplete) return;
     flushed.headers.push(...headers);
     flushed.url += url;
   };
@@ -73,6 +86,7 @@
     isUpgrade: boolean,
     shouldKeepAlive: boolean,
   ): number => {
+    isHeadComplete = true;
     const hasNoBody = events.head({
       method: method === undefined ? '' : (methods[method] ?? ''),
       url: url ?? flushed.url,
@@ -89,9 +103,13 @@
   };
   parser[HTTPParser.kOnMessageComplete] = (): void => {
     flushed = { headers: [], url: '' };
+    isHeadComplete = false;
     events.end();
   };
   return {
+    get partialHeaderCount() {
+      return isHeadComplete ? 0 : flushed.headers.length / 2;
+    },
     parse: (chunk) => describeParseError(parser.execute(chunk)),
     finish: () => describeParseError(parser.finish()),
     close: () => {
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -4,6 +4,7 @@
 import type { DurationSample } from '../control/requests/context.js';
 import type { RequestBoard } from '../control/requests/sections.js';
 import { addGauge } from './addGauge.js';
+import type { ClientBudget } from '../control/requests/clientBudget.js';
 
 export interface DurationMetrics {
   record(sample: DurationSample): void;
@@ -51,8 +52,13 @@
 }
 
 /** Creates the metrics of a request node, computed from its blackboard on each scrape. */
-export function createRequestMetrics(board: RequestBoard, durations: DurationMetrics): RequestMetrics {
+export function createRequestMetrics(
+  board: RequestBoard,
+  durations: DurationMetrics,
+  clients?: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>,
+): RequestMetrics {
   const registry = new Registry();
+  if (clients !== undefined) addClientMetrics(registry, clients);
   durations.register(registry);
   const addResultGauge = (name: string, help: string, read: () => ReadonlyMap<string, number>): void => {
     new Gauge({
@@ -100,3 +106,20 @@
   addGauge(registry, 'hemlock_log_lines_dropped', 'Log lines that were dropped', () => board.read('decisions').dropped);
   return { renderText: () => registry.metrics() };
 }
+
+function addClientMetrics(
+  registry: Registry,
+  clients: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>,
+): void {
+  addGauge(registry, 'hemlock_client_connections', 'Open connections of clients', () => clients.connections.size);
+  addGauge(registry, 'hemlock_client_bytes', 'Bytes that all clients together hold', () => clients.heldBytes);
+  new Gauge({
+    name: 'hemlock_clients_closed',
+    help: 'Connections that were closed for the sake of others, by reason',
+    labelNames: ['reason'] as const,
+    registers: [registry],
+    collect() {
+      for (const [reason, count] of clients.closedCounts) this.set({ reason }, count);
+    },
+  });
+}
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -7,8 +7,11 @@
 import { FailureError } from '../schema/failure.js';
 import { parseAddress } from '../schema/requestSettings.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
+import { createClientBudget } from '../control/requests/clientBudget.js';
+import type { ClientBudget, EvictionReason } from '../control/requests/clientBudget.js';
 import { createClientConnection } from './clientConnection.js';
 import type { ClientConnection } from './clientConnection.js';
+import { createReadTurns } from './readTurns.js';
 import { createHeadReader } from './requestHead.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 
@@ -23,18 +26,38 @@
 const CLOSE_TIMEOUT_MS = 2000;
 const SWEEP_INTERVAL_MS = 1000;
 const LISTEN_BACKLOG = 1024;
+/**
+ * Share of the connections from which on a new one takes the place of another. The rest is for connections that arrive before
+ * the displaced ones are closed, in a later turn of the event loop.
+ */
+const DISPLACEMENT_SHARE = 0.9;
 
 export interface RequestServerOptions {
   listen: string;
   names: RequestHeaderNames;
   clock: Clock;
   maxConnections: number;
+  /** Maximum number of bytes that all connections hold together. */
+  maxHeldBytes: number;
+  /** Called with the connections that were closed for the sake of others, at most once a second per reason. */
+  reportEvictions: (evictions: Evictions) => void;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
 }
 
+/** Connections that were closed for the sake of others since the last report, and what the others occupy. */
+export interface Evictions {
+  reason: EvictionReason;
+  count: number;
+  connections: number;
+  heldBytes: number;
+  maxHeldBytes: number;
+}
+
 export interface RequestServer {
+  /** What the connections occupy. */
+  readonly budget: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>;
   /** The bound address as `IP:PORT`. */
   readonly address: string;
   /** Makes every later response close its connection. */
@@ -52,11 +75,21 @@
   const { clock, readLimits } = options;
   const connections = new Set<ClientConnection>();
   const readHead = createHeadReader(options.names);
+  const budget = createClientBudget({
+    now: clock.now,
+    maxHeldBytes: options.maxHeldBytes,
+    maxConnections: Math.ceil(options.maxConnections * DISPLACEMENT_SHARE),
+  });
+  const turns = createReadTurns(clock.now);
+  const reportEvictions = createEvictionReporter(budget, options.reportEvictions);
   let isStopping = false;
-  const server = createServer((socket) => {
+  // Without a high-water mark a suspended socket reads nothing more, and `drain` follows each write that was flushed.
+  const server = createServer({ highWaterMark: 0 }, (socket) => {
     const connection = createClientConnection({
       socket,
       now: clock.now,
+      budget,
+      turns,
       readHead,
       readLimits,
       isStopping: () => isStopping,
@@ -70,12 +103,14 @@
   server.maxConnections = options.maxConnections;
   const stopSweeps = scheduleRepeated(clock, SWEEP_INTERVAL_MS, () => {
     for (const connection of connections) checkTimeouts(connection, clock.now(), readLimits());
+    reportEvictions();
   });
   const { host, port } = parseAddress(options.listen);
   await openServer(server, host, port);
   const bound = server.address();
   return {
     address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
+    budget,
     announceStop: () => {
       isStopping = true;
     },
@@ -96,6 +131,19 @@
   else if (phase === 'closing' && elapsedMs > CLOSE_TIMEOUT_MS) connection.destroy();
 }
 
+/** Returns a function that reports what the budget closed since the last call. */
+function createEvictionReporter(budget: ClientBudget, report: RequestServerOptions['reportEvictions']): () => void {
+  const reportedCounts = new Map<EvictionReason, number>();
+  return () => {
+    for (const [reason, closedCount] of budget.closedCounts) {
+      const count = closedCount - (reportedCounts.get(reason) ?? 0);
+      reportedCounts.set(reason, closedCount);
+      const { connections, heldBytes, maxHeldBytes } = budget;
+      if (count > 0) report({ reason, count, connections: connections.size, heldBytes, maxHeldBytes });
+    }
+  };
+}
+
 function openServer(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', (error) => {
--- a/src/schema/decision.ts
+++ b/src/schema/decision.ts
@@ -20,6 +20,8 @@
   Type.Literal('admissionChanged'),
   Type.Literal('heartbeatIgnored'),
   Type.Literal('nodeChanged'),
+  /** Connections of clients were closed for the sake of others. */
+  Type.Literal('clientsClosed'),
   /** An invalid message, such as a malformed heartbeat. */
   Type.Literal('faultFound'),
 ]);
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -43,6 +43,11 @@
     minimum: 64,
     description: 'an integer from 64: the maximum number of open file descriptors',
   }),
+  /**
+   * Maximum number of bytes that all clients together hold in the process: unfinished heads and bodies, requests that wait and
+   * responses that clients have not read. Default: computed from the memory of the process.
+   */
+  maxClientBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
   /** Interval at which the target sends heartbeats. */
   heartbeatMs: Type.Number({ exclusiveMinimum: 0, description: 'ms' }),
   bounds: requestBoundsSchema,
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -43,6 +43,8 @@
       names: testHeaderNames,
       clock: createSystemClock(),
       maxConnections: 100,
+      maxHeldBytes: 4_000_000,
+      reportEvictions: () => undefined,
       readLimits: () => limits,
       accept: (request, reply): RunHandle => {
         const entry: Accepted = { request, reply, wasCancelled: false, granted: 0, parts: [], hasEnded: false };
@@ -294,6 +296,8 @@
       names: testHeaderNames,
       clock,
       maxConnections: 100,
+      maxHeldBytes: 4_000_000,
+      reportEvictions: () => undefined,
       readLimits: () => limits,
       accept: () => ({ cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined }),
     });
