Read from dialled connections into one shared buffer

Cause: a socket with data events allocates 64 KiB for each read and passes the bytes through a readable stream.

Change: connections that this process opens (links, connections to the target) read into one buffer by the onread option of node:net. Receivers copy what they keep: bodies, and the start of a frame whose rest follows. Connections that the process accepts are unchanged, since node:net has no such option for them.

--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -1,5 +1,4 @@
-import { connect } from 'node:net';
-import { parseAddress } from '../schema/requestSettings.js';
+import { connectSocket } from '../transport/connectSocket.js';
 import { createMessageParser } from './messageParser.js';
 
 /** Events of the response to the request that a connection carries. */
@@ -57,7 +56,9 @@
 
 /** Opens a connection. A request may be started before it is established. */
 export function openTargetConnection(address: string): TargetConnection {
-  const socket = connect(parseAddress(address));
+  const socket = connectSocket(address, (bytes) => {
+    receive(bytes);
+  });
   const state = {
     isConnected: false,
     isReusable: true,
@@ -98,7 +99,8 @@
     body: (chunk) => {
       if (isDiscarded) return;
       state.bodyBytes += chunk.length;
-      if (events?.data(chunk) === false) socket.pause();
+      // The chunk is copied, since it lies in the buffer of the connection, which is reused.
+      if (events?.data(Buffer.from(chunk)) === false) socket.pause();
     },
     end: () => {
       if (isDiscarded) return;
@@ -117,17 +119,17 @@
     clearTimeout(timer);
     state.isConnected = true;
   });
-  socket.on('data', (chunk) => {
+  const receive = (bytes: Buffer): void => {
     if (events === undefined) {
       // The target sent bytes without a request.
       fail('unexpected bytes after the response');
       return;
     }
-    state.receivedBytes += chunk.length;
-    const fault = parser.parse(chunk);
+    state.receivedBytes += bytes.length;
+    const fault = parser.parse(bytes);
     if (fault !== undefined) fail(fault.message);
     else if (hasTooMuchOverhead()) fail('the target sent too many bytes that are no part of a body');
-  });
+  };
   socket.on('end', () => {
     state.isReusable = false;
     // A reset that arrives with the last bytes is reported as `end`; only the missing remote address reveals it.
--- a/src/transport/linkServer.ts
+++ b/src/transport/linkServer.ts
@@ -32,6 +32,7 @@
         events.closed(reason);
       },
     });
+    socket.on('data', stream.receiveBytes);
     const events = accept(stream);
   });
   const { host, port } = parseAddress(listen);
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -6,11 +6,14 @@
 import { compileSchema } from '../schema/validate.js';
 
 const LENGTH_PREFIX_BYTES = 4;
+const EMPTY = Buffer.alloc(0);
 const validator = compileSchema(linkFrameSchema);
 
 /** Exchanges frames over one connection. Each is encoded as its length (4 bytes, big-endian) and one msgpack record. */
 export interface LinkStream {
   send(frame: LinkFrame): void;
+  /** Decodes received bytes, of which it keeps no reference. */
+  receiveBytes(bytes: Buffer): void;
   /** Bytes that the socket has not sent yet. */
   readonly bufferedBytes: number;
   close(): void;
@@ -23,7 +26,7 @@
 }
 
 /**
- * Exchanges frames over a socket. msgpack record definitions are sent once per connection and kept by both ends.
+ * Exchanges frames over a socket, whose received bytes the caller passes on. msgpack record definitions are sent once per connection and kept by both ends.
  *
  * @example
  * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
@@ -31,8 +34,8 @@
  */
 export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
   const encoder = new Packr({ sequential: true });
-  const decoder = new Packr({ sequential: true });
-  let received: Buffer = Buffer.alloc(0);
+  const decoder = new Packr({ sequential: true, copyBuffers: true });
+  let received: Buffer = EMPTY;
   let isCorked = false;
   let isClosed = false;
 
@@ -60,7 +63,8 @@
       start = frameStart + length;
       receiveFrame(received.subarray(frameStart, start));
     }
-    received = received.subarray(start);
+    // What is left of the bytes is copied, since their buffer is reused.
+    received = start === received.length ? EMPTY : Buffer.from(received.subarray(start));
   };
   const receiveFrame = (bytes: Buffer): void => {
     let value: unknown;
@@ -74,7 +78,6 @@
     else disconnect(`received an invalid frame: ${validator.listFaults(value)[0]?.path ?? ''}`);
   };
   socket.setNoDelay(true);
-  socket.on('data', receiveBytes);
   socket.on('error', (error) => {
     disconnect(error.message);
   });
@@ -85,6 +88,7 @@
     disconnect('the peer closed the connection');
   });
   return {
+    receiveBytes,
     send: (frame) => {
       if (isClosed) return;
       if (!isCorked) {
