Write the frames of one turn in one call, and decode them in place

Cause: each frame was copied behind its length, and written through cork, uncork and the list of buffered writes also when it was alone. Each received frame got its own Buffer and DataView.

Change: the encoder leaves room for the length; frames of one turn are joined and written once; frames are decoded at their place in the received bytes. The function that opens connections moves to src/core, where both front ends may import it. The copy of response bodies goes, since the parser makes one.

--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -1,4 +1,5 @@
-import { connectSocket } from '../transport/connectSocket.js';
+import { openSocket } from '../core/openSocket.js';
+import { parseAddress } from '../schema/requestSettings.js';
 import { createMessageParser } from './messageParser.js';
 
 /** Events of the response to the request that a connection carries. */
@@ -56,7 +57,7 @@
 
 /** Opens a connection. A request may be started before it is established. */
 export function openTargetConnection(address: string): TargetConnection {
-  const socket = connectSocket(address, (bytes) => {
+  const socket = openSocket(parseAddress(address), (bytes) => {
     receive(bytes);
   });
   const state = {
@@ -99,8 +100,8 @@
     body: (chunk) => {
       if (isDiscarded) return;
       state.bodyBytes += chunk.length;
-      // The chunk is copied, since it lies in the buffer of the connection, which is reused.
-      if (events?.data(Buffer.from(chunk)) === false) socket.pause();
+      // The parser has copied the chunk from the buffer into which the connection reads.
+      if (events?.data(chunk) === false) socket.pause();
     },
     end: () => {
       if (isDiscarded) return;
--- a/src/transport/linkClient.ts
+++ b/src/transport/linkClient.ts
@@ -1,4 +1,5 @@
-import { connectSocket } from './connectSocket.js';
+import { openSocket } from '../core/openSocket.js';
+import { parseAddress } from '../schema/requestSettings.js';
 import { createLinkStream } from './linkStream.js';
 import type { LinkStream, LinkStreamEvents } from './linkStream.js';
 
@@ -10,7 +11,7 @@
  * returned function cancels the attempt or closes the connection, without calling `closed`.
  */
 export function dialLink(address: string, events: LinkStreamEvents & { opened(stream: LinkStream): void }): () => void {
-  const socket = connectSocket(address, (bytes) => {
+  const socket = openSocket(parseAddress(address), (bytes) => {
     stream.receiveBytes(bytes);
   });
   let isFinished = false;
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -1,5 +1,5 @@
 import type { Socket } from 'node:net';
-import { Packr } from 'msgpackr';
+import { Packr, RESERVE_START_SPACE } from 'msgpackr';
 import { FailureError } from '../schema/failure.js';
 import { linkFrameSchema, MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import type { LinkFrame } from '../schema/linkFrame.js';
@@ -26,7 +26,8 @@
 }
 
 /**
- * Exchanges frames over a socket, whose received bytes the caller passes on. msgpack record definitions are sent once per connection and kept by both ends.
+ * Exchanges frames over a socket, whose received bytes the caller passes on. msgpack record definitions are sent once per
+ * connection and kept by both ends.
  *
  * @example
  * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
@@ -36,7 +37,8 @@
   const encoder = new Packr({ sequential: true });
   const decoder = new Packr({ sequential: true, copyBuffers: true });
   let received: Buffer = EMPTY;
-  let isCorked = false;
+  /** Frames to be written at the end of this turn of the event loop, in one call. */
+  let unwritten: Buffer[] = [];
   let isClosed = false;
 
   const disconnect = (reason: string): void => {
@@ -46,8 +48,10 @@
     events.closed(reason);
   };
   const flushWrites = (): void => {
-    isCorked = false;
-    socket.uncork();
+    const frames = unwritten;
+    unwritten = [];
+    const [only] = frames;
+    if (only !== undefined) socket.write(frames.length === 1 ? only : Buffer.concat(frames));
   };
   const receiveBytes = (chunk: Buffer): void => {
     received = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
@@ -61,15 +65,15 @@
       const frameStart = start + LENGTH_PREFIX_BYTES;
       if (received.length < frameStart + length) break;
       start = frameStart + length;
-      receiveFrame(received.subarray(frameStart, start));
+      receiveFrame(frameStart, start);
     }
     // What is left of the bytes is copied, since their buffer is reused.
     received = start === received.length ? EMPTY : Buffer.from(received.subarray(start));
   };
-  const receiveFrame = (bytes: Buffer): void => {
+  const receiveFrame = (start: number, end: number): void => {
     let value: unknown;
     try {
-      value = decoder.unpack(bytes);
+      value = decoder.unpack(received, { start, end });
     } catch (error) {
       disconnect(`received bytes that are not msgpack: ${String(error)}`);
       return;
@@ -91,16 +95,9 @@
     receiveBytes,
     send: (frame) => {
       if (isClosed) return;
-      if (!isCorked) {
-        isCorked = true;
-        socket.cork();
-        process.nextTick(flushWrites);
-      }
-      const payload = encoder.pack(frame);
-      const bytes = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + payload.length);
-      bytes.writeUInt32BE(payload.length);
-      payload.copy(bytes, LENGTH_PREFIX_BYTES);
-      socket.write(bytes);
+      const bytes = encoder.pack(frame, RESERVE_START_SPACE | LENGTH_PREFIX_BYTES);
+      bytes.writeUInt32BE(bytes.length - LENGTH_PREFIX_BYTES);
+      if (unwritten.push(bytes) === 1) process.nextTick(flushWrites);
     },
     get bufferedBytes() {
       return socket.writableLength;
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -57,6 +57,30 @@
     });
   });
 
+  // Guards against header names and bodies that lie in the buffer into which later bytes are read.
+  it('should pass on answers that arrive byte by byte on two connections at once', async () => {
+    const target = await startTarget((socket) => {
+      const bytes = `${OK}X-Kept: yes\r\nContent-Length: 4\r\n\r\nbody`;
+      const sendFrom = (index: number): void => {
+        if (index === bytes.length) return;
+        socket.write(bytes.charAt(index));
+        setImmediate(sendFrom, index + 1);
+      };
+      socket.setNoDelay(true);
+      sendFrom(0);
+    });
+    const send = createSender();
+    const ends = await Promise.all([send(target), send(target)]);
+    const headers = ['test-id', 'r1', 'test-signature', 's', 'X-Kept', 'yes', 'Content-Length', '4'];
+    const expected = {
+      type: 'answered' as const,
+      answer: { status: 200, headers, body: expect.anything(), isStreamed: false },
+      body: 'body',
+      wasStreamed: false,
+    };
+    expect(ends).toEqual([expected, expected]);
+  });
+
   const notices: [string, string, TargetNotice][] = [
     ['no limit', '', { ratePerSecond: undefined, isLeaving: false, unreadableLimit: undefined }],
     ['a limit', 'Test-Limit: 19.5\r\n', { ratePerSecond: 19.5, isLeaving: false, unreadableLimit: undefined }],
