--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -30,14 +30,8 @@
 /** Time after the last received frame for which a connection counts as active (ms). */
 const ACTIVE_WINDOW_MS = 1000;
 
-/** What both connections of a peer share. */
-interface IncomingPeer {
-  readonly host: string;
-  usedAtMs: number;
-}
-
 interface IncomingLane {
-  readonly peer: IncomingPeer;
+  readonly host: string;
   readonly lane: LinkLane;
   readonly runs: IncomingRuns;
   /** Interval between status frames while the connection is idle (ms). */
@@ -50,6 +44,7 @@
   profileAtMs: number;
   /** The profile that was sent last. */
   profile: Profile;
+  usedAtMs: number;
 }
 
 /** The connections opened by other nodes, over which they send requests. */
@@ -71,7 +66,6 @@
 ): IncomingLinks {
   const { board, clock } = context;
   const incoming = new Map<string, IncomingLane>();
-  const peers = new Map<string, IncomingPeer>();
   const connections = new Set<LinkConnection>();
 
   const buildStatus = (): StatusFrame => ({
@@ -81,13 +75,11 @@
     memberCount: board.read('members').byHost.size + 1,
     membersDigest: board.read('members').digest,
   });
-  const isActive = ({ peer, runs }: IncomingLane, nowMs: number): boolean =>
-    runs.openCount > 0 || nowMs - peer.usedAtMs < ACTIVE_WINDOW_MS;
-  /** The routine connection carries the load for both; the urgent one only has to show life while requests are open. */
+  const isActive = ({ runs, usedAtMs }: IncomingLane, nowMs: number): boolean =>
+    runs.openCount > 0 || nowMs - usedAtMs < ACTIVE_WINDOW_MS;
   const isStatusDue = (lane: IncomingLane, nowMs: number): boolean => {
-    const isNeeded = lane.lane === 'urgent' ? lane.runs.openCount > 0 : isActive(lane, nowMs);
-    if (isNeeded && nowMs - lane.sentAtMs >= ACTIVE_STATUS_INTERVAL_MS) return true;
-    return lane.lane === 'routine' && nowMs - lane.statusAtMs >= lane.idleIntervalMs;
+    if (nowMs - lane.statusAtMs >= lane.idleIntervalMs) return true;
+    return isActive(lane, nowMs) && nowMs - lane.sentAtMs >= ACTIVE_STATUS_INTERVAL_MS;
   };
   const recordLoadSent = (lane: IncomingLane): void => {
     lane.sentAtMs = clock.now();
@@ -96,7 +88,7 @@
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
     recordLoadSent(lane);
     lane.statusAtMs = lane.sentAtMs;
-    const record = board.read('members').byHost.get(lane.peer.host);
+    const record = board.read('members').byHost.get(lane.host);
     if (record === undefined) lane.runs.send(status);
     else lane.runs.send({ ...status, held: { incarnation: record.incarnation, revision: record.revision } });
   };
@@ -114,7 +106,7 @@
    * Tells a peer that this node holds the record which it sent of itself; its acknowledgements may depend on such copies.
    */
   const acknowledgeRecord = (lane: IncomingLane, frame: LinkFrame): void => {
-    if (frame.type === 'members' && frame.members.some(({ host }) => host === lane.peer.host))
+    if (frame.type === 'members' && frame.members.some(({ host }) => host === lane.host))
       sendStatus(lane, buildStatus());
   };
   const sendProfile = (lane: IncomingLane, nowMs: number): void => {
@@ -139,11 +131,6 @@
     const detail = `the process was paused for ${Math.round(pauseMs)} ms`;
     attempt.events.fail({ kind: 'tooLate', ran: 'no', hasArrived: false, detail });
   };
-  const getPeer = (host: string): IncomingPeer => {
-    let peer = peers.get(host);
-    if (peer === undefined) peers.set(host, (peer = { host, usedAtMs: 0 }));
-    return peer;
-  };
   const getLane = ({ member: { host, dataCenter }, lane }: HelloFrame): IncomingLane => {
     const key = `${lane} ${host}`;
     let entry = incoming.get(key);
@@ -163,7 +150,7 @@
         },
       });
       entry = {
-        peer: getPeer(host),
+        host,
         lane,
         runs,
         idleIntervalMs:
@@ -175,6 +162,7 @@
         owed: undefined,
         profileAtMs: 0,
         profile: createEmptyProfile(),
+        usedAtMs: 0,
       };
       incoming.set(key, entry);
     }
@@ -213,17 +201,17 @@
             else refuseHello(connection, frame);
           } else if (lane?.runs.isCurrent(connection) === true) {
             const nowMs = clock.now();
-            lane.peer.usedAtMs = nowMs;
+            lane.usedAtMs = nowMs;
             if (frame.type === 'run') lane.owed ??= { runId: frame.id, sinceMs: nowMs };
             lane.runs.receive(frame);
-            options.updates.receive(lane.peer.host, frame, connection);
+            options.updates.receive(lane.host, frame, connection);
             acknowledgeRecord(lane, frame);
           }
         },
         closed: (reason) => {
           connections.delete(connection);
           lane?.runs.detach(connection);
-          const inputs = { peer: lane?.peer.host, open: lane?.runs.openCount, detail: reason };
+          const inputs = { peer: lane?.host, open: lane?.runs.openCount, detail: reason };
           board.post('decisions', { kind: 'linkChanged', outcome: 'accepted connection closed', inputs });
         },
       };
@@ -233,8 +221,8 @@
       const status = buildStatus();
       for (const lane of incoming.values()) {
         sendLifeSign(lane, nowMs);
-        const isNeeded = onlyIfDue ? isStatusDue(lane, nowMs) : lane.lane === 'routine' || lane.runs.openCount > 0;
-        if (isNeeded) sendStatus(lane, status);
+        if (lane.lane === 'urgent' && !isActive(lane, nowMs)) continue;
+        if (!onlyIfDue || isStatusDue(lane, nowMs)) sendStatus(lane, status);
         if (lane.lane === 'routine') sendProfile(lane, nowMs);
       }
     },
