Lend shares as soon as a fleet has started

A process waited for 2 s after its member list was complete, so requests inside the quota were refused while a fleet started.

Lenders of a node whose limits were all lifted stay bound until their loans end: a late ask could otherwise count twice if limits came back within a second.

--- a/src/control/requests/quotaController.ts
+++ b/src/control/requests/quotaController.ts
@@ -126,7 +126,7 @@
   const stopQuotas = (): void => {
     section.isActive = false;
     stopTicks();
-    exchange.returnLoans();
+    // The lenders stay bound for as long as their loans last: late asks would count after a new start.
     clearQuotaPool(pool);
     section.candidates = [];
     section.lender.allocator = undefined;
--- a/src/control/requests/quotaExchange.ts
+++ b/src/control/requests/quotaExchange.ts
@@ -60,8 +60,10 @@
 
   const isLinked = (host: string): boolean =>
     host === board.read('members').self.host || board.read('links').byHost.get(host)?.lanes.routine.phase === 'up';
-  const readShare = (nowMs: number): number | undefined =>
-    computeQuotaShare(section.members, { completeAtMs: board.read('members').completeAtMs, nowMs });
+  const readShare = (nowMs: number): number | undefined => {
+    const { completeAtMs, previousOrder } = board.read('members');
+    return computeQuotaShare(section.members, { completeAtMs, hasPredecessor: previousOrder !== undefined, nowMs });
+  };
   const buildGrant = (ask: number, grants: QuotaGrantFrame['grants']): QuotaGrantFrame => ({
     type: 'quotaGrant',
     ask,
--- a/tests/quotas/fleet.test.ts
+++ b/tests/quotas/fleet.test.ts
@@ -135,6 +135,29 @@
     });
   }
 
+  // Guards against requests of an organisation that its allocator does not know yet, and no longer knows.
+  it('should serve an organisation of which the allocator hears from its peers, and forget a removed one', () => {
+    const fleet = createQuotaFleet({ hosts, organisations: [acme] });
+    const allocator = fleet.findAllocator();
+    fleet.store.blockedHosts.add(allocator);
+    fleet.publish(2, [bolt]);
+    fleet.clock.advance(1000);
+    for (const host of ['h1', 'h9']) fleet.sendFor('bolt', host);
+    fleet.clock.advance(300);
+    expect([countRefused(fleet, 'bolt'), fleet.arrivals.size]).toEqual([0, 2]);
+    const { pool } = fleet.nodes.get(allocator)?.board.read('quotas') ?? {};
+    expect([...(pool?.buckets.keys() ?? [])]).toEqual(['bolt']);
+  });
+
+  // Guards against a start of the whole fleet that refuses requests inside the quota until its shares are lent.
+  it('should not refuse demand inside the quota while the fleet starts', () => {
+    const fleet = createQuotaFleet({ hosts, organisations: [acme], settleMs: 200 });
+    fleet.sendLoad({ organisation: 'acme', perSecond: 38, durationMs: 5000, chooseHost: chooseFew(0) });
+    fleet.clock.advance(5500);
+    expect(countRefused(fleet, 'acme')).toEqual(0);
+    expect(fleet.arrivals.size).toBeGreaterThan(150);
+  });
+
   // Guards against tokens of the higher limit that stay in buckets or at hosts.
   it('should keep a lowered quota from one window after it is in force', () => {
     const lowered = buildOrganisation('acme', 5, 5);
