Respond to asks for tokens also without a limit

A host whose configuration comes later than that of the others did not respond to their first asks. After 500 ms they gave it up as allocator for 3 s and kept two pools. It now responds without granting anything.

Links that are kept only for their open requests take new ones again, as before the links for quotas.

--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -225,7 +225,7 @@
       if (member !== undefined && !chosen.has(host)) openLane(member, 'routine');
     }
     // Else most nodes would place requests at the targets of the same few hosts.
-    for (const peer of byHost.values()) peer.takesRuns = chosen.has(peer.host);
+    for (const peer of byHost.values()) peer.takesRuns = chosen.has(peer.host) || !candidates.includes(peer.host);
     return candidates.length === 0 ? chosen : new Set([...chosen, ...candidates]);
   };
   const closeLane = (key: string, lane: OutgoingLane): void => {
--- a/src/control/requests/quotaController.ts
+++ b/src/control/requests/quotaController.ts
@@ -156,9 +156,10 @@
     else if (post.type === 'cancel') {
       const demand = byOrganisation.get(post.request.organisation);
       if (demand !== undefined) removeWaiting(demand, post.request);
-    } else if (!section.isActive) return;
-    else if (post.type === 'ask') exchange.receiveAsk(post.host, post.frame, post.respond);
-    else exchange.receiveGrant(post.host, post.frame);
+    } else if (post.type === 'ask') {
+      // Also without a limit: the host has a configuration that this one does not have yet.
+      exchange.receiveAsk(post.host, post.frame, post.respond);
+    } else if (section.isActive) exchange.receiveGrant(post.host, post.frame);
   });
   return {
     start: () => {
--- a/tests/quotas/requests.test.ts
+++ b/tests/quotas/requests.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'earl';
 import { createDurationMetrics, createRequestMetrics } from '../../src/http/requestMetrics.js';
 import type { RequestNode } from '../../src/node/createRequestNode.js';
+import type { QuotaGrantFrame } from '../../src/schema/linkFrame.js';
 import { refusalStatus } from '../../src/schema/refusal.js';
 import { buildOrganisation, buildQuotaHosts, countRefused, createQuotaFleet } from './quotaFleet.js';
 import type { CountedRequest, QuotaFleet } from './quotaFleet.js';
@@ -187,6 +188,24 @@
   });
 });
 
+describe('a host that has no limits yet', () => {
+  // Guards against an allocator that is given up since its configuration comes later than that of the others.
+  it('should respond to an ask without granting anything', () => {
+    const fleet = createQuotaFleet({ hosts, organisations: [{ name: 'acme', keys: ['k-acme'] }] });
+    const grants: QuotaGrantFrame[] = [];
+    const wants = [{ organisation: 'acme', count: 1, ahead: 0 }];
+    readNode(fleet, 'h1').board.post('quotas', {
+      type: 'ask',
+      host: 'h2',
+      frame: { type: 'quotaAsk', ask: 0, incarnation: 'p', wants },
+      respond: (grant) => grants.push(grant),
+    });
+    expect(grants.map(({ isReturned, grants: [grant] }) => [isReturned, grant?.tokens, grant?.waitMs])).toEqual([
+      [false, 0, 50],
+    ]);
+  });
+});
+
 describe('cost of quotas', () => {
   it('should be a few messages a second and host with 61 hosts and 72 organisations', (test) => {
     const organisations = Array.from({ length: 72 }, (_, index) =>
