--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -34,6 +34,7 @@
   const { board, clock, io } = context;
   const routes = board.claim('routes', 'routeController');
   let stopWatcher = (): void => undefined;
+  let wasTurnedAway = false;
 
   /** Later readers of a data centre wait much longer, since they hear from the first one as well. */
   const getWaitMs = (): number | undefined => {
@@ -44,10 +45,18 @@
     return Math.max(MIN_READ_WAIT_MS, Math.round(share * configurationApplyMs * (place + 1) ** 2));
   };
 
+  const reportTurnedAway = (isTurnedAway: boolean): void => {
+    if (wasTurnedAway === isTurnedAway) return;
+    wasTurnedAway = isTurnedAway;
+    const outcome = isTurnedAway ? 'reads itself: the readers are turned away' : 'the readers are served again';
+    board.post('decisions', { kind: 'storeChanged', outcome, inputs: { topic: 'configuration' } });
+  };
   /** While the readers are turned away, this node reads itself: the store may serve it. */
   const getUnreadLimitMs = (): number => {
     const { self, byHost } = board.read('members');
-    if (!isReadingTurnedAway(board, clock.now())) return UNREAD_LIMIT_MS;
+    const isTurnedAway = isReadingTurnedAway(board, clock.now());
+    reportTurnedAway(isTurnedAway);
+    if (!isTurnedAway) return UNREAD_LIMIT_MS;
     let hosts = 1;
     for (const { dataCenter } of byHost.values()) if (dataCenter === self.dataCenter) hosts++;
     return Math.max(MIN_UNREAD_LIMIT_MS, hosts * UNREAD_LIMIT_PER_HOST_MS);
--- a/tests/organisations/withdrawnKeys.test.ts
+++ b/tests/organisations/withdrawnKeys.test.ts
@@ -112,6 +112,8 @@
         fleet.store.publish(second);
         fleet.clock.advance(REVOKE_MS);
         checkWithdrawn(fleet);
+        const lines = fleet.lines.filter(({ outcome }) => outcome.startsWith('reads itself'));
+        expect(lines.length).toBeGreaterThan(0);
       });
     }
   }
