Find no calls between routes of clients with one time limit

Cause: beside a run that has just started there are no younger ones, so the window of younger runs held too few chance matches, and requests with the time limit of that run counted as its calls. The older runs now count for the part of the window that is left. The new test fails with equal weights.

--- a/src/policy/callMatches.ts
+++ b/src/policy/callMatches.ts
@@ -21,7 +21,12 @@
 
 /** Distance of the two windows in which matches by chance are counted (ms). */
 const CONTROL_DISTANCE_MS = 20;
-const CONTROL_WEIGHT = -0.5;
+/**
+ * Weights of the windows of older and of younger runs. There are no younger ones beside a run that has just started, or a
+ * request of a client with the full time limit, so the older ones count for that part of the window that is left: 6 of 8 ms.
+ */
+const OLDER_WEIGHT = -0.75;
+const YOUNGER_WEIGHT = -0.25;
 /** Factor by which the sums decay per interval. */
 const DECAY_FACTOR = 0.97;
 /** Number of matches from which they count. */
@@ -30,10 +35,7 @@
 const MIN_CALLS_PER_RUN = 0.1;
 /** Share of the calls estimated otherwise from which matches replace that estimate. */
 const MIN_MATCHED_SHARE = 0.6;
-/**
- * Ratio of both estimates within which the total of the other one holds: fewer runs are younger than the parent than older,
- * so chance matches are underestimated by up to a fifth.
- */
+/** Ratio of both estimates within which the total of the other one holds, since chance matches add noise to this one. */
 const MAX_TOTAL_RATIO = 1.35;
 
 /**
@@ -132,8 +134,8 @@
 
 function computeMatchWeight(excessMs: number): number {
   if (isInWindow(excessMs)) return 1;
-  const isControl = isInWindow(excessMs - CONTROL_DISTANCE_MS) || isInWindow(excessMs + CONTROL_DISTANCE_MS);
-  return isControl ? CONTROL_WEIGHT : 0;
+  if (isInWindow(excessMs - CONTROL_DISTANCE_MS)) return OLDER_WEIGHT;
+  return isInWindow(excessMs + CONTROL_DISTANCE_MS) ? YOUNGER_WEIGHT : 0;
 }
 
 function isInWindow(excessMs: number): boolean {
--- a/tests/requests/callMatches.test.ts
+++ b/tests/requests/callMatches.test.ts
@@ -38,6 +38,21 @@
     expect(Math.abs((call?.perRun ?? 0) - 1) < 0.25).toEqual(true);
   });
 
+  // Guards against calls found between routes of clients whose requests all carry the same time limit.
+  it('should not be found for requests of clients with the time limit of runs that have just started', () => {
+    const random = createRandom(8);
+    const matches: MatchCounts = new Map();
+    let runs: RunUnderWay[] = [];
+    for (let nowMs = 0; nowMs < 4000; nowMs += 2) {
+      runs = runs.filter(({ deadlineAtMs }) => deadlineAtMs > nowMs + 1400);
+      if (random() < 0.4) runs.push({ route: 'lookup', priority: 1, deadlineAtMs: nowMs + 1500 - random() });
+      if (random() < 0.4) addMatches(matches, runs, { called: 'page', timeLeftMs: 1500, nowMs });
+    }
+    const estimator = createCallMatchEstimator();
+    addMatchSample(estimator, new Map([['lookup', 800]]), matches);
+    expect(estimateMatchedCalls(estimator)).toEqual([]);
+  });
+
   it('should replace correlated estimates only if most calls carry the time left of their run', () => {
     const ran = new Map([
       ['ledger', 100],
