Run pipelined idempotent requests side by side

Cause: a connection ran one request at a time, so each pipelined request waited for the responses of all before it.

The front end asks the entry whether a request is idempotent; others are held back until all before them are answered. Nothing is passed on behind a response that closes the connection, and what runs ahead is cancelled. After a stop was announced, the response to the last request that was passed on closes the connection. A response that only the end of the connection delimits now closes it; before, an HTTP/1.0 client waited for the idle timeout.

--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -20,6 +20,8 @@
 export interface EntryController extends Controller {
   /** Accepts a request from a client or from the local target. */
   acceptRequest(request: ClientRequest, reply: ClientReply): RunHandle;
+  /** True if a request may run more than once, or is refused without being run, by the configuration in force. */
+  isIdempotent(request: Pick<ClientRequest, 'host' | 'path'>): boolean;
 }
 
 /**
@@ -184,6 +186,10 @@
   };
   return {
     acceptRequest,
+    isIdempotent: ({ host, path }) => {
+      const { table } = board.read('routes');
+      return table === undefined || (findRoute(table, host, path)?.isIdempotent ?? true);
+    },
     start: () => undefined,
     stop: refuseOpen,
   };
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -82,6 +82,7 @@
     },
     readLimits: () => board.read('routes').table?.configuration.limits,
     accept: node.acceptRequest,
+    isIdempotent: node.isIdempotent,
   });
   const controlServers = await startControlServers({
     ...settings,
--- a/src/http/bodyCollector.ts
+++ b/src/http/bodyCollector.ts
@@ -16,41 +16,40 @@
 /** Creates an empty collector; a body that arrives as one part is not copied. */
 export function createBodyCollector(): BodyCollector {
   let buffer: Buffer = EMPTY;
-  let length = 0;
   /** True if `buffer` is a received part, which must not be written to. */
   let isReceived = false;
 
   const allocate = (bytes: number): void => {
     if (!isReceived && bytes <= buffer.length) return;
-    const capacity = Math.max(MIN_CAPACITY_BYTES, bytes, 2 * length);
-    const larger = Buffer.allocUnsafeSlow(capacity);
-    buffer.copy(larger, 0, 0, length);
+    const larger = Buffer.allocUnsafeSlow(Math.max(MIN_CAPACITY_BYTES, bytes, 2 * collector.length));
+    buffer.copy(larger, 0, 0, collector.length);
     buffer = larger;
     isReceived = false;
+    collector.heldBytes = larger.length;
   };
-  return {
-    get length() {
-      return length;
-    },
-    get heldBytes() {
-      return isReceived ? buffer.buffer.byteLength : buffer.length;
-    },
-    add: (part) => {
+  const collector = {
+    length: 0,
+    heldBytes: 0,
+    add: (part: Buffer): void => {
+      const { length } = collector;
       if (length === 0 && part.length >= MIN_KEPT_SHARE * part.buffer.byteLength) {
         buffer = part;
         isReceived = true;
+        collector.heldBytes = part.buffer.byteLength;
       } else {
         allocate(length + part.length);
         part.copy(buffer, length);
       }
-      length += part.length;
+      collector.length += part.length;
     },
-    take: () => {
-      const taken = buffer.subarray(0, length);
+    take: (): Buffer => {
+      const taken = buffer.subarray(0, collector.length);
       buffer = EMPTY;
-      length = 0;
+      collector.length = 0;
+      collector.heldBytes = 0;
       isReceived = false;
       return taken;
     },
   };
+  return collector;
 }
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -9,6 +9,7 @@
 import type { ClientExchange } from './clientExchange.js';
 import { createDeferredEvents } from './deferredEvents.js';
 import type { RequestEventKind } from './deferredEvents.js';
+import { createExchangeQueue } from './exchangeQueue.js';
 import type { MessageHead, ParseError } from './messageParser.js';
 import { createReadFlow } from './readTurns.js';
 import type { ReadTurns } from './readTurns.js';
@@ -45,14 +46,12 @@
   /** True once the connection has to be closed after the current response. */
   isStopping: () => boolean;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
+  /** True if a request may run before the requests in front of it are answered. */
+  isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
   /** Called once when the connection was closed. */
   handleClose: () => void;
 }
 
-/** Number of requests that are read and not answered yet. */
-const MAX_OPEN_REQUESTS = 1;
-/** While a client leaves more than this of its responses unread, no further request of it is taken. */
-const MAX_UNREAD_BYTES = 64 * 1024;
 /** Parser events after which other connections are read first. */
 const MAX_EVENTS_PER_TURN = 64;
 /** After a read of at least this size, which a client that sends much fills, other connections are read first. */
@@ -64,7 +63,7 @@
   ['HPE_HEADER_OVERFLOW', 'headersTooLarge'],
 ]);
 
-/** Serves the requests of one client connection, and answers them in their order. */
+/** Serves the requests of one client connection side by side, and answers them in their order. */
 export function createClientConnection(options: ClientConnectionOptions): ClientConnection {
   const { socket, now, budget, turns } = options;
   let phase: ConnectionPhase = 'idle';
@@ -73,8 +72,6 @@
   let hasSentRequest = false;
   let heldBytes = 0;
   let progressBytes = 0;
-  /** Requests that are not answered, in their order. */
-  const exchanges: ClientExchange[] = [];
   /** The request whose body is being read. */
   let reading: ClientExchange | undefined;
   /** Received bytes that were not parsed. */
@@ -92,8 +89,8 @@
   /** Brings phase, held bytes and reading in line with what was just done. */
   const settle = (): void => {
     if (phase !== 'closing' && findPhase() !== phase) enterPhase(findPhase());
-    let bytes = deferred.heldBytes + reader.heldBytes + unparsed.buffer.byteLength + socket.writableLength;
-    for (const exchange of exchanges) bytes += exchange.heldBytes;
+    const bytes =
+      exchanges.heldBytes + deferred.heldBytes + reader.heldBytes + unparsed.buffer.byteLength + socket.writableLength;
     const change = bytes - heldBytes;
     heldBytes = bytes;
     if (change !== 0) budget.change(connection, change);
@@ -109,38 +106,37 @@
     socket.end();
     flow.resume();
   };
-  const abandonExchanges = (): void => {
+  const abandonInput = (): void => {
     deferred.clear();
     unparsed = EMPTY;
     reading = undefined;
-    for (const exchange of exchanges.splice(0)) exchange.cancel();
   };
-  const formatConnectionHeaders = ({ isRequestComplete, message }: ClientExchange): string => {
-    if (!isRequestComplete || !message.shouldKeepAlive || options.isStopping()) return 'Connection: close\r\n';
-    const seconds = Math.floor((options.readLimits()?.idleTimeoutMs ?? 0) / 1000);
-    return seconds > 0 ? `Connection: keep-alive\r\nKeep-Alive: timeout=${seconds}\r\n` : 'Connection: keep-alive\r\n';
+  const abandonExchanges = (): void => {
+    abandonInput();
+    exchanges.cancelAll();
   };
+  const exchanges = createExchangeQueue({
+    readLimits: options.readLimits,
+    isStopping: options.isStopping,
+    handleLastResponse: (exchange) => {
+      // The rest of the request itself is still read.
+      if (reading !== exchange) abandonInput();
+    },
+  });
   const finishExchange = (exchange: ClientExchange): void => {
-    const index = exchanges.indexOf(exchange);
-    if (index < 0) return;
-    exchanges.splice(index, 1);
     movedAtMs = now();
-    // The connection is closed after an incomplete request: the rest of its body must not be parsed as a request.
-    if (!exchange.isRequestComplete || !exchange.message.shouldKeepAlive || options.isStopping()) close();
+    if (exchanges.isFirst(exchange) && !exchanges.finish(exchange)) close();
     advanceReading();
   };
   const isStartAllowed = (): boolean =>
-    socket.writable &&
-    exchanges.length < MAX_OPEN_REQUESTS &&
-    reading === undefined &&
-    socket.writableLength <= MAX_UNREAD_BYTES;
+    socket.writable && reading === undefined && exchanges.isStartAllowed(socket.writableLength);
   const isReady = (kind: RequestEventKind): boolean => {
     if (kind === 'head') return isStartAllowed();
     return kind === 'bodyPart' || exchanges.length === 0 || reading !== undefined;
   };
   /** True if nothing more may be parsed until a response was written or read, or the body was passed on. */
   const isBlocked = (): boolean =>
-    deferred.length > 0 || (reading === undefined ? !isStartAllowed() : reading.isBodyBlocked);
+    deferred.length > 0 || (reading === undefined ? !isStartAllowed() : reading.isBodyBlocked());
   const deferred = createDeferredEvents(isReady);
   const runOrDefer = (kind: RequestEventKind, dataBytes: number, run: () => void): void => {
     if (phase !== 'closing') deferred.runOrDefer(kind, dataBytes, run);
@@ -170,27 +166,29 @@
     reading?.flushBody();
     isAdvancing = false;
     if (unparsed.length > 0 && !isBlocked()) flow.addTurn();
-    else if (unparsed.length > 0 || deferred.length > 0 || reading?.isBodyBlocked === true) flow.suspend();
+    else if (unparsed.length > 0 || deferred.length > 0 || reading?.isBodyBlocked() === true) flow.suspend();
     else flow.resume();
     settle();
   };
   const startExchange = (message: MessageHead, readBytes: number): void => {
     const head = options.readHead({ rawHeaders: message.rawHeaders, url: message.url });
-    const { readLimits, accept } = options;
+    const { readLimits, accept, isIdempotent } = options;
     const exchange = createClientExchange({
       message,
       head,
       socket,
       readLimits,
       accept,
-      formatConnectionHeaders,
+      isIdempotent,
+      isFirst: exchanges.isFirst,
+      formatConnectionHeaders: exchanges.formatConnectionHeaders,
       handleProgress: () => {
         movedAtMs = now();
         advanceReading();
       },
       handleEnd: finishExchange,
     });
-    exchanges.push(exchange);
+    exchanges.add(exchange);
     reading = exchange;
     const refusal = checkRequestHead({ message, head, readBytes }, readLimits());
     if (refusal !== undefined) exchange.refuse(refusal);
@@ -259,7 +257,7 @@
     },
     get standing() {
       if (phase === 'closing') return 'closing';
-      if (exchanges.some(({ isPassedOn }) => isPassedOn)) return 'serving';
+      if (exchanges.isServing) return 'serving';
       return hasSentRequest ? 'idle' : 'unproven';
     },
     get heldBytes() {
@@ -284,7 +282,8 @@
   socket.on('data', receive);
   socket.on('drain', () => {
     movedAtMs = now();
-    advanceReading();
+    if (unparsed.length > 0 || deferred.length > 0) advanceReading();
+    else settle();
   });
   socket.on('end', abandonExchanges);
   // A `close` event follows.
--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -1,10 +1,11 @@
 import type { Socket } from 'node:net';
 import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
-import type { RunAnswer, RunHandle } from '../control/requests/runPort.js';
+import type { RunHandle } from '../control/requests/runPort.js';
 import { MAX_UNSTREAMED_BODY_BYTES, STREAM_WINDOW_BYTES } from '../schema/linkFrame.js';
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createBodyCollector } from './bodyCollector.js';
+import type { BodyCollector } from './bodyCollector.js';
 import type { MessageHead } from './messageParser.js';
 import type { RequestHead } from './requestHead.js';
 import { HEADER_OVERHEAD_BYTES } from './requestReader.js';
@@ -13,14 +14,18 @@
 /** One request on a connection and its response. */
 export interface ClientExchange {
   readonly message: MessageHead;
-  /** True once the whole request was read. */
-  readonly isRequestComplete: boolean;
   /** True once the request was passed on or refused. */
   readonly isPassedOn: boolean;
+  /** True if the request waits until the requests before it are answered. */
+  readonly isHeldBack: boolean;
+  /** Bytes of the response that wait for the responses before it. */
+  readonly waitingBytes: number;
+  /** True if the connection cannot be used after the response: what follows might be the rest of this request. */
+  isLast(): boolean;
   /** True if no more of the request's body may be read now. */
-  readonly isBodyBlocked: boolean;
-  /** Estimated memory held for the request. */
-  readonly heldBytes: number;
+  isBodyBlocked(): boolean;
+  /** Estimates the memory held for the request. */
+  countHeldBytes(): number;
   /** Starts to read the body, if there is one. */
   start(): void;
   addBody(part: Buffer): void;
@@ -28,6 +33,8 @@
   flushBody(): void;
   endRequest(): void;
   refuse(refusal: Refusal): void;
+  /** Called once all requests before this one are answered. */
+  becomeFirst(): void;
   /** Ends the request without a response. */
   cancel(): void;
 }
@@ -38,7 +45,11 @@
   socket: Socket;
   readLimits: () => RequestLimits | undefined;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
-  formatConnectionHeaders: (exchange: ClientExchange) => string;
+  /** True if a request may run before the requests in front of it are answered. */
+  isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
+  /** True if all requests before this one are answered. */
+  isFirst: (exchange: ClientExchange) => boolean;
+  formatConnectionHeaders: (exchange: ClientExchange, mustClose: boolean) => string;
   /** Called when the sender of the body may send more, and when held memory was released. */
   handleProgress: () => void;
   /** Called once the whole response was written. */
@@ -52,10 +63,13 @@
 /** Estimated memory of a request beyond its headers and its body. */
 const REQUEST_OVERHEAD_BYTES = 2048;
 
+const EMPTY = Buffer.alloc(0);
+
 /** Creates the exchange for a request whose head was read. */
 export function createClientExchange(options: ClientExchangeOptions): ClientExchange {
   const { message, head, socket, readLimits, handleProgress } = options;
-  const body = createBodyCollector();
+  /** Created for the first part, since most requests have no body. */
+  let body: BodyCollector | undefined;
   const headHeldBytes =
     REQUEST_OVERHEAD_BYTES + head.headBytes + (message.rawHeaders.length / 2) * HEADER_OVERHEAD_BYTES;
   let bodyBytes = 0;
@@ -66,25 +80,47 @@
   let handle: RunHandle | undefined;
   let isStreamed = false;
   let isRequestComplete = false;
-  let isPassedOn = false;
+  let isRefused = false;
+  let isEndSent = false;
+  /** The whole body of a request that is held back, if it has one. */
+  let heldBack: { whole: Uint8Array | undefined } | undefined;
+  /** Calls of the reply that wait until the responses before it are written. */
+  let waitingCalls: (() => void)[] | undefined;
   let cancelBodyTimer = (): void => undefined;
 
   const endBodyRead = (): void => {
     cancelBodyTimer();
     cancelBodyTimer = () => undefined;
   };
+  const deliver = (bytes: number, call: () => void): void => {
+    if (options.isFirst(exchange) && waitingCalls === undefined) {
+      call();
+      return;
+    }
+    (waitingCalls ??= []).push(call);
+    exchange.waitingBytes += bytes;
+    handleProgress();
+  };
   const refuseOrAbort = (refusal: Refusal): void => {
-    isPassedOn = true;
+    exchange.isPassedOn = true;
+    isRefused = true;
     endBodyRead();
-    if (writer.hasBegun) socket.destroy();
-    else writer.refuse(refusal);
+    deliver(0, () => {
+      if (writer.hasBegun) socket.destroy();
+      else writer.refuse(refusal);
+    });
   };
   const forward = (whole: Uint8Array | undefined): void => {
     endBodyRead();
-    isPassedOn = true;
-    passedBytes = whole?.length ?? 0;
     const { requestId, host, headers, identityHeaders, key, timeLeftMs } = head;
     const { method, url: path } = message;
+    passedBytes = whole?.length ?? 0;
+    if (!options.isFirst(exchange) && !options.isIdempotent({ host, path })) {
+      heldBack = { whole };
+      exchange.isHeldBack = true;
+      return;
+    }
+    exchange.isPassedOn = true;
     const request = {
       requestId,
       method,
@@ -99,26 +135,28 @@
     };
     handle = options.accept(request, reply);
   };
-  const sendPart = (): void => {
-    if (body.length === 0) return;
-    const part = body.take();
-    creditBytes -= part.length;
-    handle?.sendBody(part, false);
+  const sendStreamed = (): void => {
+    if (!isStreamed || handle === undefined || isRefused) return;
+    if (body !== undefined && body.length > 0) {
+      const part = body.take();
+      creditBytes -= part.length;
+      handle.sendBody(part, false);
+    }
+    if (!isRequestComplete || isEndSent) return;
+    isEndSent = true;
+    handle.sendBody(new Uint8Array(), true);
   };
-  const exchange: ClientExchange = {
+  // Plain fields: an object literal with getters takes several times as long to create, and there is one per request.
+  const exchange = {
     message,
-    get isRequestComplete() {
-      return isRequestComplete;
-    },
-    get isPassedOn() {
-      return isPassedOn;
-    },
-    get isBodyBlocked() {
-      return creditBytes <= 0;
-    },
-    get heldBytes() {
+    isPassedOn: false,
+    isHeldBack: false,
+    waitingBytes: 0,
+    isLast: (): boolean => !isRequestComplete || isRefused || !message.shouldKeepAlive,
+    isBodyBlocked: (): boolean => creditBytes <= 0 || isRefused || heldBack !== undefined,
+    countHeldBytes: (): number => {
       const streamedBytes = isStreamed ? Math.max(0, STREAM_WINDOW_BYTES - creditBytes) : 0;
-      return headHeldBytes + body.heldBytes + passedBytes + streamedBytes;
+      return headHeldBytes + (body?.heldBytes ?? 0) + passedBytes + streamedBytes + exchange.waitingBytes;
     },
     start: () => {
       if (!head.hasBody) return;
@@ -134,8 +172,8 @@
         clearTimeout(timer);
       };
     },
-    addBody: (part) => {
-      if (isPassedOn && handle === undefined) return;
+    addBody: (part: Buffer): void => {
+      if (isRefused || (exchange.isPassedOn && handle === undefined)) return;
       bodyBytes += part.length;
       const maxBytes = readLimits()?.maxBodyBytes ?? Infinity;
       if (bodyBytes > maxBytes) {
@@ -143,26 +181,36 @@
         refuseOrAbort({ kind: 'bodyTooLarge', detail: `more than ${maxBytes} bytes` });
         return;
       }
-      body.add(part);
-      if (handle !== undefined || bodyBytes <= MAX_UNSTREAMED_BODY_BYTES) return;
+      (body ??= createBodyCollector()).add(part);
+      if (handle !== undefined || isStreamed || bodyBytes <= MAX_UNSTREAMED_BODY_BYTES) return;
       isStreamed = true;
       forward(undefined);
     },
-    flushBody: () => {
-      if (isStreamed && handle !== undefined) sendPart();
-    },
+    flushBody: sendStreamed,
     endRequest: () => {
       isRequestComplete = true;
-      if (isStreamed) {
-        sendPart();
-        handle?.sendBody(new Uint8Array(), true);
-      } else if (!isPassedOn) forward(head.hasBody ? body.take() : undefined);
+      if (isStreamed) sendStreamed();
+      else if (!exchange.isPassedOn) forward(head.hasBody ? (body?.take() ?? EMPTY) : undefined);
     },
-    refuse: (refusal) => {
+    refuse: (refusal: Refusal): void => {
       handle?.cancel();
       refuseOrAbort(refusal);
     },
+    becomeFirst: () => {
+      if (heldBack !== undefined) {
+        const { whole } = heldBack;
+        heldBack = undefined;
+        exchange.isHeldBack = false;
+        forward(whole);
+        sendStreamed();
+      }
+      exchange.waitingBytes = 0;
+      for (let call = waitingCalls?.shift(); call !== undefined; call = waitingCalls?.shift()) call();
+      waitingCalls = undefined;
+    },
     cancel: () => {
+      waitingCalls = undefined;
+      heldBack = undefined;
       endBodyRead();
       if (!writer.hasEnded) handle?.cancel();
     },
@@ -171,7 +219,7 @@
     socket,
     method: message.method,
     minorVersion: message.minorVersion,
-    formatConnectionHeaders: () => options.formatConnectionHeaders(exchange),
+    formatConnectionHeaders: (mustClose) => options.formatConnectionHeaders(exchange, mustClose || exchange.isLast()),
     grantBytes: (bytes) => handle?.grantAnswer(bytes),
     handleEnd: () => {
       endBodyRead();
@@ -179,13 +227,25 @@
     },
   });
   const reply: ClientReply = {
-    answer: (answer: RunAnswer) => {
-      writer.answer(answer);
+    answer: (answer) => {
+      deliver(answer.body.length, () => {
+        writer.answer(answer);
+      });
+    },
+    part: (data, isLast) => {
+      deliver(data.length, () => {
+        writer.part(data, isLast);
+      });
+    },
+    refuse: (refusal) => {
+      deliver(0, () => {
+        writer.refuse(refusal);
+      });
     },
-    part: writer.part,
-    refuse: writer.refuse,
     abort: () => {
-      socket.destroy();
+      deliver(0, () => {
+        socket.destroy();
+      });
     },
     grantBody: (bytes) => {
       creditBytes += bytes;
--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -139,7 +139,8 @@
       return place === 'chunks' ? silentBytes : 0;
     },
     readSlice: (received) => {
-      const slice = received.subarray(0, chooseSliceBytes());
+      const maxBytes = chooseSliceBytes();
+      const slice = maxBytes >= received.length ? received : received.subarray(0, maxBytes);
       sliceBytes = slice.length;
       eventCount = 0;
       hasEndedInSlice = false;
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -44,6 +44,8 @@
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
+  /** True if a request may run before the requests in front of it on its connection are answered. */
+  isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
 }
 
 /** Connections that were closed for the sake of others since the last report, and what the others occupy. */
@@ -60,7 +62,7 @@
   readonly budget: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>;
   /** The bound address as `IP:PORT`. */
   readonly address: string;
-  /** Makes every later response close its connection. */
+  /** Makes each connection close with the response to the last request that was passed on. */
   announceStop(): void;
   /** Stops listening; open connections are not closed. */
   stop(): void;
@@ -94,6 +96,7 @@
       readLimits,
       isStopping: () => isStopping,
       accept: options.accept,
+      isIdempotent: options.isIdempotent,
       handleClose: () => {
         connections.delete(connection);
       },
--- a/src/http/responseWriter.ts
+++ b/src/http/responseWriter.ts
@@ -25,8 +25,11 @@
   method: string;
   /** Minor HTTP version of the request; HTTP/1.0 does not support chunked encoding. */
   minorVersion: number;
-  /** Formats the `Connection` and `Keep-Alive` header lines, each with its line break. */
-  formatConnectionHeaders: () => string;
+  /**
+   * Formats the `Connection` and `Keep-Alive` header lines, each with its line break. `mustClose` is true if only the end of the
+   * connection ends the response.
+   */
+  formatConnectionHeaders: (mustClose: boolean) => string;
   /** Called with the number of bytes of a streamed answer that were flushed; the sender may then send as many more. */
   grantBytes: (bytes: number) => void;
   /** Called once the whole response was written. */
@@ -40,12 +43,10 @@
 /** Creates the writer of one response. */
 export function createResponseWriter(options: ResponseWriterOptions): ResponseWriter {
   const { socket, method, minorVersion } = options;
-  let hasBegun = false;
-  let hasEnded = false;
   let isChunked = false;
 
   const end = (): void => {
-    hasEnded = true;
+    writer.hasEnded = true;
     options.handleEnd();
   };
   const writeWhole = (head: string, body: Uint8Array): void => {
@@ -59,7 +60,7 @@
     end();
   };
   const writePart = (data: Uint8Array, isLast: boolean): void => {
-    if (!hasBegun || hasEnded || !socket.writable) return;
+    if (!writer.hasBegun || writer.hasEnded || !socket.writable) return;
     if (data.length > 0) {
       if (isChunked) socket.write(`${data.length.toString(16)}\r\n`, 'latin1');
       socket.write(data, () => {
@@ -72,39 +73,37 @@
     end();
   };
   const writeAnswer = ({ status, headers, body, isStreamed }: RunAnswer): void => {
-    if (hasBegun || !socket.writable) return;
-    hasBegun = true;
+    if (writer.hasBegun || !socket.writable) return;
+    writer.hasBegun = true;
     const hasBody = method !== 'HEAD' && status !== 204 && status !== 304;
     const isFramed = !hasBody || findHeader(headers, 'content-length') !== undefined;
     const head = formatHead(status, headers);
     if (!isStreamed) {
       const length = isFramed ? '' : `Content-Length: ${body.length}\r\n`;
-      writeWhole(`${head}${length}${options.formatConnectionHeaders()}\r\n`, hasBody ? body : new Uint8Array());
+      writeWhole(`${head}${length}${options.formatConnectionHeaders(false)}\r\n`, hasBody ? body : new Uint8Array());
       return;
     }
     isChunked = !isFramed && minorVersion > 0;
     const framing = isChunked ? 'Transfer-Encoding: chunked\r\n' : '';
-    const connection = isFramed || isChunked ? options.formatConnectionHeaders() : 'Connection: close\r\n';
+    const connection = options.formatConnectionHeaders(!isFramed && !isChunked);
     socket.write(`${head}${framing}${connection}\r\n`, 'latin1');
     writePart(body, false);
   };
-  return {
-    get hasBegun() {
-      return hasBegun;
-    },
-    get hasEnded() {
-      return hasEnded;
-    },
+  // Plain fields: an object literal with getters takes several times as long to create, and there is one per response.
+  const writer = {
+    hasBegun: false,
+    hasEnded: false,
     answer: writeAnswer,
     part: writePart,
-    refuse: (refusal) => {
-      if (hasBegun || !socket.writable) return;
-      hasBegun = true;
+    refuse: (refusal: Refusal) => {
+      if (writer.hasBegun || !socket.writable) return;
+      writer.hasBegun = true;
       const { head, body } = formatRefusal(refusal);
-      socket.write(`${head}${options.formatConnectionHeaders()}\r\n${method === 'HEAD' ? '' : body}`);
+      socket.write(`${head}${options.formatConnectionHeaders(false)}\r\n${method === 'HEAD' ? '' : body}`);
       end();
     },
   };
+  return writer;
 }
 
 /** Formats a refusal by this node. The head lacks the `Connection` header and the blank line at its end. */
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -34,7 +34,8 @@
 }
 
 /** The control logic of a node that serves routed requests, without any I/O of its own. */
-export interface RequestNode extends Pick<EntryController, 'acceptRequest'>, Pick<LinkController, 'acceptLink'> {
+export interface RequestNode
+  extends Pick<EntryController, 'acceptRequest' | 'isIdempotent'>, Pick<LinkController, 'acceptLink'> {
   readonly board: RequestBoard;
   receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void): void;
   receiveLeave(id: string, acknowledge: () => void): void;
@@ -96,6 +97,7 @@
   return {
     board,
     acceptRequest: entries.acceptRequest,
+    isIdempotent: entries.isIdempotent,
     acceptLink: links.acceptLink,
     receiveHeartbeat: (id, heartbeat, acknowledge) => {
       board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge });
--- a/tests/requests/entry.test.ts
+++ b/tests/requests/entry.test.ts
@@ -38,6 +38,15 @@
 }
 
 describe('a request at its entry node', () => {
+  // Guards against a request that runs ahead although its client may have to send it again.
+  it('should let requests run ahead of those before them only where their route is idempotent', () => {
+    const statuses = [true, false].map((isIdempotent) => {
+      const fleet = createFleet({ isIdempotent });
+      return fleet.nodes.get('a1')?.isIdempotent({ host: 'shop.example', path: '/check/1' });
+    });
+    expect(statuses).toEqual([true, false]);
+  });
+
   it('should be refused when no route matches', () => {
     const fleet = createFleet();
     const sent = fleet.send('a1', { path: '/other/1' });
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -45,6 +45,7 @@
       maxConnections: 100,
       maxHeldBytes: 4_000_000,
       reportEvictions: () => undefined,
+      isIdempotent: () => false,
       readLimits: () => limits,
       accept: (request, reply): RunHandle => {
         const entry: Accepted = { request, reply, wasCancelled: false, granted: 0, parts: [], hasEnded: false };
@@ -298,6 +299,7 @@
       maxConnections: 100,
       maxHeldBytes: 4_000_000,
       reportEvictions: () => undefined,
+      isIdempotent: () => false,
       readLimits: () => limits,
       accept: () => ({ cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined }),
     });
