Send 100 Continue only once the requests before are answered

Cause: since pipelined requests are read ahead, the interim response to a later request could precede the response to an earlier one. Found by reading.

The change: it waits for its turn like every part of a response.

--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -160,7 +160,11 @@
     },
     start: () => {
       if (!head.hasBody) return;
-      if (head.expectsContinue) socket.write('HTTP/1.1 100 Continue\r\n\r\n', 'latin1');
+      if (head.expectsContinue) {
+        deliver(0, () => {
+          socket.write('HTTP/1.1 100 Continue\r\n\r\n', 'latin1');
+        });
+      }
       const timeoutMs = head.timeLeftMs === Infinity ? DEFAULT_BODY_TIMEOUT_MS : head.timeLeftMs;
       const timer = setTimeout(
         () => {
--- a/tests/requests/pipelining.test.ts
+++ b/tests/requests/pipelining.test.ts
@@ -185,6 +185,21 @@
     expect(listPaths()).toEqual(['/a', '/b']);
   });
 
+  // Guards against an interim response that the client takes for one to an earlier request.
+  it('should send 100 Continue only once all requests before are answered', async () => {
+    const { openClient } = await start();
+    const client = openClient();
+    const head = formatPost('/b', '').replace('Length: 0', 'Length: 4\r\nExpect: 100-continue');
+    client.socket.write(formatGet('/a') + head);
+    await waitForPaths(['/a']);
+    await wait(30);
+    expect(client.readText()).toEqual('');
+    respond('/a');
+    await waitUntil('100 Continue arrived', () => client.readText().endsWith('/aHTTP/1.1 100 Continue\r\n\r\n'));
+    client.socket.write('body');
+    await waitForPaths(['/a', '/b']);
+  });
+
   // Guards against responses that wait in order and are counted by no bound.
   it('should count responses that wait for an earlier one, and take no more requests when they are many', async () => {
     const { openClient, passed, server } = await start();
