Pass on requests with the time that their client still has

Cause: a request that was held back, or whose body arrived slowly, was passed on with the time left that its head named. Ruled out: the entry's deadline, which starts only when the request is passed on. Change: the time since the head was read is subtracted. Result: the new test of tests/requests/pipelining.test.ts fails without it.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -177,6 +177,7 @@
       message,
       head,
       socket,
+      now,
       readLimits,
       accept,
       isIdempotent,
--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -43,6 +43,7 @@
   message: MessageHead;
   head: RequestHead;
   socket: Socket;
+  now: () => number;
   readLimits: () => RequestLimits | undefined;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
   /** True if a request may run before the requests in front of it are answered. */
@@ -67,7 +68,8 @@
 
 /** Creates the exchange for a request whose head was read. */
 export function createClientExchange(options: ClientExchangeOptions): ClientExchange {
-  const { message, head, socket, readLimits, handleProgress } = options;
+  const { message, head, socket, now, readLimits, handleProgress } = options;
+  const startedAtMs = now();
   /** Created for the first part, since most requests have no body. */
   let body: BodyCollector | undefined;
   const headHeldBytes =
@@ -112,7 +114,7 @@
   };
   const forward = (whole: Uint8Array | undefined): void => {
     endBodyRead();
-    const { requestId, host, headers, identityHeaders, key, timeLeftMs } = head;
+    const { requestId, host, headers, identityHeaders, key } = head;
     const { method, url: path } = message;
     passedBytes = whole?.length ?? 0;
     if (!options.isFirst(exchange) && !options.isIdempotent({ host, path })) {
@@ -129,7 +131,8 @@
       headers,
       identityHeaders,
       key,
-      timeLeftMs,
+      // The client's time also passes while the body arrives and while earlier requests are answered.
+      timeLeftMs: Math.max(0, head.timeLeftMs - (now() - startedAtMs)),
       body: whole,
       isStreamed,
     };
--- a/tests/requests/pipelining.test.ts
+++ b/tests/requests/pipelining.test.ts
@@ -67,6 +67,19 @@
     expect(listBodies(client)).toEqual(paths);
   });
 
+  // Guards against a target working longer than the client waits.
+  it('should pass on a request that was held back with the time that its client has left', async () => {
+    const { openClient, passed } = await start();
+    const client = openClient();
+    client.socket.write(formatGet('/a') + formatPost('/order1').replace('Host: h', 'Host: h\r\ntest-time-left: 5000'));
+    await waitForPaths(['/a']);
+    await wait(60);
+    respond('/a');
+    await waitForPaths(['/a', '/order1']);
+    const timeLeftMs = passed[1]?.request.timeLeftMs ?? 0;
+    expect(timeLeftMs <= 4950 && timeLeftMs > 0).toEqual(true);
+  });
+
   // Guards against a request that runs although its client has to send it again, as a response before it closes.
   it('should pass on a request that is not idempotent only once all requests before it are answered', async () => {
     const { openClient, passed } = await start();
