--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -84,6 +84,7 @@
   let isRequestComplete = false;
   let isRefused = false;
   let isEndSent = false;
+  let wasHeldBack = false;
   /** The whole body of a request that is held back, if it has one. */
   let heldBack: { whole: Uint8Array | undefined } | undefined;
   /** Calls of the reply that wait until the responses before it are written. */
@@ -112,6 +113,9 @@
       else writer.refuse(refusal);
     });
   };
+  /** Returns the time that the client still waits (ms): it also passes while the body arrives or the request is held back. */
+  const countTimeLeft = (): number =>
+    wasHeldBack || head.hasBody ? Math.max(0, head.timeLeftMs - (now() - startedAtMs)) : head.timeLeftMs;
   const forward = (whole: Uint8Array | undefined): void => {
     endBodyRead();
     const { requestId, host, headers, identityHeaders, key } = head;
@@ -119,6 +123,7 @@
     passedBytes = whole?.length ?? 0;
     if (!options.isFirst(exchange) && !options.isIdempotent({ host, path })) {
       heldBack = { whole };
+      wasHeldBack = true;
       exchange.isHeldBack = true;
       return;
     }
@@ -131,8 +136,7 @@
       headers,
       identityHeaders,
       key,
-      // The client's time also passes while the body arrives and while earlier requests are answered.
-      timeLeftMs: Math.max(0, head.timeLeftMs - (now() - startedAtMs)),
+      timeLeftMs: countTimeLeft(),
       body: whole,
       isStreamed,
     };
