Let few pipelined requests of all connections run ahead

Ruled out: fewer than 8 requests a connection, which a single client may use. Change: at most 128 requests of all connections run ahead of unanswered ones; beyond that, connections run one request at a time.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -10,6 +10,7 @@
 import { createDeferredEvents } from './deferredEvents.js';
 import type { RequestEventKind } from './deferredEvents.js';
 import { createExchangeQueue } from './exchangeQueue.js';
+import type { RunAheadCount } from './exchangeQueue.js';
 import type { MessageHead, ParseError } from './messageParser.js';
 import { createReadFlow } from './readTurns.js';
 import type { ReadTurns } from './readTurns.js';
@@ -40,6 +41,8 @@
   budget: Pick<ClientBudget, 'add' | 'change' | 'remove'>;
   /** Shares the time for reading among the connections of the process. */
   turns: ReadTurns;
+  /** Pipelined requests of all connections that run ahead of others. */
+  runAhead: RunAheadCount;
   readHead: (message: { rawHeaders: string[]; url: string }) => RequestHead;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
@@ -116,6 +119,7 @@
     exchanges.cancelAll();
   };
   const exchanges = createExchangeQueue({
+    runAhead: options.runAhead,
     readLimits: options.readLimits,
     isStopping: options.isStopping,
     handleLastResponse: (exchange) => {
--- a/src/http/exchangeQueue.ts
+++ b/src/http/exchangeQueue.ts
@@ -21,7 +21,14 @@
   cancelAll(): void;
 }
 
+/** Number of requests of all connections that run ahead of unanswered ones in front of them. */
+export interface RunAheadCount {
+  requests: number;
+}
+
 export interface ExchangeQueueOptions {
+  /** Shared by all connections of the process. */
+  runAhead: RunAheadCount;
   readLimits: () => RequestLimits | undefined;
   /** True once connections have to be closed after their responses. */
   isStopping: () => boolean;
@@ -31,6 +38,11 @@
 
 /** Number of requests of a connection that are read and not answered yet. */
 const MAX_OPEN_REQUESTS = 8;
+/**
+ * Number of requests of all connections that may run ahead. Beyond it, connections run one request at a time, so that clients
+ * that pipeline many do not take the place of others.
+ */
+const MAX_RUN_AHEAD = 128;
 /** While more than this of the responses waits for its turn or for the client to read, no further request is started. */
 const MAX_UNREAD_BYTES = 64 * 1024;
 
@@ -39,13 +51,19 @@
  * them again, whatever they are. So nothing is started behind such a response, and what already runs ahead is cancelled.
  */
 export function createExchangeQueue(options: ExchangeQueueOptions): ExchangeQueue {
-  const { readLimits, isStopping, handleLastResponse } = options;
+  const { runAhead, readLimits, isStopping, handleLastResponse } = options;
   const exchanges: ClientExchange[] = [];
   let isLastBegun = false;
+  let ahead = 0;
 
   /** Once a stop was announced, the response to the last request that was passed on closes the connection. */
   const isLast = (exchange: ClientExchange, mustClose: boolean): boolean =>
     mustClose || (isStopping() && !exchanges.some((other) => other !== exchange && other.isPassedOn));
+  const settleRunAhead = (): void => {
+    const count = Math.max(0, exchanges.length - 1);
+    runAhead.requests += count - ahead;
+    ahead = count;
+  };
   const countWaitingBytes = (): number => {
     let bytes = 0;
     for (const exchange of exchanges) bytes += exchange.waitingBytes;
@@ -65,11 +83,13 @@
     },
     add: (exchange) => {
       exchanges.push(exchange);
+      settleRunAhead();
     },
     isFirst: (exchange) => exchanges[0] === exchange,
     isStartAllowed: (unreadBytes) => {
       if (isLastBegun || exchanges.length >= MAX_OPEN_REQUESTS) return false;
       const last = exchanges.at(-1);
+      if (last !== undefined && runAhead.requests >= MAX_RUN_AHEAD) return false;
       if (last !== undefined && (last.isLast() || last.isHeldBack || isStopping())) return false;
       return unreadBytes + countWaitingBytes() <= MAX_UNREAD_BYTES;
     },
@@ -77,6 +97,7 @@
       if (isLast(exchange, mustClose)) {
         isLastBegun = true;
         for (const other of exchanges.splice(1)) other.cancel();
+        settleRunAhead();
         handleLastResponse(exchange);
         return 'Connection: close\r\n';
       }
@@ -86,6 +107,7 @@
     },
     finish: (exchange) => {
       exchanges.shift();
+      settleRunAhead();
       // The connection is closed after an incomplete request: the rest of its body must not be parsed as a request.
       if (isLastBegun || isLast(exchange, exchange.isLast())) return false;
       exchanges[0]?.becomeFirst();
@@ -93,6 +115,7 @@
     },
     cancelAll: () => {
       for (const exchange of exchanges.splice(0)) exchange.cancel();
+      settleRunAhead();
     },
   };
 }
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -83,6 +83,7 @@
     maxConnections: Math.ceil(options.maxConnections * DISPLACEMENT_SHARE),
   });
   const turns = createReadTurns(clock.now);
+  const runAhead = { requests: 0 };
   const reportEvictions = createEvictionReporter(budget, options.reportEvictions);
   let isStopping = false;
   // Without a high-water mark a suspended socket reads nothing more, and `drain` follows each write that was flushed.
@@ -92,6 +93,7 @@
       now: clock.now,
       budget,
       turns,
+      runAhead,
       readHead,
       readLimits,
       isStopping: () => isStopping,
--- a/tests/requests/pipelining.test.ts
+++ b/tests/requests/pipelining.test.ts
@@ -80,6 +80,24 @@
     expect(timeLeftMs <= 4950 && timeLeftMs > 0).toEqual(true);
   });
 
+  // Guards against clients that pipeline many requests taking the place of others.
+  it('should run few requests ahead when many connections pipeline, and still answer all of them', async () => {
+    const { openClient, passed } = await start();
+    const clients = Array.from({ length: 40 }, openClient);
+    const paths = Array.from({ length: 8 }, (_, index) => `/r${index}`);
+    for (const { socket } of clients) socket.write(paths.map((path) => formatGet(path)).join(''));
+    await waitUntil('the limit was reached', () => passed.length === 128 + clients.length);
+    await wait(30);
+    expect(passed.length).toEqual(128 + clients.length);
+    for (let answered = 0; answered < clients.length * paths.length; answered++) {
+      await waitUntil('another request was passed on', () => passed.length > answered);
+      const found = passed[answered];
+      if (found !== undefined) sendAnswer(found);
+    }
+    await waitUntil('all responses arrived', () => clients.every((client) => listBodies(client).length === 8));
+    for (const client of clients) expect(listBodies(client)).toEqual(paths);
+  });
+
   // Guards against a request that runs although its client has to send it again, as a response before it closes.
   it('should pass on a request that is not idempotent only once all requests before it are answered', async () => {
     const { openClient, passed } = await start();
