Send life signs at once again

Cause: a life sign that waits for a tick depends on a timer of a process that may be short of processor time, and senders suspect a connection after 300 ms.

What stays: whether the demand has changed is computed only once a profile may be due.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -73,7 +73,7 @@
 /** Time without any frame after a request was sent, after which its lane is suspected to be silent (ms). */
 const SUSPECT_AFTER_MS = 300;
 
-/** True when a lane owes a sign of life: peers respond to a request within 50 ms and a tick. */
+/** True when a lane owes a sign of life: peers respond to a request at once, or 100 ms and a tick after the last frame. */
 export function isSuspectLane({ unansweredSinceMs }: ReadView<LinkState>, nowMs: number): boolean {
   return unansweredSinceMs !== undefined && nowMs - unansweredSinceMs > SUSPECT_AFTER_MS;
 }
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -13,10 +13,10 @@
 /** Interval between status frames on active connections (ms). */
 const ACTIVE_STATUS_INTERVAL_MS = 250;
 /**
- * Time without a frame to its sender after which a request owes a life sign (ms), which most short requests never do. It is
- * sent at the next tick, up to 125 ms later; senders suspect a silent connection after 300 ms.
+ * Minimum time between a frame and the life sign that responds to a request (ms); senders suspect a silent connection after
+ * 300 ms.
  */
-const LIFE_SIGN_DELAY_MS = 50;
+const MIN_LIFE_SIGN_INTERVAL_MS = 100;
 /** Interval between status frames on idle routine connections (ms); idle urgent connections carry none. */
 const IDLE_STATUS_INTERVAL_MS = 2000;
 /** The same within a data centre, whose nodes learn from each other of changes at the store (ms). */
@@ -37,10 +37,11 @@
   /** Interval between status frames while the connection is idle (ms). */
   readonly idleIntervalMs: number;
   statusAtMs: number;
-  /** Time at which a status or an answer was last sent. */
-  sentAtMs: number;
-  /** The first request received since the last frame was sent, and when. */
-  owed: { runId: number; sinceMs: number } | undefined;
+  /** Time at which an answer last carried the load. */
+  loadAtMs: number;
+  /** The last received request, if nothing was sent since. */
+  owedRunId: number | undefined;
+  lifeSignAtMs: number;
   profileAtMs: number;
   /** The profile that was sent last. */
   profile: Profile;
@@ -80,32 +81,30 @@
       ...(board.read('routes').isStoreLost ? { isStoreLost: true } : {}),
     };
   };
-  const isActive = ({ runs, usedAtMs }: IncomingLane, nowMs: number): boolean =>
-    runs.openCount > 0 || nowMs - usedAtMs < ACTIVE_WINDOW_MS;
-  const isStatusDue = (lane: IncomingLane, nowMs: number): boolean => {
-    if (nowMs - lane.statusAtMs >= lane.idleIntervalMs) return true;
-    return isActive(lane, nowMs) && nowMs - lane.sentAtMs >= ACTIVE_STATUS_INTERVAL_MS;
-  };
-  const recordLoadSent = (lane: IncomingLane): void => {
-    lane.sentAtMs = clock.now();
-    lane.owed = undefined;
+  const isStatusDue = (lane: IncomingLane, nowMs: number, isActive: boolean): boolean => {
+    const { statusAtMs, loadAtMs, idleIntervalMs } = lane;
+    if (nowMs - statusAtMs >= idleIntervalMs) return true;
+    return isActive && nowMs - Math.max(statusAtMs, loadAtMs) >= ACTIVE_STATUS_INTERVAL_MS;
   };
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
-    recordLoadSent(lane);
-    lane.statusAtMs = lane.sentAtMs;
+    lane.statusAtMs = clock.now();
+    lane.owedRunId = undefined;
     const record = board.read('members').byHost.get(lane.host);
     if (record === undefined) lane.runs.send(status);
     else lane.runs.send({ ...status, held: { incarnation: record.incarnation, revision: record.revision } });
   };
   /**
-   * Shows the sender of a request that the connection works in both directions, if no other frame has. It carries no load:
-   * senders count what they sent since the last report.
+   * Shows the sender of a request that the connection works in both directions: now, or at a tick if it was shown just
+   * before. It carries no load: senders count what they sent since the last report.
    */
-  const sendLifeSign = (lane: IncomingLane, nowMs: number): void => {
-    const { owed } = lane;
-    if (owed === undefined || nowMs - owed.sinceMs < LIFE_SIGN_DELAY_MS) return;
-    lane.owed = undefined;
-    lane.runs.send({ type: 'grant', id: owed.runId, bytes: 0 });
+  const sendLifeSign = (lane: IncomingLane): void => {
+    const { owedRunId, statusAtMs, loadAtMs, lifeSignAtMs } = lane;
+    const nowMs = clock.now();
+    if (owedRunId === undefined) return;
+    if (nowMs - Math.max(statusAtMs, loadAtMs, lifeSignAtMs) < MIN_LIFE_SIGN_INTERVAL_MS) return;
+    lane.owedRunId = undefined;
+    lane.lifeSignAtMs = nowMs;
+    lane.runs.send({ type: 'grant', id: owedRunId, bytes: 0 });
   };
   /**
    * Tells a peer that this node holds the record which it sent of itself; its acknowledgements may depend on such copies.
@@ -114,9 +113,9 @@
     if (frame.type === 'members' && frame.members.some(({ host }) => host === lane.host))
       sendStatus(lane, buildStatus());
   };
-  const sendProfile = (lane: IncomingLane, nowMs: number): void => {
+  const sendProfile = (lane: IncomingLane, nowMs: number, isActive: boolean): void => {
     const sinceMs = nowMs - lane.profileAtMs;
-    if (sinceMs < (isActive(lane, nowMs) ? MIN_PROFILE_INTERVAL_MS : IDLE_PROFILE_INTERVAL_MS)) return;
+    if (sinceMs < (isActive ? MIN_PROFILE_INTERVAL_MS : IDLE_PROFILE_INTERVAL_MS)) return;
     const profile = board.read('demand').profile as Profile;
     if (sinceMs < MAX_PROFILE_INTERVAL_MS && !hasDemandChanged(profile, lane.profile)) return;
     lane.profileAtMs = nowMs;
@@ -146,8 +145,12 @@
         accept: acceptRun,
         readLoad: () => {
           // Answers carry the load too, which postpones the next status frame.
-          if (entry !== undefined) recordLoadSent(entry);
-          return readLocalLoad(board, clock.now());
+          const nowMs = clock.now();
+          if (entry !== undefined) {
+            entry.loadAtMs = nowMs;
+            entry.owedRunId = undefined;
+          }
+          return readLocalLoad(board, nowMs);
         },
         reportDiscarded: (requestId, outcome) => {
           const inputs = { host, lane, outcome };
@@ -163,8 +166,9 @@
             ? LOCAL_IDLE_STATUS_INTERVAL_MS
             : IDLE_STATUS_INTERVAL_MS,
         statusAtMs: 0,
-        sentAtMs: 0,
-        owed: undefined,
+        loadAtMs: 0,
+        owedRunId: undefined,
+        lifeSignAtMs: 0,
         profileAtMs: 0,
         profile: createEmptyProfile(),
         usedAtMs: 0,
@@ -205,11 +209,13 @@
             if (frame.to === board.read('members').self.host) lane = acceptHello(connection, frame);
             else refuseHello(connection, frame);
           } else if (lane?.runs.isCurrent(connection) === true) {
-            const nowMs = clock.now();
             // All nodes ask the allocator some times a second, which needs no status and profile of it at that rate.
-            if (frame.type !== 'quotaAsk') lane.usedAtMs = nowMs;
-            if (frame.type === 'run') lane.owed ??= { runId: frame.id, sinceMs: nowMs };
+            if (frame.type !== 'quotaAsk') lane.usedAtMs = clock.now();
             lane.runs.receive(frame);
+            if (frame.type === 'run') {
+              lane.owedRunId = frame.id;
+              sendLifeSign(lane);
+            }
             options.updates.receive(lane.host, frame, connection);
             acknowledgeRecord(lane, frame);
           }
@@ -226,10 +232,11 @@
       const nowMs = clock.now();
       const status = buildStatus();
       for (const lane of incoming.values()) {
-        sendLifeSign(lane, nowMs);
-        if (lane.lane === 'urgent' && !isActive(lane, nowMs)) continue;
-        if (!onlyIfDue || isStatusDue(lane, nowMs)) sendStatus(lane, status);
-        if (lane.lane === 'routine') sendProfile(lane, nowMs);
+        sendLifeSign(lane);
+        const isActive = lane.runs.openCount > 0 || nowMs - lane.usedAtMs < ACTIVE_WINDOW_MS;
+        if (!isActive && lane.lane === 'urgent') continue;
+        if (!onlyIfDue || isStatusDue(lane, nowMs, isActive)) sendStatus(lane, status);
+        if (lane.lane === 'routine') sendProfile(lane, nowMs, isActive);
       }
     },
     stop: () => {
