Read and write links and target connections as before

Change: both are undone; their tests of links over real sockets stay. Result: 81 tests of links, target connections and silent links pass.

--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -1,4 +1,4 @@
-import { openSocket } from '../core/openSocket.js';
+import { connect } from 'node:net';
 import { parseAddress } from '../schema/requestSettings.js';
 import { createMessageParser } from './messageParser.js';
 import { isInterimStatus } from './responseCheck.js';
@@ -61,9 +61,7 @@
 
 /** Opens a connection. A request may be started before it is established. */
 export function openTargetConnection(address: string): TargetConnection {
-  const socket = openSocket(parseAddress(address), (bytes) => {
-    receive(bytes);
-  });
+  const socket = connect(parseAddress(address));
   const state = {
     isConnected: false,
     isReusable: true,
@@ -104,7 +102,6 @@
     body: (chunk) => {
       if (isDiscarded) return;
       state.bodyBytes += chunk.length;
-      // The parser has copied the chunk from the buffer into which the connection reads.
       if (events?.data(chunk) === false) socket.pause();
     },
     end: () => {
@@ -124,17 +121,17 @@
     clearTimeout(timer);
     state.isConnected = true;
   });
-  const receive = (bytes: Buffer): void => {
+  socket.on('data', (chunk) => {
     if (events === undefined) {
       // The target sent bytes without a request.
       fail('unexpected bytes after the response');
       return;
     }
-    state.receivedBytes += bytes.length;
-    const fault = parser.parse(bytes);
+    state.receivedBytes += chunk.length;
+    const fault = parser.parse(chunk);
     if (fault !== undefined) fail(fault.message, fault.code === INVALID_STATUS_CODE);
     else if (hasTooMuchOverhead()) fail('the target sent too many bytes that are no part of a body');
-  };
+  });
   socket.on('end', () => {
     state.isReusable = false;
     // A reset that arrives with the last bytes is reported as `end`; only the missing remote address reveals it.
--- a/src/transport/linkServer.ts
+++ b/src/transport/linkServer.ts
@@ -32,7 +32,6 @@
         events.closed(reason);
       },
     });
-    socket.on('data', stream.receiveBytes);
     const events = accept(stream);
   });
   const { host, port } = parseAddress(listen);
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -1,19 +1,16 @@
 import type { Socket } from 'node:net';
-import { Packr, RESERVE_START_SPACE } from 'msgpackr';
+import { Packr } from 'msgpackr';
 import { FailureError } from '../schema/failure.js';
 import { linkFrameSchema, MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import type { LinkFrame } from '../schema/linkFrame.js';
 import { compileSchema } from '../schema/validate.js';
 
 const LENGTH_PREFIX_BYTES = 4;
-const EMPTY = Buffer.alloc(0);
 const validator = compileSchema(linkFrameSchema);
 
 /** Exchanges frames over one connection. Each is encoded as its length (4 bytes, big-endian) and one msgpack record. */
 export interface LinkStream {
   send(frame: LinkFrame): void;
-  /** Decodes received bytes, of which it keeps no reference. */
-  receiveBytes(bytes: Buffer): void;
   /** Bytes that the socket has not sent yet. */
   readonly bufferedBytes: number;
   close(): void;
@@ -26,8 +23,7 @@
 }
 
 /**
- * Exchanges frames over a socket, whose received bytes the caller passes on. msgpack record definitions are sent once per
- * connection and kept by both ends.
+ * Exchanges frames over a socket. msgpack record definitions are sent once per connection and kept by both ends.
  *
  * @example
  * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
@@ -35,10 +31,9 @@
  */
 export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
   const encoder = new Packr({ sequential: true });
-  const decoder = new Packr({ sequential: true, copyBuffers: true });
-  let received: Buffer = EMPTY;
-  /** Frames to be written at the end of this turn of the event loop, in one call. */
-  let unwritten: Buffer[] = [];
+  const decoder = new Packr({ sequential: true });
+  let received: Buffer = Buffer.alloc(0);
+  let isCorked = false;
   let isClosed = false;
 
   const disconnect = (reason: string): void => {
@@ -48,10 +43,8 @@
     events.closed(reason);
   };
   const flushWrites = (): void => {
-    const frames = unwritten;
-    unwritten = [];
-    const [only] = frames;
-    if (only !== undefined) socket.write(frames.length === 1 ? only : Buffer.concat(frames));
+    isCorked = false;
+    socket.uncork();
   };
   const receiveBytes = (chunk: Buffer): void => {
     received = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
@@ -65,15 +58,14 @@
       const frameStart = start + LENGTH_PREFIX_BYTES;
       if (received.length < frameStart + length) break;
       start = frameStart + length;
-      receiveFrame(frameStart, start);
+      receiveFrame(received.subarray(frameStart, start));
     }
-    // What is left of the bytes is copied, since their buffer is reused.
-    received = start === received.length ? EMPTY : Buffer.from(received.subarray(start));
+    received = received.subarray(start);
   };
-  const receiveFrame = (start: number, end: number): void => {
+  const receiveFrame = (bytes: Buffer): void => {
     let value: unknown;
     try {
-      value = decoder.unpack(received, { start, end });
+      value = decoder.unpack(bytes);
     } catch (error) {
       disconnect(`received bytes that are not msgpack: ${String(error)}`);
       return;
@@ -82,6 +74,7 @@
     else disconnect(`received an invalid frame: ${validator.listFaults(value)[0]?.path ?? ''}`);
   };
   socket.setNoDelay(true);
+  socket.on('data', receiveBytes);
   socket.on('error', (error) => {
     disconnect(error.message);
   });
@@ -92,12 +85,18 @@
     disconnect('the peer closed the connection');
   });
   return {
-    receiveBytes,
     send: (frame) => {
       if (isClosed) return;
-      const bytes = encoder.pack(frame, RESERVE_START_SPACE | LENGTH_PREFIX_BYTES);
-      bytes.writeUInt32BE(bytes.length - LENGTH_PREFIX_BYTES);
-      if (unwritten.push(bytes) === 1) process.nextTick(flushWrites);
+      if (!isCorked) {
+        isCorked = true;
+        socket.cork();
+        process.nextTick(flushWrites);
+      }
+      const payload = encoder.pack(frame);
+      const bytes = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + payload.length);
+      bytes.writeUInt32BE(payload.length);
+      payload.copy(bytes, LENGTH_PREFIX_BYTES);
+      socket.write(bytes);
     },
     get bufferedBytes() {
       return socket.writableLength;
