Limit waste only for requests that mostly fail

Cause: with a service that fails some calls at random, requests with a chance of 0.5 to 0.9 were refused almost all, since wasted runs may be a tenth. Ruled out: lack of slots, for which admission limits by room already. Change: requests that finish more often than not are not limited for waste. The test that admits the most urgent first uses chances below a half now, with the same bound; a new one guards requests that mostly finish.

--- a/src/policy/wasteLimit.ts
+++ b/src/policy/wasteLimit.ts
@@ -9,6 +9,11 @@
 
 /** Share of the runs that may be wasted while a service loses requests. */
 const MAX_WASTED_SHARE = 0.1;
+/**
+ * Chance below which requests are limited. Losses at random are not fewer when less is admitted, so callers whose requests
+ * mostly finish would be refused for nothing.
+ */
+const MAX_LIMITED_CHANCE = 0.5;
 /**
  * Share of the requests of a kind that is admitted however small their chance, so that a service that serves again is
  * noticed. A target needs some 25 results to show it; of 800 trees a second, this share gives four targets as many within a
@@ -26,8 +31,8 @@
 
 /**
  * Computes the share of each kind of requests to admit so that at most `MAX_WASTED_SHARE` of the runs belong to requests
- * that do not finish. It answers a load in which a service rejects or fails a share of the calls of running requests. The
- * kinds that are mostly lost get what the others leave of the allowed waste, the most urgent first. A rejected request
+ * that mostly do not finish. It answers a load in which a service rejects or fails a share of the calls of running requests.
+ * The kinds that are mostly lost get what the others leave of the allowed waste, the most urgent first. A rejected request
  * did not run and wastes nothing, so requests without calls are not limited.
  *
  * @param previous The shares of the previous interval: shares may fall at once and at most double per interval.
@@ -75,8 +80,12 @@
   return rates;
 }
 
-/** Computes the wasted runs per second beyond the allowed share, if all requests are admitted; negative if there are less. */
+/**
+ * Computes the wasted runs per second beyond the allowed share, if all requests are admitted; negative if there are less, and
+ * not above 0 for requests that mostly finish.
+ */
 function computeExcessWaste({ perSecond, chance: { served, whole, runs } }: TreeDemand): number {
   const wasted = (served - whole) * runs;
-  return perSecond * (wasted - MAX_WASTED_SHARE * served * runs);
+  const excess = perSecond * (wasted - MAX_WASTED_SHARE * served * runs);
+  return whole >= MAX_LIMITED_CHANCE * served ? Math.min(0, excess) : excess;
 }
