--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,7 +63,7 @@
 /** Names in the platform's protocols and files; `platform/` translates them into those of `src`. */
 const platformNamePattern =
   '/x-attempt-id|x-response-seal|x-target-instance|x-not-executed|x-caller-service|x-deadline-remaining|x-server-load|' +
-  'x-tenant-id|store-era|api_keys|rate_per_s|log-append|log-read|log-newest|log-join|keyed\\.|heartbeat_url|cold_left|route_rules|weighted_targets|HEMLOCKSTACK_BOOT/i';
+  'x-tenant-id|store-era|api_keys|log-append|log-read|log-newest|log-join|keyed\\.|heartbeat_url|cold_left|route_rules|weighted_targets|HEMLOCKSTACK_BOOT/i';
 const platformMessage = 'Names of the platform may be used only in platform/ and deploy/.';
 
 const escapePattern = (text) => text.replace(/[/.]/g, '\\$&');
