Limit waste only for requests that hardly ever finish

Refused callers came back and were refused again. Change: the limit holds for chances below a fifth.

--- a/src/policy/wasteLimit.ts
+++ b/src/policy/wasteLimit.ts
@@ -11,9 +11,9 @@
 const MAX_WASTED_SHARE = 0.1;
 /**
  * Chance below which requests are limited. Losses at random are not fewer when less is admitted, so callers whose requests
- * mostly finish would be refused for nothing.
+ * often finish would be refused for nothing.
  */
-const MAX_LIMITED_CHANCE = 0.5;
+const MAX_LIMITED_CHANCE = 0.2;
 /**
  * Share of the requests of a kind that is admitted however small their chance, so that a service that serves again is
  * noticed. A target needs some 25 results to show it; of 800 trees a second, this share gives four targets as many within a
@@ -31,7 +31,7 @@
 
 /**
  * Computes the share of each kind of requests to admit so that at most `MAX_WASTED_SHARE` of the runs belong to requests
- * that mostly do not finish. It answers a load in which a service rejects or fails a share of the calls of running requests.
+ * that hardly ever finish. It answers a load in which a service rejects or fails a share of the calls of running requests.
  * The kinds that are mostly lost get what the others leave of the allowed waste, the most urgent first. A rejected request
  * did not run and wastes nothing, so requests without calls are not limited.
  *
@@ -82,7 +82,7 @@
 
 /**
  * Computes the wasted runs per second beyond the allowed share, if all requests are admitted; negative if there are less, and
- * not above 0 for requests that mostly finish.
+ * not above 0 for requests that often finish.
  */
 function computeExcessWaste({ perSecond, chance: { served, whole, runs } }: TreeDemand): number {
   const wasted = (served - whole) * runs;
