--- a/src/policy/wasteLimit.ts
+++ b/src/policy/wasteLimit.ts
@@ -14,6 +14,8 @@
  * often finish would be refused for nothing.
  */
 const MAX_LIMITED_CHANCE = 0.2;
+/** The same for requests that are limited already, so that they are not admitted and limited by turns. */
+const MAX_KEPT_CHANCE = 0.5;
 /**
  * Share of the requests of a kind that is admitted however small their chance, so that a service that serves again is
  * noticed. A target needs some 25 results to show it; of 800 trees a second, this share gives four targets as many within a
@@ -42,12 +44,14 @@
   const affected = demands.filter(({ chance, perSecond }) => chance.whole < 1 && perSecond > 0);
   affected.sort((left, right) => left.priority - right.priority || right.chance.whole - left.chance.whole);
   const directRates = collectDirectRates(affected);
+  const getExcess = (demand: TreeDemand): number =>
+    computeExcessWaste(demand, previous.has(getKind(demand)) ? MAX_KEPT_CHANCE : MAX_LIMITED_CHANCE);
   const getMinShare = ({ chance: { weakest } }: TreeDemand): number =>
     (directRates.get(weakest?.service ?? '') ?? 0) >= MIN_DIRECT_RATE ? MIN_SHARE : PROBE_SHARE;
   // Negative excess is what a kind leaves of the allowed waste; the probes of all kinds come first.
   let allowance = 0;
   for (const demand of affected) {
-    const excess = computeExcessWaste(demand);
+    const excess = getExcess(demand);
     allowance -= excess > 0 ? getMinShare(demand) * excess : excess;
   }
   const shares = new Map<string, number>();
@@ -59,7 +63,7 @@
     return share;
   };
   for (const demand of affected) {
-    const excess = computeExcessWaste(demand);
+    const excess = getExcess(demand);
     const minShare = getMinShare(demand);
     const affordable = excess <= 0 ? 1 : Math.min(1, minShare + Math.max(0, allowance) / excess);
     const share = limitKind(demand, affordable);
@@ -82,10 +86,10 @@
 
 /**
  * Computes the wasted runs per second beyond the allowed share, if all requests are admitted; negative if there are less, and
- * not above 0 for requests that often finish.
+ * not above 0 for requests with a chance from `maxChance` on.
  */
-function computeExcessWaste({ perSecond, chance: { served, whole, runs } }: TreeDemand): number {
+function computeExcessWaste({ perSecond, chance: { served, whole, runs } }: TreeDemand, maxChance: number): number {
   const wasted = (served - whole) * runs;
   const excess = perSecond * (wasted - MAX_WASTED_SHARE * served * runs);
-  return whole >= MAX_LIMITED_CHANCE * served ? Math.min(0, excess) : excess;
+  return whole >= maxChance * served ? Math.min(0, excess) : excess;
 }
