Share the test client of the front end

Cause: requestServer.test.ts and the fixture of the front end opened clients with the same lines. A function of quotaLender.ts was exported without a user outside. Change: openTestClient in tests/fixtures/frontEnd.ts serves both; no assertion changed.

--- a/src/policy/quotaLender.ts
+++ b/src/policy/quotaLender.ts
@@ -130,7 +130,7 @@
 }
 
 /** True while the share is lent to a process other than that of `host`. */
-export function isBoundElsewhere(lender: QuotaLender, host: string, nowMs: number): boolean {
+function isBoundElsewhere(lender: QuotaLender, host: string, nowMs: number): boolean {
   return nowMs < lender.boundUntilMs && lender.stamps.get(host)?.allocator !== lender.boundTo;
 }
 
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -1,5 +1,3 @@
-import { connect } from 'node:net';
-import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { ClientReply, ClientRequest } from '../../src/control/requests/entry.js';
@@ -9,6 +7,8 @@
 import { startRequestServer } from '../../src/http/requestServer.js';
 import type { RequestServer } from '../../src/http/requestServer.js';
 import type { RequestLimits } from '../../src/schema/routeConfiguration.js';
+import { openTestClient } from '../fixtures/frontEnd.js';
+import type { TestClient } from '../fixtures/frontEnd.js';
 import { testHeaderNames } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
@@ -68,16 +68,10 @@
     cleanups.push(server.stop);
     return { server, accepted };
   }
-  function openClient(server: RequestServer): { socket: Socket; readText: () => string; isClosed: () => boolean } {
-    const [host, port] = server.address.split(':');
-    const socket = connect(Number(port), host);
-    let text = '';
-    let isClosed = false;
-    socket.on('data', (chunk) => (text += chunk.toString('latin1')));
-    socket.on('error', () => undefined);
-    socket.on('close', () => (isClosed = true));
-    cleanups.push(() => socket.destroy());
-    return { socket, readText: () => text, isClosed: () => isClosed };
+  function openClient(server: RequestServer): TestClient {
+    const client = openTestClient(server.address);
+    cleanups.push(() => client.socket.destroy());
+    return client;
   }
   const sendAnswer = (accepted: Accepted, body = 'ok'): void => {
     const headers = ['test-id', accepted.request.requestId, 'test-signature', 's'];
