Log what ends a process, the address of a target and malformed records

The log of the users' record had no line on the cause of a process that ended: the lines of its last 100 ms were lost with it, and none named an address. Now the waiting lines and the error are written before Node ends the process, targetChanged names the address, and a member record that no schema accepts gets a line with its field.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -5,7 +5,7 @@
 import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
-import type { StoreWrite } from '../../schema/keyedStore.js';
+import type { KeyedRecord, StoreWrite } from '../../schema/keyedStore.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
@@ -223,6 +223,14 @@
     writeSelf();
     return changed;
   };
+  const reportMalformed = (records: readonly KeyedRecord[]): void => {
+    for (const { key, value, offset } of records) {
+      if (value === undefined || validator.isValid(value)) continue;
+      const [fault] = validator.listFaults(value);
+      const inputs = { host: key, offset, path: fault?.path, found: fault?.found };
+      board.post('decisions', { kind: 'faultFound', outcome: 'malformed member record', inputs });
+    }
+  };
   /** Passes what was new in the store to peers that do not read it. */
   const forwardChanges = (changed: readonly NodeMember[]): void => {
     if (!isStoreReadByFew(section.byHost)) return;
@@ -255,6 +263,7 @@
         apply: (records, isComplete) => {
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
+          reportMalformed(records);
           const changed = applyRecords(values, STORE_SOURCE, isComplete);
           if (!isComplete) forwardChanges(changed);
         },
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -44,7 +44,8 @@
   };
   const enterPhase = (phase: TargetPhase, reason: string): void => {
     section.phase = phase;
-    report(phase, { target: section.id, sequence: section.sequence, service: section.service, reason });
+    const { id, sequence, service, address } = section;
+    report(phase, { target: id, sequence, service, address, reason });
   };
   /** Acknowledges that the target leaves, which binds later processes of this host too, once they will learn of it. */
   const acknowledgeLeaving = (acknowledge: () => void): void => {
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -17,6 +17,7 @@
 import { dialLink } from '../transport/linkClient.js';
 import { startLinkServer } from '../transport/linkServer.js';
 import { createLineWriter } from './lineWriter.js';
+import { createImmediateWriter, reportUncaughtErrors } from './uncaughtErrors.js';
 
 export interface RequestDaemonOptions {
   settings: RequestSettings;
@@ -70,6 +71,7 @@
     writeLines: createLineWriter(STDOUT_DESCRIPTOR),
   });
   const { board } = node;
+  reportUncaughtErrors({ board, writeNow: createImmediateWriter(STDOUT_DESCRIPTOR) });
   const linkServer = await startLinkServer(settings.linkListen, node.acceptLink);
   const requestServer = await startRequestServer({
     listen: settings.requestListen,
