Refuse addresses to which no connection can be opened

Callers saw connections refused: a node ended at the next request to its target after a heartbeat with the address H:65536, and again after each start, since it restored the address from its own record. With H :8301 or 127.2:8301 it lived, but sent every request of its healthy target elsewhere (502 or 503).

Cause: the pattern of three schemas bounds neither host nor port, and net.connect throws for a port beyond 65535 in the middle of a request, where nothing catches. Class: a value from outside that is checked for its looks and then used in a call that throws. Ruled out: noConfiguration (comes before the store is read after any start, with or without such a heartbeat).

A heartbeat with another one gets 400. What earlier versions have stored stays readable: a published target with an unusable address is not restored, and a member record with one names no host, each with a log line; links to peers that pass such records on are kept. Connection attempts report a bad address with an error event, like an unreachable one.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,11 +1,13 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
+import { findTargetFault } from '../../policy/ownTarget.js';
 import { isWriteOfEra } from '../../policy/storeEra.js';
 import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
 import type { KeyedRecord, StoreWrite } from '../../schema/keyedStore.js';
+import { isAddress } from '../../schema/address.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
@@ -31,6 +33,9 @@
  */
 const FIRST_WRITE_WAIT_MS = 2500;
 
+/** Maximum number of ignored records that are remembered to log each only once. */
+const MAX_UNUSABLE_RECORDS = 100;
+
 const validator = compileSchema(nodeMemberSchema);
 
 /** Writes the list of nodes, and keeps this node's own record in the platform's store up to date. */
@@ -40,6 +45,8 @@
   const { section } = members;
   const durability = createDurabilityWaits(context);
   const removedPredecessors = new Set<string>();
+  /** By host: the start of a process whose record was ignored, since no connection can be opened to its address. */
+  const unusableIncarnations = new Map<string, string>();
   const startedAtMs = clock.now();
   let writtenRevision = -1;
   let hasWritten = false;
@@ -55,7 +62,8 @@
     if (hasWritten) return false;
     if (!isHistoryKnown(board, clock.now())) return true;
     if (section.self.target !== undefined) return false;
-    if (section.previousTarget !== undefined) return true;
+    // What cannot be restored is not waited for.
+    if (section.previousTarget !== undefined && findTargetFault(section.previousTarget) === undefined) return true;
     return isStoreReadByFew(section.byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
   };
   const setWrittenRevision = (revision: number): void => {
@@ -175,11 +183,23 @@
     }
     return true;
   };
+  /** Logs each such record once, since peers of an earlier version send it again and again. */
+  const reportUnusable = ({ host, linkAddress, incarnation }: NodeMember, source: string): void => {
+    if (unusableIncarnations.get(host) === incarnation) return;
+    if (unusableIncarnations.size >= MAX_UNUSABLE_RECORDS) unusableIncarnations.clear();
+    unusableIncarnations.set(host, incarnation);
+    const inputs = { host, linkAddress, source };
+    board.post('decisions', { kind: 'faultFound', outcome: 'member record with an unusable address', inputs });
+  };
   const applyRecord = (record: NodeMember, source: string): boolean => {
     if (record.host === section.self.host) {
       applyEarlierSelf(record, source);
       return false;
     }
+    if (!isAddress(record.linkAddress)) {
+      reportUnusable(record, source);
+      return false;
+    }
     const known = section.byHost.get(record.host);
     if (!isNewerMember(record, known) || !resolveAddressConflict(record)) return false;
     // A restarted process may not know yet that its target has left.
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -1,5 +1,6 @@
 import type { Controller } from '../context.js';
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
+import { findTargetFault } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import type { RequestContext } from './context.js';
@@ -22,6 +23,8 @@
   const { section } = target;
   let probedAtMs = -Infinity;
   let unreadableLimit: string | undefined;
+  /** Id of the last published target that was not restored. */
+  let foreignTarget: string | undefined;
   /** The limit that other nodes know. */
   let publishedRate: number | undefined;
   /** True once the target answered since this process knows it. */
@@ -127,6 +130,11 @@
     acknowledgeLeaving(acknowledge);
   };
   const restoreTarget = (previous: PublishedTarget): void => {
+    const fault = findTargetFault(previous);
+    if (fault !== undefined) {
+      reportForeignTarget(previous, fault);
+      return;
+    }
     section.id = previous.id;
     section.startedAtMs = previous.startedAtMs;
     section.sequence = previous.sequence;
@@ -138,6 +146,12 @@
     enterPhase(previous.phase, 'published by an earlier process');
     publish();
   };
+  const reportForeignTarget = ({ id, service, address }: PublishedTarget, fault: string): void => {
+    if (foreignTarget === id) return;
+    foreignTarget = id;
+    const inputs = { target: id, service, address, fault };
+    board.post('decisions', { kind: 'faultFound', outcome: 'published target not restored', inputs });
+  };
   const restorePreviousTarget = (): void => {
     const { previousTarget } = board.read('members');
     if (previousTarget === undefined || previousTarget.id === '') return;
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -3,7 +3,7 @@
 import { FailureError } from '../schema/failure.js';
 import { heartbeatSchema } from '../schema/nodeMember.js';
 import type { Heartbeat } from '../schema/nodeMember.js';
-import { parseAddress } from '../schema/requestSettings.js';
+import { parseAddress } from '../schema/address.js';
 import { compileSchema, formatFault } from '../schema/validate.js';
 
 const heartbeatValidator = compileSchema(heartbeatSchema);
--- a/src/http/probeAddress.ts
+++ b/src/http/probeAddress.ts
@@ -1,4 +1,4 @@
-import { connect } from 'node:net';
+import { openSocket } from '../core/openSocket.js';
 
 /** Time to wait for a connection to be accepted or refused (ms). */
 const PROBE_TIMEOUT_MS = 200;
@@ -9,7 +9,7 @@
  */
 export function probeAddress(address: string, done: (isUp: boolean) => void): void {
   const { hostname, port, protocol } = new URL(address);
-  const socket = connect({ host: hostname, port: Number(port) || (protocol === 'https:' ? 443 : 80) });
+  const socket = openSocket(`${hostname}:${Number(port) || (protocol === 'https:' ? 443 : 80)}`);
   const finish = (isUp: boolean): void => {
     socket.destroy();
     done(isUp);
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -5,7 +5,7 @@
 import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
 import { FailureError } from '../schema/failure.js';
-import { parseAddress } from '../schema/requestSettings.js';
+import { parseAddress } from '../schema/address.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createClientBudget } from '../control/requests/clientBudget.js';
 import type { ClientBudget, EvictionReason } from '../control/requests/clientBudget.js';
--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -1,5 +1,4 @@
-import { connect } from 'node:net';
-import { parseAddress } from '../schema/requestSettings.js';
+import { openSocket } from '../core/openSocket.js';
 import { createMessageParser } from './messageParser.js';
 import { isInterimStatus } from './responseCheck.js';
 
@@ -61,7 +60,7 @@
 
 /** Opens a connection. A request may be started before it is established. */
 export function openTargetConnection(address: string): TargetConnection {
-  const socket = connect(parseAddress(address));
+  const socket = openSocket(address);
   const state = {
     isConnected: false,
     isReusable: true,
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -1,5 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { createAddressSchema } from './address.js';
 
 /** `none`: no target is known; `left`: the target has sent its leave request. */
 export const targetPhaseSchema = Type.Union([
@@ -13,8 +14,7 @@
 /** Heartbeat of a target. */
 export const heartbeatSchema = Type.Object({
   service: Type.String({ minLength: 1 }),
-  /** `IP:PORT` at which the target serves requests. */
-  address: Type.String({ pattern: '^[^:]+:[0-9]+$' }),
+  address: createAddressSchema('the address at which the target serves requests'),
   dataCenter: Type.String(),
   /** Number of requests that the target runs concurrently. */
   slots: Type.Integer({ minimum: 1 }),
@@ -35,6 +35,7 @@
   sequence: Type.Integer({ minimum: 0 }),
   phase: targetPhaseSchema,
   service: Type.String(),
+  /** Any text, since earlier versions published what they were told; `isAddress` tells whether it can be used. */
   address: Type.String(),
   slots: Type.Integer({ minimum: 1 }),
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
@@ -49,8 +50,8 @@
   region: Type.String(),
   /** The service of the host's target. */
   service: Type.String(),
-  /** `IP:PORT` for links. */
-  linkAddress: Type.String({ pattern: '^[^:]+:[0-9]+$' }),
+  /** Address for links. Any text, as above: a peer that passes on such a record must not lose its link. */
+  linkAddress: Type.String(),
   /** Random id of one start of the process. */
   incarnation: Type.String({ minLength: 1 }),
   /** Unix time at which the process started (ms); the record of a later start replaces that of an earlier one. */
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -1,11 +1,9 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { createListenSchema, createServerSchema } from './address.js';
 import { FailureError } from './failure.js';
 import { compileSchema } from './validate.js';
 
-const createAddressSchema = (purpose: string) =>
-  Type.String({ pattern: '^[^:]+:[0-9]+$', description: `${purpose} as IP:PORT` });
-
 /** Bounds set by the operator that the node must keep. */
 export const requestBoundsSchema = Type.Object({
   /** Time for which requests may still reach a target after its node has acknowledged that it drains or leaves. */
@@ -39,12 +37,12 @@
   region: Type.String({ minLength: 1, description: 'the name of a region' }),
   /** Service of the host's target; sent to targets as the caller of all requests that enter at this node. */
   service: Type.String({ minLength: 1, description: 'the service of the host' }),
-  requestListen: createAddressSchema('the address for requests of clients and the target'),
-  targetListen: createAddressSchema('the address for heartbeats of the target'),
-  readyListen: createAddressSchema('the address for readiness probes'),
-  linkListen: createAddressSchema('the address for connections of other nodes'),
-  metricsListen: createAddressSchema('the address for metrics'),
-  storeAddress: createAddressSchema("the address of the platform's store"),
+  requestListen: createListenSchema('the address for requests of clients and the target'),
+  targetListen: createListenSchema('the address for heartbeats of the target'),
+  readyListen: createListenSchema('the address for readiness probes'),
+  linkListen: createListenSchema('the address for connections of other nodes'),
+  metricsListen: createListenSchema('the address for metrics'),
+  storeAddress: createServerSchema("the address of the platform's store"),
   /** Maximum number of file descriptors that the process may open. */
   maxDescriptors: Type.Integer({
     minimum: 64,
@@ -75,9 +73,3 @@
   const faults = validator.listFaults(value);
   throw new FailureError({ kind: 'settingsInvalid', message: 'the settings are invalid', faults });
 }
-
-/** Splits an address of the form `IP:PORT`. */
-export function parseAddress(text: string): { host: string; port: number } {
-  const colon = text.lastIndexOf(':');
-  return { host: text.slice(0, colon), port: Number(text.slice(colon + 1)) };
-}
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -1,6 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 import { Value } from '@sinclair/typebox/value';
+import { createServerSchema } from './address.js';
 import { FailureError } from './failure.js';
 import type { Fault } from './failure.js';
 import { compileSchema } from './validate.js';
@@ -42,13 +43,10 @@
     /** For connections from other nodes. */
     peerListen: listenSchema,
     /** Nodes that this node contacts first to find the others. */
-    seeds: Type.Array(
-      Type.String({ pattern: '^[^:]+:[0-9]+$', description: 'a peer address such as 127.0.0.1:7000' }),
-      {
-        default: [],
-        description: 'a list of addresses of nodes that this node contacts first to find the others',
-      },
-    ),
+    seeds: Type.Array(createServerSchema('a peer address such as 127.0.0.1:7000,'), {
+      default: [],
+      description: 'a list of addresses of nodes that this node contacts first to find the others',
+    }),
     logUrl: Type.Optional(Type.String({ pattern: '^https?://', description: "the URL of the platform's log" })),
     logRetentionMs: Type.Integer({
       minimum: 60_000,
--- a/src/transport/linkClient.ts
+++ b/src/transport/linkClient.ts
@@ -1,5 +1,4 @@
-import { connect } from 'node:net';
-import { parseAddress } from '../schema/requestSettings.js';
+import { openSocket } from '../core/openSocket.js';
 import { createLinkStream } from './linkStream.js';
 import type { LinkStream, LinkStreamEvents } from './linkStream.js';
 
@@ -11,7 +10,7 @@
  * returned function cancels the attempt or closes the connection, without calling `closed`.
  */
 export function dialLink(address: string, events: LinkStreamEvents & { opened(stream: LinkStream): void }): () => void {
-  const socket = connect(parseAddress(address));
+  const socket = openSocket(address);
   let isFinished = false;
   const timer = setTimeout(() => {
     finish('connection attempt timed out');
--- a/src/transport/linkServer.ts
+++ b/src/transport/linkServer.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
 import { FailureError } from '../schema/failure.js';
-import { parseAddress } from '../schema/requestSettings.js';
+import { parseAddress } from '../schema/address.js';
 import { createLinkStream } from './linkStream.js';
 import type { LinkStream, LinkStreamEvents } from './linkStream.js';
 
