Refuse heartbeats that do not come from the target of the host

A node replaced its healthy target by any target that another sender named with a later start: all ten requests got 502 or 503 until the real target started anew, and again after a restart of the node, which restored the foreign one from its record.

Cause: the node believed whatever a heartbeat said of service and address, though its settings name both. Class: what is accepted displaces what works.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -9,7 +9,7 @@
 import type { KeyedRecord, StoreWrite } from '../../schema/keyedStore.js';
 import { isAddress } from '../../schema/address.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
-import type { NodeMember } from '../../schema/nodeMember.js';
+import type { NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import type { RequestContext } from './context.js';
 import { createDurabilityWaits } from './durabilityWaits.js';
@@ -57,13 +57,15 @@
   let isStopped = false;
   let stopWatcher = (): void => undefined;
 
+  const isRestorable = (target: PublishedTarget): boolean =>
+    findTargetFault(target, board.read('settings').current) === undefined;
   /** The first record replaces that of an earlier process, so it has to say what that one said of the target. */
   const isFirstWriteDelayed = (): boolean => {
     if (hasWritten) return false;
     if (!isHistoryKnown(board, clock.now())) return true;
     if (section.self.target !== undefined) return false;
     // What cannot be restored is not waited for.
-    if (section.previousTarget !== undefined && findTargetFault(section.previousTarget) === undefined) return true;
+    if (section.previousTarget !== undefined && isRestorable(section.previousTarget)) return true;
     return isStoreReadByFew(section.byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
   };
   const setWrittenRevision = (revision: number): void => {
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -185,6 +185,16 @@
   };
 }
 
+/** A heartbeat of a target; ends with one call of `acknowledge` or `refuse`. */
+export interface HeartbeatPost {
+  type: 'heartbeat';
+  id: string;
+  heartbeat: Heartbeat;
+  acknowledge: () => void;
+  /** Called with the reason why the heartbeat names no target of this host. */
+  refuse: (fault: string) => void;
+}
+
 /** The requests that other controllers and the front ends may post to the writer of a section. */
 export interface RequestPosts {
   settings: RequestSettings;
@@ -200,7 +210,7 @@
     | { type: 'whenDurable'; run: () => void };
   store: { era: number; source: string };
   target:
-    | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
+    | HeartbeatPost
     | { type: 'leave'; id: string; acknowledge: () => void }
     | { type: 'eject'; reason: string; isDown: boolean }
     | { type: 'suspect' }
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -4,6 +4,7 @@
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import type { RequestContext } from './context.js';
+import type { HeartbeatPost } from './sections.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import type { TargetNotice } from './runPort.js';
 
@@ -79,6 +80,18 @@
     unconfirmed = { id, heartbeat };
     return previous?.id === id && compareHeartbeats(previous.heartbeat, heartbeat) < 0;
   };
+  /** Refuses heartbeats that name no target of this host, so that they cannot take the place of its target. */
+  const checkHeartbeat = ({ id, heartbeat, acknowledge, refuse }: HeartbeatPost): void => {
+    const fault = findTargetFault(heartbeat, board.read('settings').current);
+    if (fault === undefined) {
+      receiveHeartbeat(id, heartbeat, acknowledge);
+      return;
+    }
+    const { service, address } = heartbeat;
+    const inputs = { target: id, service, address, fault };
+    board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'not the target of this host', inputs });
+    refuse(fault);
+  };
   const receiveHeartbeat = (id: string, heartbeat: Heartbeat, acknowledge: () => void): void => {
     const isKnown = isSameStart(section, id, heartbeat.startedAtMs);
     if (compareHeartbeats(heartbeat, section) <= 0 && section.id !== '') {
@@ -130,7 +143,7 @@
     acknowledgeLeaving(acknowledge);
   };
   const restoreTarget = (previous: PublishedTarget): void => {
-    const fault = findTargetFault(previous);
+    const fault = findTargetFault(previous, board.read('settings').current);
     if (fault !== undefined) {
       reportForeignTarget(previous, fault);
       return;
@@ -243,7 +256,7 @@
     });
   };
   target.handlePosts((post) => {
-    if (post.type === 'heartbeat') receiveHeartbeat(post.id, post.heartbeat, post.acknowledge);
+    if (post.type === 'heartbeat') checkHeartbeat(post);
     else if (post.type === 'leave') receiveLeave(post.id, post.acknowledge);
     else if (post.type === 'answered') restoreEjected();
     else if (post.type === 'suspect') probe();
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -18,8 +18,13 @@
   isReady: () => boolean;
   /** Maps the JSON body that the target sent to the fields of a heartbeat; the result is validated afterwards. */
   decodeHeartbeat: (body: unknown) => unknown;
-  /** Handles a heartbeat of the local target; calls `acknowledge` once to send the response. */
-  receiveHeartbeat: (id: string, heartbeat: Heartbeat, acknowledge: () => void) => void;
+  /** Handles a heartbeat; calls `acknowledge` or `refuse` once to send the response. */
+  receiveHeartbeat: (
+    id: string,
+    heartbeat: Heartbeat,
+    acknowledge: () => void,
+    refuse: (fault: string) => void,
+  ) => void;
   /** Handles the announcement that the local target leaves; calls `acknowledge` once to send the response. */
   receiveLeave: (id: string, acknowledge: () => void) => void;
   /** Called with the kind of the error, the target and the first fault of an invalid heartbeat. */
@@ -78,7 +83,8 @@
     const { id } = request.params;
     const value = options.decodeHeartbeat(parseBody(request.body));
     if (heartbeatValidator.isValid(value)) {
-      options.receiveHeartbeat(id, value, createAcknowledgement(reply));
+      const { acknowledge, refuse } = createAcknowledgement(reply);
+      options.receiveHeartbeat(id, value, acknowledge, refuse);
       return reply;
     }
     const fault = heartbeatValidator.listFaults(value).map(formatFault)[0] ?? 'not JSON';
@@ -86,20 +92,34 @@
     return reply.code(400).send({ fault });
   });
   server.post<{ Params: { id: string } }>('/v1/targets/:id/leave', (request, reply) => {
-    options.receiveLeave(request.params.id, createAcknowledgement(reply));
+    options.receiveLeave(request.params.id, createAcknowledgement(reply).acknowledge);
     return reply;
   });
 }
 
-/** Returns the function that acknowledges a message; without a call to it in time, the message is refused. */
-function createAcknowledgement(reply: FastifyReply): () => void {
-  const timer = setTimeout(() => {
-    void reply.code(503).send({ fault: `not acknowledged within ${MAX_ACKNOWLEDGE_MS} ms` });
-  }, MAX_ACKNOWLEDGE_MS);
-  return () => {
+/** Responses to a message of a target; only the first one is sent. */
+interface Acknowledgement {
+  acknowledge: () => void;
+  refuse: (fault: string) => void;
+}
+
+/** Returns the responses to a message; without one of them in time, the message is refused. */
+function createAcknowledgement(reply: FastifyReply): Acknowledgement {
+  const respond = (code: number, body: { fault?: string }): void => {
     if (reply.sent) return;
     clearTimeout(timer);
-    void reply.send({});
+    void reply.code(code).send(body);
+  };
+  const timer = setTimeout(() => {
+    respond(503, { fault: `not acknowledged within ${MAX_ACKNOWLEDGE_MS} ms` });
+  }, MAX_ACKNOWLEDGE_MS);
+  return {
+    acknowledge: () => {
+      respond(200, {});
+    },
+    refuse: (fault) => {
+      respond(400, { fault });
+    },
   };
 }
 
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -39,7 +39,8 @@
 export interface RequestNode
   extends Pick<EntryController, 'acceptRequest' | 'isIdempotent'>, Pick<LinkController, 'acceptLink'> {
   readonly board: RequestBoard;
-  receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void): void;
+  /** Calls `acknowledge`, or `refuse` with the reason if the heartbeat is not that of this host's target. */
+  receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void, refuse?: (fault: string) => void): void;
   receiveLeave(id: string, acknowledge: () => void): void;
   start(): void;
   /** Stops accepting work for the local target; calls `done` once idle or when the grace time is almost over. */
@@ -103,8 +104,8 @@
     acceptRequest: entries.acceptRequest,
     isIdempotent: entries.isIdempotent,
     acceptLink: links.acceptLink,
-    receiveHeartbeat: (id, heartbeat, acknowledge) => {
-      board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge });
+    receiveHeartbeat: (id, heartbeat, acknowledge, refuse = () => undefined) => {
+      board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge, refuse });
     },
     receiveLeave: (id, acknowledge) => {
       board.post('target', { type: 'leave', id, acknowledge });
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -1,6 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
-import { createListenSchema, createServerSchema } from './address.js';
+import { createAddressSchema, createListenSchema, createServerSchema } from './address.js';
 import { FailureError } from './failure.js';
 import { compileSchema } from './validate.js';
 
@@ -39,6 +39,8 @@
   service: Type.String({ minLength: 1, description: 'the service of the host' }),
   requestListen: createListenSchema('the address for requests of clients and the target'),
   targetListen: createListenSchema('the address for heartbeats of the target'),
+  /** Address of the host's target. If it is set, heartbeats with another one are refused. */
+  targetAddress: Type.Optional(createAddressSchema("the address of the host's target")),
   readyListen: createListenSchema('the address for readiness probes'),
   linkListen: createListenSchema('the address for connections of other nodes'),
   metricsListen: createListenSchema('the address for metrics'),
