End only the request, frame or heartbeat whose handling throws

One throw in the handling of outside input ended the process, and with it all requests of the host; a stored value did so at each start. That is why an odd address was an outage and not one failed request.

Weighed in docs/decisions/containment.md: ending the process at each error, catching everything at the event loop, and catching where the owner of a unit of work can end it so that its slot, deadline and counts are released. The last was chosen; errors outside such a unit still end the process, with a line that says why. Contained errors are logged with their stack and counted in hemlock_faults; faultFound lines now share the rate limit, since others decide on their number.

node scripts/runTests.js requests/containment: 6 of 6 pass; without the change each of them ends with the injected error. tests/requests, tests/quotas, tests/organisations, tests/soak, nodeProcess, unusableAddresses: 522 passed, 0 failed.

--- a/src/control/requests/decisionController.ts
+++ b/src/control/requests/decisionController.ts
@@ -10,7 +10,7 @@
 const MAX_WAITING_LINES = 4000;
 const FLUSH_INTERVAL_MS = 100;
 
-/** Decision kinds whose number grows with the load; all other kinds are exempt from the rate limit. */
+/** Decision kinds whose number grows with the load or with what others send; all other kinds are exempt from the rate limit. */
 const rateLimited: ReadonlySet<DecisionKind> = new Set([
   'requestEnded',
   'requestRefused',
@@ -18,6 +18,7 @@
   'runEnded',
   'runFailed',
   'heartbeatIgnored',
+  'faultFound',
 ]);
 
 /** Writes the log of this node: one line per decision, with bounded rate and memory. */
@@ -49,6 +50,8 @@
     });
   };
   decisions.handlePosts((decision) => {
+    const { kind, outcome } = decision;
+    if (kind === 'faultFound') section.faults.set(outcome, (section.faults.get(outcome) ?? 0) + 1);
     const isRateLimited = rateLimited.has(decision.kind);
     if ((isRateLimited && tokens < 1) || section.lines.length >= MAX_WAITING_LINES) {
       section.dropped++;
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -20,6 +20,8 @@
   /** The request was answered completely. */
   end(entry: Entry, outcome: string, detail: string): void;
   refuse(entry: Entry, refusal: Refusal): void;
+  /** Runs a part of an entry; an error in it ends this entry only. */
+  runContained(entry: Entry, run: () => void): void;
 }
 
 export interface EntryAttempts {
@@ -69,21 +71,19 @@
       request: buildRun(entry, board.read('settings').current.service, clock.now()),
       events: {
         answer: (answer) => {
-          receiveAnswer(entry, attempt, answer);
+          callbacks.runContained(entry, () => {
+            receiveAnswer(entry, attempt, answer);
+          });
         },
         part: (data, isLast) => {
-          if (entry.isEnded || entry.attempt !== attempt) return;
-          if (!entry.isAnswering) {
-            const detail = 'a part of an answer arrived without its beginning';
-            attempt.handle?.cancel();
-            receiveFailure(entry, attempt, { kind: 'answerTruncated', ran: 'unknown', hasArrived: true, detail });
-            return;
-          }
-          if (isLast) callbacks.end(entry, 'answered', '');
-          entry.reply.part(data, isLast);
+          callbacks.runContained(entry, () => {
+            receivePart(entry, attempt, data, isLast);
+          });
         },
         fail: (failure) => {
-          receiveFailure(entry, attempt, failure);
+          callbacks.runContained(entry, () => {
+            receiveFailure(entry, attempt, failure);
+          });
         },
         grantBody: (bytes) => {
           entry.reply.grantBody(bytes);
@@ -123,6 +123,17 @@
     else callbacks.end(entry, 'answered', String(answer.status));
     entry.reply.answer(answer);
   };
+  const receivePart = (entry: Entry, attempt: RunAttempt, data: Uint8Array, isLast: boolean): void => {
+    if (entry.isEnded || entry.attempt !== attempt) return;
+    if (!entry.isAnswering) {
+      const detail = 'a part of an answer arrived without its beginning';
+      attempt.handle?.cancel();
+      receiveFailure(entry, attempt, { kind: 'answerTruncated', ran: 'unknown', hasArrived: true, detail });
+      return;
+    }
+    if (isLast) callbacks.end(entry, 'answered', '');
+    entry.reply.part(data, isLast);
+  };
   const recordLatency = ({ route, sentAtMs }: Entry): void => {
     let estimate = latencyByRoute.get(route.name);
     if (estimate === undefined) latencyByRoute.set(route.name, (estimate = createDurationEstimate()));
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -16,6 +16,7 @@
 import type { ReadView } from '../../core/blackboard.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
+import { reportInternalError } from './containment.js';
 import { createEntry } from './entry.js';
 import type { ClientReply, ClientRequest, Entry } from './entry.js';
 import { createEntryAttempts } from './entryAttempts.js';
@@ -33,6 +34,8 @@
  * Time past the deadline after which the entry node refuses a request without an outcome from the target's node (ms).
  */
 const FALLBACK_DELAY_MS = 40;
+/** It promises nothing: the request may have run. */
+const internalErrorRefusal: Refusal = { kind: 'failed', detail: 'internal error' };
 
 /** Writes the requests that entered at this node: matches them to routes, sends, retries and answers them. */
 export function createEntryController(context: RequestContext): EntryController {
@@ -81,7 +84,17 @@
     if (entry.isAnswering) entry.reply.abort();
     else entry.reply.refuse(finalRefusal);
   };
-  const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse } });
+  /** Handles a part of an entry; an error in it ends this entry only. */
+  const runContained = (entry: Entry, run: () => void): void => {
+    try {
+      run();
+    } catch (error) {
+      reportInternalError(board, { unit: 'request', id: entry.request.requestId, error });
+      entry.mayHaveRun = true;
+      refuse(entry, internalErrorRefusal);
+    }
+  };
+  const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse, runContained } });
   const quota = createEntryQuota(context, {
     send: (entry) => {
       countArrival(entry);
@@ -103,6 +116,14 @@
     return { cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined };
   };
   const acceptRequest = (request: ClientRequest, reply: ClientReply): RunHandle => {
+    try {
+      return openEntry(request, reply);
+    } catch (error) {
+      reportInternalError(board, { unit: 'request', id: request.requestId, error });
+      return refuseEarly(request, reply, internalErrorRefusal);
+    }
+  };
+  const openEntry = (request: ClientRequest, reply: ClientReply): RunHandle => {
     const { table, version } = board.read('routes');
     if (table === undefined) {
       const detail = 'no configuration has been received yet';
@@ -129,9 +150,13 @@
     section.open = open.size;
     board.post('budgets', { type: 'request', service });
     entry.cancelDeadline = deadlines.add(entry.deadlineAtMs + FALLBACK_DELAY_MS, () => {
-      expire(entry);
+      runContained(entry, () => {
+        expire(entry);
+      });
+    });
+    runContained(entry, () => {
+      startEntry(entry);
     });
-    startEntry(entry);
     return buildHandle(entry);
   };
   const countOrganisation = ({ route, priority, organisation, isStarted }: Entry): void => {
@@ -216,12 +241,16 @@
   const buildHandle = (entry: Entry): RunHandle => ({
     cancel: () => {
       if (entry.isEnded) return;
-      end(entry, 'cancelled', 'the client disconnected');
-      attempts.cancelEntry(entry);
+      runContained(entry, () => {
+        end(entry, 'cancelled', 'the client disconnected');
+        attempts.cancelEntry(entry);
+      });
     },
     grantAnswer: (bytes) => entry.attempt?.handle?.grantAnswer(bytes),
     sendBody: (data, isLast) => {
-      if (!quota.retainBody(entry, data, isLast)) entry.attempt?.handle?.sendBody(data, isLast);
+      runContained(entry, () => {
+        if (!quota.retainBody(entry, data, isLast)) entry.attempt?.handle?.sendBody(data, isLast);
+      });
     },
   });
   const chooseService = (route: ReadView<Route>): string => {
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -1,8 +1,10 @@
 import { scheduleRepeated } from '../../core/clock.js';
 import { createPauseDetector } from '../../core/pauseDetector.js';
+import type { LinkFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { Controller } from '../context.js';
-import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
+import { reportInternalError } from './containment.js';
+import type { DialLink, LinkConnection, LinkEvents, RequestContext } from './context.js';
 import { createIncomingLinks } from './incomingLinks.js';
 import { createPeerUpdates } from './peerUpdates.js';
 import { createOutgoingLinks } from './outgoingLinks.js';
@@ -11,6 +13,8 @@
 const TICK_INTERVAL_MS = 125;
 /** Time without a tick after which received requests count as old (ms): their senders replace a silent link after 750 ms. */
 const MIN_PAUSE_MS = 1000;
+/** Reason of a connection that was closed after an error in the handling of a frame. */
+const INTERNAL_ERROR = 'internal error';
 
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
@@ -22,9 +26,43 @@
   const { board, clock } = context;
   const links = board.claim('links', 'linkController');
   const updates = createPeerUpdates(context);
-  const outgoing = createOutgoingLinks(context, links.section, { updates, publishChange: links.publishChange });
+  const dialLink: DialLink = (address, events) => {
+    const disconnect = context.io.dialLink(address, {
+      ...events,
+      receive: (frame) => {
+        receiveContained(frame, events.receive, () => {
+          disconnect();
+          events.closed(INTERNAL_ERROR);
+        });
+      },
+    });
+    return disconnect;
+  };
+  const outgoingContext = { ...context, io: { ...context.io, dialLink } };
+  const outgoing = createOutgoingLinks(outgoingContext, links.section, { updates, publishChange: links.publishChange });
   const pauses = createPauseDetector(clock, { minPauseMs: MIN_PAUSE_MS });
   const incoming = createIncomingLinks(context, { updates, readPause: pauses.readPause });
+  /** Handles a frame; an error in it ends the connection that carried it, as if the peer had closed it. */
+  const receiveContained = (frame: LinkFrame, receive: (frame: LinkFrame) => void, close: () => void): void => {
+    try {
+      receive(frame);
+    } catch (error) {
+      reportInternalError(board, { unit: 'link frame', error });
+      close();
+    }
+  };
+  const acceptLink: LinkController['acceptLink'] = (connection) => {
+    const events = incoming.accept(connection);
+    return {
+      receive: (frame) => {
+        receiveContained(frame, events.receive, () => {
+          connection.close();
+          events.closed(INTERNAL_ERROR);
+        });
+      },
+      closed: events.closed,
+    };
+  };
   let broadcastRevision = -1;
   let lastTickMs = clock.now();
   let stopTicks = (): void => undefined;
@@ -66,7 +104,7 @@
     outgoing.send({ type: 'crash', reportId, fingerprints: [...fingerprints] });
   });
   return {
-    acceptLink: incoming.accept,
+    acceptLink,
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -11,6 +11,7 @@
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
 import type { NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
+import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
 import { createDurabilityWaits } from './durabilityWaits.js';
 import { isHistoryKnown, LINK_WAIT_MS, RESTORE_WAIT_MS } from './hostHistory.js';
@@ -238,7 +239,14 @@
   };
   /** Returns the records that were new. */
   const applyRecords = (records: readonly NodeMember[], source: string, isComplete: boolean): NodeMember[] => {
-    const changed = records.filter((record) => applyRecord(record, source));
+    const changed = records.filter((record) => {
+      try {
+        return applyRecord(record, source);
+      } catch (error) {
+        reportInternalError(board, { unit: 'store record', error });
+        return false;
+      }
+    });
     const hasChanged = changed.length > 0 || (isComplete && !section.isComplete);
     if (isComplete && !section.isComplete) recordComplete();
     if (hasChanged) members.publishChange();
--- a/src/control/requests/routeController.ts
+++ b/src/control/requests/routeController.ts
@@ -3,6 +3,7 @@
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { compileSchema } from '../../schema/validate.js';
 import { routeConfigurationSchema } from '../../schema/routeConfiguration.js';
+import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
 import type { RequestPosts } from './sections.js';
 import { createFirstConfiguration } from './firstConfiguration.js';
@@ -92,7 +93,11 @@
         apply: (records) => {
           for (const { value, offset } of records) {
             if (validator.isValid(value)) {
-              board.post('routes', { configuration: value, source: 'store' });
+              try {
+                board.post('routes', { configuration: value, source: 'store' });
+              } catch (error) {
+                reportInternalError(board, { unit: 'store record', error });
+              }
             } else if (value !== undefined) {
               const [fault] = validator.listFaults(value);
               const inputs = { offset, path: fault?.path ?? '', found: fault?.found ?? '' };
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -3,6 +3,7 @@
 import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
+import { reportInternalError } from './containment.js';
 import { readAdvertisedPhase, readRunLimit } from './localLoad.js';
 import { computeQueueDeadline, createRun } from './run.js';
 import type { Run } from './run.js';
@@ -111,6 +112,16 @@
     end(run, failure.kind, failure.detail);
     run.events.fail(failure);
   };
+  /** Handles a part of a run; an error in it ends this run only, which may have reached the target. */
+  const runContained = (run: Run, handle: () => void): void => {
+    try {
+      handle();
+    } catch (error) {
+      reportInternalError(board, { unit: 'run', id: run.request.requestId, error });
+      run.target?.cancel();
+      fail(run, { kind: 'targetFailed', ran: 'unknown', hasArrived: true, detail: 'internal error' });
+    }
+  };
   const start = (run: Run): void => {
     const { address, id, startedAtMs } = board.read('target');
     run.phase = 'running';
@@ -122,15 +133,19 @@
       { address, targetId: id, request },
       {
         answer: (answer) => {
-          receiveAnswer(run, answer);
+          runContained(run, () => {
+            receiveAnswer(run, answer);
+          });
         },
         part: (data, isLast) => {
-          if (run.phase !== 'running') return;
-          if (isLast) endAnswered(run, 'streamed');
-          run.events.part(data, isLast);
+          runContained(run, () => {
+            receivePart(run, data, isLast);
+          });
         },
         fail: (failure) => {
-          fail(run, failure);
+          runContained(run, () => {
+            fail(run, failure);
+          });
         },
         grantBody: (bytes) => {
           run.events.grantBody(bytes);
@@ -143,6 +158,11 @@
     );
     sendWaitingBody(run);
   };
+  const receivePart = (run: Run, data: Uint8Array, isLast: boolean): void => {
+    if (run.phase !== 'running') return;
+    if (isLast) endAnswered(run, 'streamed');
+    run.events.part(data, isLast);
+  };
   const takeBody = (run: Run): WaitingBody | undefined => {
     const body = bodies.take(run);
     section.waitingBodyBytes = bodies.bytes;
@@ -176,7 +196,10 @@
     while (running.size < limit && queue.length > 0 && gate.admitNext()) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
       if (run === undefined) return;
-      if (run.deadlineAtMs > clock.now()) start(run);
+      if (run.deadlineAtMs > clock.now())
+        runContained(run, () => {
+          start(run);
+        });
       else endExpired(run);
     }
   };
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -182,6 +182,8 @@
     nextLine: number;
     /** Number of lines dropped by the rate limit or for lack of buffer space. */
     dropped: number;
+    /** Number of faults found in input from outside or in its handling, by fault. */
+    faults: Map<string, number>;
   };
 }
 
@@ -195,6 +197,13 @@
   refuse: (fault: string) => void;
 }
 
+/** The announcement of a target that it leaves. */
+export interface LeavePost {
+  type: 'leave';
+  id: string;
+  acknowledge: () => void;
+}
+
 /** The requests that other controllers and the front ends may post to the writer of a section. */
 export interface RequestPosts {
   settings: RequestSettings;
@@ -211,7 +220,7 @@
   store: { era: number; source: string };
   target:
     | HeartbeatPost
-    | { type: 'leave'; id: string; acknowledge: () => void }
+    | LeavePost
     | { type: 'eject'; reason: string; isDown: boolean }
     | { type: 'suspect' }
     | { type: 'answered' }
@@ -328,6 +337,6 @@
     budgets: { byService: new Map() },
     quotas: createQuotaSection(options.self.incarnation),
     quarantine: { byFingerprint: new Map(), reportIds: new Set(), lostRequests: [] },
-    decisions: { lines: [], nextLine: 0, dropped: 0 },
+    decisions: { lines: [], nextLine: 0, dropped: 0, faults: new Map() },
   };
 }
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -3,8 +3,9 @@
 import { findTargetFault } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
+import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
-import type { HeartbeatPost } from './sections.js';
+import type { HeartbeatPost, LeavePost } from './sections.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import type { TargetNotice } from './runPort.js';
 
@@ -255,9 +256,17 @@
       if (!isUp && section.id === id) eject('refuses connections', true);
     });
   };
+  /** Handles a message of a target; after an error it is not acknowledged, and the target sends it again. */
+  const receiveMessage = (post: HeartbeatPost | LeavePost): void => {
+    try {
+      if (post.type === 'heartbeat') checkHeartbeat(post);
+      else receiveLeave(post.id, post.acknowledge);
+    } catch (error) {
+      reportInternalError(board, { unit: 'heartbeat', error });
+    }
+  };
   target.handlePosts((post) => {
-    if (post.type === 'heartbeat') checkHeartbeat(post);
-    else if (post.type === 'leave') receiveLeave(post.id, post.acknowledge);
+    if (post.type === 'heartbeat' || post.type === 'leave') receiveMessage(post);
     else if (post.type === 'answered') restoreEjected();
     else if (post.type === 'suspect') probe();
     else if (post.type === 'notice') {
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -102,6 +102,15 @@
     'service',
     () => [...board.read('admission').chances].map(([service, { served, succeeded }]) => [service, served * succeeded]),
   );
+  new Gauge({
+    name: 'hemlock_faults',
+    help: 'Faults in input from outside, or in its handling, by fault',
+    labelNames: ['fault'] as const,
+    registers: [registry],
+    collect() {
+      for (const [fault, count] of board.read('decisions').faults) this.set({ fault }, count);
+    },
+  });
   addResultGauge('hemlock_runs', 'Requests at the local target that ended, by result', () => board.read('runs').counts);
   addGauge(
     registry,
