Match a request with the running requests in one pass

In the way: a request without a key to a route that the local target calls went through the running requests twice, once to count matches and once to find its parent, and looked up the callers of the route for each of them.

findParentRun passes each run to a function, with which the entry controller counts the matches. It looks up the callers only for runs that would be a better parent than the one found so far. Requests to other routes are still counted against all runs (addMatches): callers of a route are found by these counts. For them only the search for windows ends earlier; they never searched for a parent.

--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,5 +1,5 @@
 import { hashToUnit } from '../../core/hash.js';
-import { addMatches } from '../../policy/callMatches.js';
+import { addMatch, addMatches } from '../../policy/callMatches.js';
 import { RETRY_AFTER_MS } from '../../policy/nextStep.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { formatKind } from '../../policy/requestKind.js';
@@ -161,10 +161,23 @@
     if (running.size === 0) return undefined;
     const nowMs = clock.now();
     const { timeLeftMs } = request;
-    addMatches(section.matchedCalls, running, { called: route.name, timeLeftMs, nowMs });
-    const callers = board.read('demand').callersByRoute.get(route.name);
-    if (callers === undefined) return undefined;
-    return findParentRun({ runs: running, callers, timeLeftMs, nowMs })?.priority;
+    const { matchedCalls } = section;
+    const called = route.name;
+    const callers = board.read('demand').callersByRoute.get(called);
+    if (callers === undefined) {
+      addMatches(matchedCalls, running, { called, timeLeftMs, nowMs });
+      return undefined;
+    }
+    const parent = findParentRun({
+      runs: running,
+      callers,
+      timeLeftMs,
+      nowMs,
+      observeRun: (run, excessMs) => {
+        addMatch(matchedCalls, run.route, called, excessMs);
+      },
+    });
+    return parent?.priority;
   };
   /** Returns the refusal of a request that may not end before this node closes. */
   const findStopRefusal = (request: ClientRequest, route: ReadView<Route>): Refusal | undefined => {
--- a/src/policy/callMatches.ts
+++ b/src/policy/callMatches.ts
@@ -52,13 +52,24 @@
   request: { called: string; timeLeftMs: number; nowMs: number },
 ): void {
   const { called, timeLeftMs, nowMs } = request;
-  for (const { route, deadlineAtMs } of runs) {
-    const weight = computeMatchWeight(timeLeftMs - (deadlineAtMs - nowMs));
-    if (weight === 0 || route === called) continue;
-    const count = getCount(counts, route, called);
-    count.net += weight;
-    count.gross += Math.abs(weight);
-  }
+  for (const { route, deadlineAtMs } of runs) addMatch(counts, route, called, timeLeftMs - (deadlineAtMs - nowMs));
+}
+
+/**
+ * Counts one run as `addMatches` does, for code that goes through the runs for another purpose as well.
+ *
+ * @param ran Route of the run.
+ * @param called Route of the request.
+ * @param excessMs How much more time than the run the request has left.
+ * @example
+ * addMatch(counts, run.route, 'scan', timeLeftMs - (run.deadlineAtMs - clock.now()));
+ */
+export function addMatch(counts: MatchCounts, ran: string, called: string, excessMs: number): void {
+  const weight = computeMatchWeight(excessMs);
+  if (weight === 0 || ran === called) return;
+  const count = getCount(counts, ran, called);
+  count.net += weight;
+  count.gross += Math.abs(weight);
 }
 
 /** Creates an estimator without matches. */
@@ -133,6 +144,8 @@
 }
 
 function computeMatchWeight(excessMs: number): number {
+  // Most runs are in none of the windows.
+  if (excessMs > CONTROL_DISTANCE_MS + MAX_EXCESS_MS || excessMs < -CONTROL_DISTANCE_MS - MAX_SHORTFALL_MS) return 0;
   if (isInWindow(excessMs)) return 1;
   if (isInWindow(excessMs - CONTROL_DISTANCE_MS)) return OLDER_WEIGHT;
   return isInWindow(excessMs + CONTROL_DISTANCE_MS) ? YOUNGER_WEIGHT : 0;
--- a/src/policy/parentRun.ts
+++ b/src/policy/parentRun.ts
@@ -50,6 +50,11 @@
 /** Share of calls from which requests that match no run by their time left count as calls. */
 const MIN_CALL_SHARE = 0.5;
 
+/** How the time left of a run compares with that of a request, the best match first. */
+const SAME_TIME_LEFT = 0;
+const MORE_TIME_LEFT = 1;
+const LESS_TIME_LEFT = 2;
+
 /**
  * Finds the run to which a request that entered beside its target belongs, since calls name no parent. It answers a load
  * in which calls of urgent requests wait behind new requests, although most of the work of their trees is done.
@@ -67,22 +72,27 @@
   callers: RouteCallers;
   timeLeftMs: number;
   nowMs: number;
+  /** Receives each run and how much more time than the run the request has left (ms). Default: ignores them. */
+  observeRun?: (run: Run, excessMs: number) => void;
 }): Run | undefined {
-  const { runs, callers, timeLeftMs, nowMs } = options;
-  let matching: Run | undefined;
-  let lasting: Run | undefined;
-  let any: Run | undefined;
+  const { runs, callers, timeLeftMs, nowMs, observeRun } = options;
+  let parent: Run | undefined;
+  let priority = Infinity;
+  let fit = callers.callShare < MIN_CALL_SHARE ? SAME_TIME_LEFT : LESS_TIME_LEFT;
   for (const run of runs) {
-    if (!callers.routes.has(run.route)) continue;
     const excessMs = timeLeftMs - (run.deadlineAtMs - nowMs);
-    if (excessMs >= -MAX_SHORTFALL_MS && excessMs <= MAX_EXCESS_MS) matching = chooseMoreUrgent(matching, run);
-    if (excessMs <= MAX_EXCESS_MS) lasting = chooseMoreUrgent(lasting, run);
-    any = chooseMoreUrgent(any, run);
+    observeRun?.(run, excessMs);
+    const runFit = computeFit(excessMs);
+    if (runFit > fit || (runFit === fit && run.priority >= priority)) continue;
+    if (!callers.routes.has(run.route)) continue;
+    parent = run;
+    priority = run.priority;
+    fit = runFit;
   }
-  if (matching !== undefined || callers.callShare < MIN_CALL_SHARE) return matching;
-  return lasting ?? any;
+  return parent;
 }
 
-function chooseMoreUrgent<Run extends RunUnderWay>(current: Run | undefined, run: Run): Run {
-  return current === undefined || run.priority < current.priority ? run : current;
+function computeFit(excessMs: number): number {
+  if (excessMs > MAX_EXCESS_MS) return LESS_TIME_LEFT;
+  return excessMs < -MAX_SHORTFALL_MS ? MORE_TIME_LEFT : SAME_TIME_LEFT;
 }
--- a/tests/requests/wholeRequests.test.ts
+++ b/tests/requests/wholeRequests.test.ts
@@ -128,6 +128,23 @@
     expect(findParentRun({ runs, callers, timeLeftMs: 700, nowMs: 1000 })?.priority).toEqual(2);
   });
 
+  // Guards against callers of a route that are never found because other callers are already known.
+  it('should be searched for among all runs, each observed once with the time that the request has more', () => {
+    const observed: [string, number][] = [];
+    findParentRun({
+      runs,
+      callers,
+      timeLeftMs: 802,
+      nowMs: 1000,
+      observeRun: ({ route }, excessMs) => observed.push([route, excessMs]),
+    });
+    expect(observed).toEqual([
+      ['scan', 2],
+      ['scan', 302],
+      ['page', 2],
+    ]);
+  });
+
   // Guards against clients that get ahead of others with requests to a route that targets call, too.
   it('should not include requests without such a match to a route that clients use most', () => {
     const shared = { ...callers, callShare: 0.3 };
