Count arrivals with the priority of their entry

In the way: countArrival derived the priority of a request from its organisation and route again, as createEntry had done, and countOrganisation checked for calls of running requests separately.

Only requests of clients count for their organisation and for a priority that differs from that of the route, so both use the priority of the entry after one check for calls. Such a call never has an organisation, so what is counted is the same.

--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -134,8 +134,7 @@
     startEntry(entry);
     return buildHandle(entry);
   };
-  const countOrganisation = ({ route, priority, organisation, isStarted }: Entry): void => {
-    if (isStarted) return;
+  const countOrganisation = ({ route, priority, organisation }: Entry): void => {
     const { arrivedByOrganisation } = section;
     const kind = formatKind(route, priority);
     const name = organisation?.name ?? '';
@@ -145,10 +144,11 @@
   };
   /** Counts a request for admission, which divides the room among requests inside the quotas only. */
   const countArrival = (entry: Entry): void => {
-    const { route, organisation } = entry;
+    const { route, priority } = entry;
     const { arrivedByRoute, arrivedByPriority } = section;
     arrivedByRoute.set(route.name, (arrivedByRoute.get(route.name) ?? 0) + 1);
-    const priority = organisation?.priority ?? route.priority;
+    // A call has the priority of its run; it is not admitted anew.
+    if (entry.isStarted) return;
     if (board.read('routes').table?.organisationByKey !== undefined) countOrganisation(entry);
     if (priority === route.priority) return;
     let byPriority = arrivedByPriority.get(route.name);
