Split the outgoing links by concern

In the way: outgoingLinks.ts had 315 lines and three jobs: opening and replacing connections, deciding when a lane is unresponsive, and choosing peers and sending to them.

outgoingDialer.ts opens and replaces connections, outgoingCheck.ts has the time limits and the check of a lane, and outgoingLinks.ts (197 lines) keeps the peers.

--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -5,6 +5,7 @@
 import { createEmptyProfile, createUnknownLoad } from './sections.js';
 import type { LinkState, PeerState } from './sections.js';
 
+/** Mean pause before the first attempt to connect again (ms). */
 export const MIN_REDIAL_MS = 10;
 
 /** One lane of a link that this node opened. Times are monotonic (ms). */
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -1,37 +1,18 @@
-import { observeStoreEra } from './storeReading.js';
-import type { HelloFrame, LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
+import type { LinkFrame, LinkLane, StatusFrame } from '../../schema/linkFrame.js';
 import type { ReadView } from '../../core/blackboard.js';
 import { choosePeers } from '../../policy/peerChoice.js';
 import { listUrgentServices } from '../../policy/organisations.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import { chooseLane, isInOwnDataCenter } from './context.js';
 import type { RequestContext } from './context.js';
-import { sendHistory } from './hostHistory.js';
-import type { PeerUpdates } from './peerUpdates.js';
-import { createLane, createPeer, MIN_REDIAL_MS } from './outgoingLane.js';
+import { createLaneCheck } from './outgoingCheck.js';
+import { createOutgoingDialer } from './outgoingDialer.js';
+import { createLane, createPeer } from './outgoingLane.js';
 import type { OutgoingLane } from './outgoingLane.js';
+import type { PeerUpdates } from './peerUpdates.js';
 import type { RunAttempt } from './runPort.js';
 import type { PeerState, RequestSections } from './sections.js';
-
-/** Time without received frames after which a connection with pending requests is replaced (ms). */
-const ACTIVE_TIMEOUT_MS = 750;
-/**
- * The same after the first request that was sent since the last frame, to which the peer responds at once (ms). The request
- * itself may have been given up since.
- */
-const UNANSWERED_TIMEOUT_MS = 500;
-/** The same for an idle routine connection; idle urgent connections carry no frames and are not checked. */
-const IDLE_TIMEOUT_MS = 5000;
-/**
- * The same within a data centre (ms): a node that does not wait for changes at the store learns of them over these
- * connections, which may go silent together with those of the nodes that wait.
- */
-const LOCAL_IDLE_TIMEOUT_MS = 2500;
-/** Time within which a lane must reconnect before its pending requests fail (ms). */
-const RECONNECT_GRACE_MS = 500;
-const MAX_REDIAL_MS = 1000;
-/** Maximum number of bytes buffered on a connection before it counts as stalled. */
-const MAX_BUFFERED_BYTES = 8 * 1024 * 1024;
+import { observeStoreEra } from './storeReading.js';
 
 /** Time without a connection to a peer after which another one is chosen in its place (ms). */
 const UNUSABLE_AFTER_MS = 1500;
@@ -62,81 +43,14 @@
   section: RequestSections['links'],
   options: { updates: PeerUpdates; publishChange: () => void },
 ): OutgoingLinks {
-  const { board, clock, random, io } = context;
+  const { board, clock } = context;
   const { byHost } = section;
   const outgoing = new Map<string, OutgoingLane>();
   let chosenAtMs = -Infinity;
-  let isStopped = false;
   // Peers know a request by this number and the incarnation of its sender, also after the lane was closed and opened again.
   let nextRunId = 0;
 
   const buildKey = (host: string, lane: LinkLane): string => `${lane} ${host}`;
-  const reportLink = (lane: OutgoingLane, outcome: string, detail: string): void => {
-    const inputs = { peer: lane.peer.host, lane: lane.lane, pending: lane.runs.pendingCount, detail };
-    board.post('decisions', { kind: 'linkChanged', outcome, inputs });
-  };
-  const dial = (lane: OutgoingLane): void => {
-    const state = lane.peer.lanes[lane.lane];
-    if (isStopped || lane.isRemoved || state.phase !== 'down') return;
-    state.phase = 'dialling';
-    lane.disconnect = io.dialLink(lane.address, {
-      opened: (connection) => {
-        lane.connection = connection;
-        state.lastReceivedMs = clock.now();
-        state.unansweredSinceMs = undefined;
-        const { self } = board.read('members');
-        const pending = lane.runs.listPending();
-        connection.send({ type: 'hello', to: lane.peer.host, member: self as NodeMember, lane: lane.lane, pending });
-      },
-      receive: (frame) => {
-        receive(lane, frame);
-      },
-      closed: (reason) => {
-        handleDisconnect(lane, reason);
-      },
-    });
-  };
-  const handleDisconnect = (lane: OutgoingLane, reason: string): void => {
-    const state = lane.peer.lanes[lane.lane];
-    if (state.phase === 'down') return;
-    if (state.phase === 'up') {
-      lane.disconnectedAtMs = clock.now();
-      reportLink(lane, 'down', reason);
-    }
-    state.phase = 'down';
-    lane.connection = undefined;
-    lane.disconnect = () => undefined;
-    lane.runs.detach();
-    options.publishChange();
-    const pauseMs = lane.redialPauseMs * (0.5 + random());
-    lane.redialPauseMs = Math.min(MAX_REDIAL_MS, lane.redialPauseMs * 2);
-    clock.schedule(pauseMs, () => {
-      dial(lane);
-    });
-  };
-  const reconnect = (lane: OutgoingLane, reason: string): void => {
-    lane.disconnect();
-    handleDisconnect(lane, reason);
-  };
-  const receiveHello = (lane: OutgoingLane, { member }: HelloFrame): void => {
-    if (lane.connection === undefined) return;
-    if (member.host !== lane.peer.host) {
-      reconnect(lane, `host ${member.host} answered at ${lane.address}`);
-      board.post('members', { type: 'apply', members: [member], source: member.host, isComplete: false });
-      return;
-    }
-    if (lane.incarnation !== '' && lane.incarnation !== member.incarnation) {
-      lane.runs.failAll(`the process of ${lane.peer.host} was restarted`);
-    }
-    sendHistory(board, lane.connection, member);
-    lane.incarnation = member.incarnation;
-    lane.redialPauseMs = MIN_REDIAL_MS;
-    lane.peer.lanes[lane.lane].phase = 'up';
-    lane.runs.attach(lane.connection);
-    reportLink(lane, 'up', '');
-    board.post('members', { type: 'apply', members: [member], source: lane.peer.host, isComplete: false });
-    options.publishChange();
-  };
   const receiveStatus = (peer: PeerState, frame: StatusFrame): void => {
     const hasChanged =
       peer.load.phase !== frame.load.phase ||
@@ -163,11 +77,16 @@
     state.unansweredSinceMs = undefined;
     if (frame.type === 'answer' || frame.type === 'failed') updateLoad(peer, frame.load);
     if (lane.runs.receive(frame)) return;
-    if (frame.type === 'hello') receiveHello(lane, frame);
+    if (frame.type === 'hello') dialer.receiveHello(lane, frame);
     else if (frame.type === 'status') receiveStatus(peer, frame);
     else if (frame.type === 'profile') peer.profile = frame.profile;
     else options.updates.receive(peer.host, frame, lane.connection);
   };
+  const dialer = createOutgoingDialer(context, { receive, publishChange: options.publishChange });
+  const checkLane = createLaneCheck(context, {
+    reconnect: dialer.reconnect,
+    findSibling: ({ peer, lane }) => outgoing.get(buildKey(peer.host, lane === 'urgent' ? 'routine' : 'urgent')),
+  });
   const getPeer = (host: string): PeerState => {
     let peer = byHost.get(host);
     if (peer === undefined) byHost.set(host, (peer = createPeer(host)));
@@ -186,10 +105,10 @@
         takeRunId: () => nextRunId++,
       });
       outgoing.set(key, opened);
-      dial(opened);
+      dialer.dial(opened);
     } else if (known.address !== member.linkAddress) {
       known.address = member.linkAddress;
-      reconnect(known, 'the peer address changed');
+      dialer.reconnect(known, 'the peer address changed');
     }
   };
   const isUsable = (host: string): boolean => {
@@ -237,37 +156,6 @@
     lane.disconnect();
     lane.runs.failAll(`${lane.peer.host} is no longer a member or peer`);
   };
-  /** Replaces the other connection to a peer whose connection fell silent, if no request waits on it. */
-  const replaceIdleSibling = ({ peer, lane }: OutgoingLane): void => {
-    const sibling = outgoing.get(buildKey(peer.host, lane === 'urgent' ? 'routine' : 'urgent'));
-    if (sibling === undefined || sibling.runs.pendingCount > 0) return;
-    if (peer.lanes[sibling.lane].phase === 'up') reconnect(sibling, `the ${lane} connection fell silent`);
-  };
-  const checkLane = (lane: OutgoingLane, nowMs: number): void => {
-    const state = lane.peer.lanes[lane.lane];
-    const { pendingCount } = lane.runs;
-    if (state.phase !== 'up') {
-      if (pendingCount > 0 && nowMs - lane.disconnectedAtMs > RECONNECT_GRACE_MS) {
-        lane.runs.failAll(`${lane.peer.host} has been unreachable for ${Math.round(nowMs - lane.disconnectedAtMs)} ms`);
-      }
-      if (lane.connection !== undefined && nowMs - state.lastReceivedMs > ACTIVE_TIMEOUT_MS)
-        reconnect(lane, 'no hello frame received');
-      return;
-    }
-    const unansweredMs = nowMs - (state.unansweredSinceMs ?? nowMs);
-    if (unansweredMs > UNANSWERED_TIMEOUT_MS) {
-      reconnect(lane, `no sign of life for ${Math.round(unansweredMs)} ms after a request`);
-      replaceIdleSibling(lane);
-      return;
-    }
-    if (pendingCount === 0 && lane.lane === 'urgent') return;
-    const waitStartMs = Math.max(state.lastReceivedMs, pendingCount > 0 ? lane.waitingSinceMs : 0);
-    const idleTimeoutMs = isInOwnDataCenter(board, lane.peer.host) ? LOCAL_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
-    const timeoutMs = pendingCount > 0 ? ACTIVE_TIMEOUT_MS : idleTimeoutMs;
-    if (nowMs - waitStartMs > timeoutMs)
-      reconnect(lane, `nothing received for ${Math.round(nowMs - state.lastReceivedMs)} ms`);
-    else if ((lane.connection?.bufferedBytes ?? 0) > MAX_BUFFERED_BYTES) reconnect(lane, 'the connection is stalled');
-  };
   return {
     updatePeers,
     sendRun: (attempt, isUrgent) => {
@@ -308,7 +196,7 @@
       }
     },
     stop: () => {
-      isStopped = true;
+      dialer.stop();
       for (const lane of outgoing.values()) lane.disconnect();
     },
   };
