--- a/src/control/requests/outgoingLane.ts
+++ b/src/control/requests/outgoingLane.ts
@@ -2,8 +2,7 @@
 import type { LinkConnection } from './context.js';
 import { createOutgoingRuns } from './outgoingRuns.js';
 import type { OutgoingRuns } from './outgoingRuns.js';
-import { createEmptyProfile, createUnknownLoad } from './sections.js';
-import type { LinkState, PeerState } from './sections.js';
+import type { PeerState } from './peerState.js';
 
 /** Mean pause before the first attempt to connect again (ms). */
 export const MIN_REDIAL_MS = 10;
@@ -25,30 +24,6 @@
   isRemoved: boolean;
 }
 
-function createLinkState(): LinkState {
-  return { phase: 'down', lastReceivedMs: 0, unansweredSinceMs: undefined };
-}
-
-/** Creates the state of a peer from which nothing has been received. */
-export function createPeer(host: string): PeerState {
-  return {
-    host,
-    lanes: { urgent: createLinkState(), routine: createLinkState() },
-    load: createUnknownLoad(),
-    loadAtMs: 0,
-    sentSinceReport: 0,
-    outstanding: 0,
-    configurationVersion: -1,
-    isStoreLost: false,
-    memberCount: 0,
-    membersDigest: undefined,
-    held: undefined,
-    profile: createEmptyProfile(),
-    takesRuns: true,
-    lastTargetId: '',
-  };
-}
-
 /** Creates a lane without a connection; `takeRunId` numbers its requests. */
 export function createLane(options: {
   peer: PeerState;
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -7,11 +7,13 @@
 import type { RequestContext } from './context.js';
 import { createLaneCheck } from './outgoingCheck.js';
 import { createOutgoingDialer } from './outgoingDialer.js';
-import { createLane, createPeer } from './outgoingLane.js';
+import { createLane } from './outgoingLane.js';
 import type { OutgoingLane } from './outgoingLane.js';
+import { createPeer } from './peerState.js';
+import type { PeerState } from './peerState.js';
 import type { PeerUpdates } from './peerUpdates.js';
 import type { RunAttempt } from './runPort.js';
-import type { PeerState, RequestSections } from './sections.js';
+import type { RequestSections } from './sections.js';
 import { observeStoreEra } from './storeReading.js';
 
 /** Time without a connection to a peer after which another one is chosen in its place (ms). */
--- /dev/null
+++ b/src/control/requests/requestPosts.ts
@@ -0,0 +1,51 @@
+import type { StopPlan } from '../../policy/stopPlan.js';
+import type { Decision } from '../../schema/decision.js';
+import type { QuotaAskFrame } from '../../schema/linkFrame.js';
+import type { Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
+import type { RequestSettings } from '../../schema/requestSettings.js';
+import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
+import type { QuotaPost } from './quotaSection.js';
+import type { RunAttempt, TargetNotice } from './runPort.js';
+
+/** The requests that other controllers and the front ends may post to the writer of a section. */
+export interface RequestPosts {
+  settings: RequestSettings;
+  node: { type: 'stop'; plan: StopPlan };
+  routes: { configuration: RouteConfiguration; source: string };
+  members:
+    | { type: 'apply'; members: readonly NodeMember[]; source: string; isComplete: boolean }
+    | { type: 'publishTarget'; target: PublishedTarget }
+    /**
+     * Calls `run` once the published state of the target outlasts this process: once the store has it, or, if the store is
+     * late, enough peers do.
+     */
+    | { type: 'whenDurable'; run: () => void };
+  store: { era: number; source: string };
+  target:
+    | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
+    | { type: 'leave'; id: string; acknowledge: () => void }
+    | { type: 'eject'; reason: string; isDown: boolean }
+    | { type: 'suspect' }
+    | { type: 'answered' }
+    /** The target, named by its id and start time, answered a request that was sent to it at `sentAtMs`. */
+    | { type: 'notice'; id: string; startedAtMs: number; sentAtMs: number; notice: TargetNotice };
+  links:
+    /** `isUrgent`: it may take the lane of urgent requests. */
+    | { type: 'send'; attempt: RunAttempt; isUrgent: boolean }
+    | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
+    /** Passes records that were read from the store to the peers in the own data centre. */
+    | { type: 'members'; members: readonly NodeMember[] }
+    | { type: 'quotaAsk'; host: string; frame: QuotaAskFrame };
+  runs: { type: 'accept'; attempt: RunAttempt };
+  entries: never;
+  demand: never;
+  speeds: never;
+  admission: never;
+  budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
+  quotas: QuotaPost;
+  quarantine:
+    | { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string }
+    | { type: 'requestLost'; fingerprint: number }
+    | { type: 'targetCrashed'; targetId: string };
+  decisions: Decision;
+}
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -1,7 +1,7 @@
 import type { Board } from '../../core/blackboard.js';
 import type { ServiceCorrection } from '../../policy/admission.js';
-import type { CallGraphEstimator } from '../../policy/callGraph.js';
 import { createCallGraphEstimator } from '../../policy/callGraph.js';
+import type { CallGraphEstimator } from '../../policy/callGraph.js';
 import { createCallMatchEstimator } from '../../policy/callMatches.js';
 import type { CallMatchEstimator, MatchCounts } from '../../policy/callMatches.js';
 import { createDurationEstimate } from '../../policy/durationEstimate.js';
@@ -19,56 +19,26 @@
 import type { PaceHint } from '../../policy/paceHint.js';
 import type { RecoveryPace } from '../../policy/recoveryPace.js';
 import { createRunQueue } from '../../policy/runQueue.js';
+import type { RunQueue } from '../../policy/runQueue.js';
 import type { ServiceChance } from '../../policy/servedShare.js';
 import type { StopPlan } from '../../policy/stopPlan.js';
 import type { StoreEra } from '../../policy/storeEra.js';
 import type { ServiceSpeeds } from '../../policy/targetSpeed.js';
-import type { RunQueue } from '../../policy/runQueue.js';
-import type { Decision } from '../../schema/decision.js';
-import type { LinkLane, LoadReport, Profile, QuotaAskFrame, RecordVersion } from '../../schema/linkFrame.js';
-import type { Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
+import type { Profile } from '../../schema/linkFrame.js';
+import type { NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
-import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { SuspectState } from '../../schema/state.js';
+import { createEmptyProfile } from './peerState.js';
+import type { PeerState } from './peerState.js';
 import { createQuotaSection } from './quotaSection.js';
-import type { QuotaPost, QuotaSection } from './quotaSection.js';
+import type { QuotaSection } from './quotaSection.js';
+import type { RequestPosts } from './requestPosts.js';
 import type { Run } from './run.js';
-import type { RunAttempt, TargetNotice } from './runPort.js';
 import type { TargetState } from './targetState.js';
 
-/** One connection to a peer on one lane. */
-export interface LinkState {
-  phase: 'down' | 'dialling' | 'up';
-  /** Monotonic time (ms) of the last received frame. */
-  lastReceivedMs: number;
-  /** Monotonic time (ms) of the first request that was sent since then; undefined if there is none. */
-  unansweredSinceMs: number | undefined;
-}
-
-/** State of another node as received over the links. Times are monotonic (ms). */
-export interface PeerState {
-  readonly host: string;
-  readonly lanes: Record<LinkLane, LinkState>;
-  load: LoadReport;
-  loadAtMs: number;
-  /** Number of requests sent since the last load report. */
-  sentSinceReport: number;
-  /** Number of requests sent and not settled yet. */
-  outstanding: number;
-  configurationVersion: number;
-  /** True while it cannot read the configuration from the store. */
-  isStoreLost: boolean;
-  memberCount: number;
-  /** Undefined until a status with a digest was received. */
-  membersDigest: number | undefined;
-  /** The version of this node's own record that the peer holds; undefined until it was received. */
-  held: RecordVersion | undefined;
-  profile: Profile;
-  /** False if the link only serves the quotas: this node then sends no requests over it. */
-  takesRuns: boolean;
-  /** Id of the target to which the last request was sent; empty before the first one. */
-  lastTargetId: string;
-}
+export { createEmptyProfile, createUnknownLoad } from './peerState.js';
+export type { LinkState, PeerState } from './peerState.js';
+export type { RequestPosts } from './requestPosts.js';
 
 /** All shared state of a request node. docs/design.md lists writer, readers and size bound of each section. */
 export interface RequestSections {
@@ -185,61 +155,8 @@
   };
 }
 
-/** The requests that other controllers and the front ends may post to the writer of a section. */
-export interface RequestPosts {
-  settings: RequestSettings;
-  node: { type: 'stop'; plan: StopPlan };
-  routes: { configuration: RouteConfiguration; source: string };
-  members:
-    | { type: 'apply'; members: readonly NodeMember[]; source: string; isComplete: boolean }
-    | { type: 'publishTarget'; target: PublishedTarget }
-    /**
-     * Calls `run` once the published state of the target outlasts this process: once the store has it, or, if the store is
-     * late, enough peers do.
-     */
-    | { type: 'whenDurable'; run: () => void };
-  store: { era: number; source: string };
-  target:
-    | { type: 'heartbeat'; id: string; heartbeat: Heartbeat; acknowledge: () => void }
-    | { type: 'leave'; id: string; acknowledge: () => void }
-    | { type: 'eject'; reason: string; isDown: boolean }
-    | { type: 'suspect' }
-    | { type: 'answered' }
-    /** The target, named by its id and start time, answered a request that was sent to it at `sentAtMs`. */
-    | { type: 'notice'; id: string; startedAtMs: number; sentAtMs: number; notice: TargetNotice };
-  links:
-    /** `isUrgent`: it may take the lane of urgent requests. */
-    | { type: 'send'; attempt: RunAttempt; isUrgent: boolean }
-    | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
-    /** Passes records that were read from the store to the peers in the own data centre. */
-    | { type: 'members'; members: readonly NodeMember[] }
-    | { type: 'quotaAsk'; host: string; frame: QuotaAskFrame };
-  runs: { type: 'accept'; attempt: RunAttempt };
-  entries: never;
-  demand: never;
-  speeds: never;
-  admission: never;
-  budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
-  quotas: QuotaPost;
-  quarantine:
-    | { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string }
-    | { type: 'requestLost'; fingerprint: number }
-    | { type: 'targetCrashed'; targetId: string };
-  decisions: Decision;
-}
-
 export type RequestBoard = Board<RequestSections, RequestPosts>;
 
-/** Returns the load of a node that has not reported one yet. */
-export function createUnknownLoad(): LoadReport {
-  return { phase: 'none', service: '', targetId: '', running: 0, queued: 0, limit: 1, durationMs: 0, failureShare: 0 };
-}
-
-/** Returns the profile of a node that has not reported one yet. */
-export function createEmptyProfile(): Profile {
-  return { demand: [], calls: [], durations: [] };
-}
-
 /** Creates the sections of a starting node. */
 export function createRequestSections(options: {
   settings: RequestSettings;
