--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -1,32 +1,17 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
-import type { ClientReply, ClientRequest } from '../../src/control/requests/entry.js';
-import type { RunHandle } from '../../src/control/requests/runPort.js';
-import { createSystemClock } from '../../src/core/clock.js';
+import type { ClientRequest } from '../../src/control/requests/entry.js';
 import { createFakeClock } from '../../src/core/fakeClock.js';
-import { startRequestServer } from '../../src/http/requestServer.js';
 import type { RequestServer } from '../../src/http/requestServer.js';
-import type { RequestLimits } from '../../src/schema/routeConfiguration.js';
-import { openTestClient } from '../fixtures/frontEnd.js';
-import type { TestClient } from '../fixtures/frontEnd.js';
-import { testHeaderNames } from '../fixtures/requests.js';
+import { openTestClient, sendAnswer, startFrontEnd } from '../fixtures/frontEnd.js';
+import type { FrontEnd, FrontEndOptions, PassedRequest, TestClient } from '../fixtures/frontEnd.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
-interface Accepted {
-  request: ClientRequest;
-  reply: ClientReply;
-  wasCancelled: boolean;
-  granted: number;
-  parts: Buffer[];
-  hasEnded: boolean;
-}
+const limits = { maxHeaderBytes: 2000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 };
 
-const limits: RequestLimits = {
-  maxHeaderBytes: 2000,
-  maxBodyBytes: 500_000,
-  headerTimeoutMs: 3000,
-  idleTimeoutMs: 15_000,
-};
+function sendOk(passed: PassedRequest): void {
+  sendAnswer(passed, 'ok');
+}
 
 describe('request server', () => {
   const cleanups: (() => void)[] = [];
@@ -34,53 +19,26 @@
     for (const run of cleanups.splice(0)) run();
   });
 
+  async function start(options: FrontEndOptions): Promise<FrontEnd> {
+    const frontEnd = await startFrontEnd({ limits, ...options });
+    cleanups.push(frontEnd.stop);
+    return frontEnd;
+  }
   async function startServer(
-    respond: (accepted: Accepted) => void = () => undefined,
-  ): Promise<{ server: RequestServer; accepted: Accepted[] }> {
-    const accepted: Accepted[] = [];
-    const server = await startRequestServer({
-      listen: '127.0.0.1:0',
-      names: testHeaderNames,
-      clock: createSystemClock(),
-      maxConnections: 100,
-      maxHeldBytes: 4_000_000,
-      reportEvictions: () => undefined,
-      isIdempotent: () => false,
-      readLimits: () => limits,
-      accept: (request, reply): RunHandle => {
-        const entry: Accepted = { request, reply, wasCancelled: false, granted: 0, parts: [], hasEnded: false };
-        accepted.push(entry);
-        respond(entry);
-        return {
-          cancel: () => {
-            entry.wasCancelled = true;
-          },
-          grantAnswer: (bytes) => {
-            entry.granted += bytes;
-          },
-          sendBody: (data, isLast) => {
-            entry.parts.push(Buffer.from(data));
-            entry.hasEnded = isLast;
-          },
-        };
-      },
-    });
-    cleanups.push(server.stop);
-    return { server, accepted };
+    respond: (accepted: PassedRequest) => void = () => undefined,
+  ): Promise<{ server: RequestServer; accepted: PassedRequest[] }> {
+    const { server, passed } = await start({ respond });
+    return { server, accepted: passed };
   }
   function openClient(server: RequestServer): TestClient {
     const client = openTestClient(server.address);
     cleanups.push(() => client.socket.destroy());
     return client;
   }
-  const sendAnswer = (accepted: Accepted, body = 'ok'): void => {
-    const headers = ['test-id', accepted.request.requestId, 'test-signature', 's'];
-    accepted.reply.answer({ status: 200, headers, body: Buffer.from(body), isStreamed: false });
-  };
 
   // Guards against the key of an organisation, or the name that a client claims, reaching a target.
   it('should separate the key and the sender headers from the forwarded ones', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const { socket } = openClient(server);
     socket.write(
       'GET /stock/1 HTTP/1.1\r\nHost: shop\r\ntest-id: r1\r\nAuthorization: bearer k-1\r\n' +
@@ -96,7 +54,7 @@
   });
 
   it('should pass on method, path, host, time left and end-to-end headers, without the headers that only nodes set', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const client = openClient(server);
     client.socket.write(
       'GET /stock/1?full=1 HTTP/1.1\r\nHost: shop.example\r\ntest-id: r1\r\ntest-time-left: 750\r\n' +
@@ -115,7 +73,7 @@
   });
 
   it('should serve several requests on one connection, including pipelined ones', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const client = openClient(server);
     client.socket.write(
       'GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\ntest-id: r2\r\n\r\n',
@@ -128,7 +86,7 @@
   it('should refuse a HEAD request without a body, and serve the next request on the connection', async () => {
     const { server, accepted } = await startServer((entry) => {
       if (entry.request.method === 'HEAD') entry.reply.refuse({ kind: 'noTarget', detail: 'none' });
-      else sendAnswer(entry);
+      else sendOk(entry);
     });
     const client = openClient(server);
     client.socket.write('HEAD /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
@@ -140,7 +98,7 @@
   });
 
   it('should pass on a short body as a whole, whether sent with a length or in chunks', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const client = openClient(server);
     client.socket.write('POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 4\r\n\r\nbody');
     await waitUntil('the first request was accepted', () => accepted.length === 1);
@@ -247,7 +205,7 @@
   ];
   for (const [what, text, status] of malformed) {
     it(`should answer a request ${what} with ${status} and close the connection`, async () => {
-      const { server, accepted } = await startServer(sendAnswer);
+      const { server, accepted } = await startServer(sendOk);
       const client = openClient(server);
       client.socket.write(text);
       await waitUntil('the connection was closed', client.isClosed);
@@ -278,7 +236,7 @@
       await new Promise((resolve) => setTimeout(resolve, 10));
       expect(accepted.length).toEqual(index + 1);
       const entry = accepted[index];
-      if (entry !== undefined) sendAnswer(entry, entry.request.path);
+      if (entry !== undefined) sendAnswer(entry);
     }
     await waitUntil('all answers arrived', () => client.readText().endsWith('/c'));
     expect(client.readText().match(/\/[abc]$|\/[abc](?=HTTP)/g)).toEqual(['/a', '/b', '/c']);
@@ -286,18 +244,7 @@
 
   it('should close idle connections and refuse requests whose head does not arrive in time', async () => {
     const clock = createFakeClock();
-    const server = await startRequestServer({
-      listen: '127.0.0.1:0',
-      names: testHeaderNames,
-      clock,
-      maxConnections: 100,
-      maxHeldBytes: 4_000_000,
-      reportEvictions: () => undefined,
-      isIdempotent: () => false,
-      readLimits: () => limits,
-      accept: () => ({ cancel: () => undefined, grantAnswer: () => undefined, sendBody: () => undefined }),
-    });
-    cleanups.push(server.stop);
+    const { server } = await start({ clock });
     const idle = openClient(server);
     const slow = openClient(server);
     slow.socket.write('GET /a HTTP/1.1\r\nHost: h\r\n');
@@ -311,7 +258,7 @@
   });
 
   it('should send 100 Continue to a client that expects it', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const client = openClient(server);
     const head = 'POST /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n';
     client.socket.write(head);
@@ -322,7 +269,7 @@
   });
 
   it('should accept any method and more headers than one parser event carries', async () => {
-    const { server, accepted } = await startServer(sendAnswer);
+    const { server, accepted } = await startServer(sendOk);
     const client = openClient(server);
     const methods = ['GET', 'PUT', 'PATCH', 'DELETE', 'OPTIONS', 'PURGE', 'REPORT', 'LINK'];
     const many = Array.from({ length: 60 }, (_, index) => `X-${index}: ${index}\r\n`).join('');
@@ -333,7 +280,7 @@
   });
 
   it('should close each connection after its response once a stop was announced', async () => {
-    const { server } = await startServer(sendAnswer);
+    const { server } = await startServer(sendOk);
     server.announceStop();
     const client = openClient(server);
     client.socket.write('GET /a HTTP/1.1\r\nHost: h\r\ntest-id: r1\r\n\r\n');
