Share what command handlers, call endpoints and runs repeat

readNamedLog and getOperator (src/cli/logOptions.ts), cancelWhenClosed (callReply.ts) and markFinished (dispatcher.ts) serve both places; Run extends QueuedRun and RunUnderWay.

--- a/src/cli/commands/drain.ts
+++ b/src/cli/commands/drain.ts
@@ -5,6 +5,7 @@
 import { EXIT_SUCCESS } from '../commandResult.js';
 import type { CommandResult } from '../commandResult.js';
 import { formatOutcome, getPublishExitCode } from '../formatOutcome.js';
+import { getOperator } from '../logOptions.js';
 import { publishChange } from '../publishChange.js';
 import { getDocumentInForce, readLogToEnd } from '../readLog.js';
 
@@ -37,7 +38,6 @@
   const service = getRequiredOption(options, 'service', 'HEMLOCK_SERVICE');
   const timeoutMs = getSecondsOption(options, 'timeout') * 1000;
   const log = context.createLog(url);
-  const { operator } = options;
   const shouldDrain = options['undo'] !== true;
   let outcome: PublishOutcome | undefined;
   for (let attempt = 0; attempt < MAX_ATTEMPTS; attempt++) {
@@ -52,7 +52,7 @@
       document: { ...document, drainedHosts: shouldDrain ? [...otherHosts, host] : otherHosts },
       url,
       timeoutMs,
-      operator: typeof operator === 'string' && operator !== '' ? operator : context.operator,
+      operator: getOperator(context, options),
       changeId: context.createChangeId(),
       baseVersion: version,
     });
--- a/src/cli/commands/history.ts
+++ b/src/cli/commands/history.ts
@@ -1,10 +1,10 @@
 import type { Sade } from 'sade';
 import type { Verdict } from '../../policy/configurationFold.js';
-import { getRequiredOption, getSecondsOption, runCommand } from '../commandContext.js';
+import { runCommand } from '../commandContext.js';
 import type { CommandContext } from '../commandContext.js';
 import { EXIT_SUCCESS } from '../commandResult.js';
 import type { CommandResult } from '../commandResult.js';
-import { readLogToEnd } from '../readLog.js';
+import { readNamedLog } from '../logOptions.js';
 
 /** Adds `history SERVICE`. */
 export function addHistoryCommand(cli: Sade): void {
@@ -24,9 +24,7 @@
   service: string,
   options: Record<string, unknown>,
 ): Promise<CommandResult> {
-  const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
-  const timeoutMs = getSecondsOption(options, 'timeout') * 1000;
-  const view = await readLogToEnd(context, context.createLog(url), { url, timeoutMs });
+  const view = await readNamedLog(context, options);
   const changes = view.verdicts.flatMap((verdict) =>
     verdict.type !== 'ignored' && verdict.change.service === service ? [buildHistoryRow(verdict)] : [],
   );
--- a/src/cli/commands/publish.ts
+++ b/src/cli/commands/publish.ts
@@ -5,6 +5,7 @@
 import type { CommandContext } from '../commandContext.js';
 import type { CommandResult } from '../commandResult.js';
 import { formatOutcome, getPublishExitCode } from '../formatOutcome.js';
+import { getOperator } from '../logOptions.js';
 import { publishChange } from '../publishChange.js';
 import { readDocument } from '../readDocument.js';
 
@@ -36,7 +37,7 @@
   options: PublishOptions,
 ): Promise<CommandResult> {
   const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
-  const { base, operator } = options;
+  const { base } = options;
   const changeIdOption = options['change-id'];
   if (paths.length > 1 && (base !== undefined || changeIdOption !== undefined)) {
     throw new FailureError({
@@ -51,7 +52,7 @@
     const outcome = await publishChange(context, log, {
       document,
       url,
-      operator: typeof operator === 'string' && operator !== '' ? operator : context.operator,
+      operator: getOperator(context, options),
       timeoutMs: getSecondsOption(options, 'timeout') * 1000,
       changeId: changeIdOption === undefined ? context.createChangeId() : String(changeIdOption),
       ...(base === undefined ? {} : { baseVersion: parseVersion(base, '--base') }),
--- a/src/cli/commands/show.ts
+++ b/src/cli/commands/show.ts
@@ -1,9 +1,10 @@
 import type { Sade } from 'sade';
-import { getRequiredOption, getSecondsOption, runCommand } from '../commandContext.js';
+import { runCommand } from '../commandContext.js';
 import type { CommandContext } from '../commandContext.js';
 import { EXIT_SUCCESS } from '../commandResult.js';
 import type { CommandResult } from '../commandResult.js';
-import { getDocumentInForce, readLogToEnd } from '../readLog.js';
+import { readNamedLog } from '../logOptions.js';
+import { getDocumentInForce } from '../readLog.js';
 
 /** Adds `show SERVICE`. */
 export function addShowCommand(cli: Sade): void {
@@ -23,9 +24,7 @@
   service: string,
   options: Record<string, unknown>,
 ): Promise<CommandResult> {
-  const url = getRequiredOption(options, 'log', 'HEMLOCK_LOG');
-  const timeoutMs = getSecondsOption(options, 'timeout') * 1000;
-  const view = await readLogToEnd(context, context.createLog(url), { url, timeoutMs });
+  const view = await readNamedLog(context, options);
   const folded = getDocumentInForce(view, service);
   const { version, operator, changeId, document } = folded;
   process.stderr.write(`${service}: version ${version} by ${operator} (change ${changeId})\n`);
--- a/src/control/dispatcher.ts
+++ b/src/control/dispatcher.ts
@@ -54,11 +54,16 @@
     return candidates;
   };
 
-  const finish = (call: DispatchedCall, result: CallResult): void => {
-    if (call.isFinished) return;
+  /** Returns false if the call was finished before. */
+  const markFinished = (call: DispatchedCall): boolean => {
+    if (call.isFinished) return false;
     call.isFinished = true;
     call.cancelDeadline?.();
     calls.dispatched.delete(call);
+    return true;
+  };
+  const finish = (call: DispatchedCall, result: CallResult): void => {
+    if (!markFinished(call)) return;
     const admittedFraction = Math.min(call.admittedFraction, result.admittedFraction);
     call.reply({ ...result, admittedFraction, allowanceLeft: call.account.remaining });
   };
@@ -267,11 +272,7 @@
       return call;
     },
     cancel: (call) => {
-      if (call.isFinished) return;
-      call.isFinished = true;
-      call.cancelDeadline?.();
-      calls.dispatched.delete(call);
-      if (call.attempt === undefined) return;
+      if (!markFinished(call) || call.attempt === undefined) return;
       board.post('routes', { type: 'finished', host: call.attempt.host });
       call.attempt.cancel();
     },
--- a/src/control/requests/run.ts
+++ b/src/control/requests/run.ts
@@ -1,28 +1,20 @@
+import type { RunUnderWay } from '../../policy/parentRun.js';
+import type { QueuedRun } from '../../policy/runQueue.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { RunEvents, RunHandle } from './runPort.js';
 
 /** Share of the mean duration of its route below which the time left of a request is too short to start it. */
 const MIN_DURATION_SHARE = 0.5;
+
 /** One request at the node of its target. Times are monotonic (ms). */
-export interface Run {
+export interface Run extends QueuedRun, RunUnderWay {
   readonly request: RunRequest;
-  readonly route: string;
-  readonly priority: number;
-  /** True for a call of a running request. */
-  readonly isStarted: boolean;
-  /** Organisation that sent it; empty if none did. */
-  readonly flow: string;
-  /** Expected duration (ms). */
-  readonly costMs: number;
   readonly arrivedAtMs: number;
-  readonly deadlineAtMs: number;
-  readonly worthUntilMs: number;
   /** Receives the outcome. */
   readonly events: RunEvents;
   phase: 'queued' | 'running' | 'ended';
   /** 0 until the request is sent to the target. */
   startedAtMs: number;
-  isDropped: boolean;
   /** True once the target answered with an error. */
   hasFailed: boolean;
   /** True once the whole body of the request arrived at this node. */
--- a/src/http/callReply.ts
+++ b/src/http/callReply.ts
@@ -15,6 +15,13 @@
   void reply.code(result.status).header('content-type', result.contentType).send(Buffer.from(result.body));
 }
 
+/** Cancels a call when its caller disconnects before the response is sent. */
+export function cancelWhenClosed(reply: FastifyReply, cancel: () => void): void {
+  reply.raw.once('close', () => {
+    if (!reply.raw.writableFinished) cancel();
+  });
+}
+
 /** Sends a call failure as the HTTP response. */
 export function sendFailure(reply: FastifyReply, failure: CallFailure): void {
   void reply
--- a/src/http/callerController.ts
+++ b/src/http/callerController.ts
@@ -6,7 +6,7 @@
 import { ticketRequestValidator } from '../schema/ticket.js';
 import { formatFault } from '../schema/validate.js';
 import { hasTicket, parseCallerCall } from './callRequest.js';
-import { sendFailure, sendResult } from './callReply.js';
+import { cancelWhenClosed, sendFailure, sendResult } from './callReply.js';
 import { CONTROLLER_CONTEXT } from './httpServer.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
@@ -39,9 +39,7 @@
     const cancel = this.node.handleCallerCall(parsed.call, (result) => {
       sendResult(reply, result);
     });
-    reply.raw.once('close', () => {
-      if (!reply.raw.writableFinished) cancel();
-    });
+    cancelWhenClosed(reply, cancel);
   }
 
   @Post('tickets')
--- a/src/http/localController.ts
+++ b/src/http/localController.ts
@@ -5,7 +5,7 @@
 import { targetAnnouncementSchema } from '../schema/member.js';
 import { compileSchema } from '../schema/validate.js';
 import { getFirstValue, parseCallerCall } from './callRequest.js';
-import { sendFailure, sendResult } from './callReply.js';
+import { cancelWhenClosed, sendFailure, sendResult } from './callReply.js';
 import { CONTROLLER_CONTEXT } from './httpServer.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
@@ -49,8 +49,6 @@
     const cancel = this.node.handleDownstreamCall(call, (result) => {
       sendResult(reply, result);
     });
-    reply.raw.once('close', () => {
-      if (!reply.raw.writableFinished) cancel();
-    });
+    cancelWhenClosed(reply, cancel);
   }
 }
