--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,5 +1,5 @@
 import { hashToUnit } from '../../core/hash.js';
-import { addMatches } from '../../policy/callMatches.js';
+import { addMatch, addMatches } from '../../policy/callMatches.js';
 import { RETRY_AFTER_MS } from '../../policy/nextStep.js';
 import { computeFingerprint } from '../../policy/fingerprint.js';
 import { formatKind } from '../../policy/requestKind.js';
@@ -159,8 +159,7 @@
     });
     return buildHandle(entry);
   };
-  const countOrganisation = ({ route, priority, organisation, isStarted }: Entry): void => {
-    if (isStarted) return;
+  const countOrganisation = ({ route, priority, organisation }: Entry): void => {
     const { arrivedByOrganisation } = section;
     const kind = formatKind(route, priority);
     const name = organisation?.name ?? '';
@@ -170,10 +169,11 @@
   };
   /** Counts a request for admission, which divides the room among requests inside the quotas only. */
   const countArrival = (entry: Entry): void => {
-    const { route, organisation } = entry;
+    const { route, priority } = entry;
     const { arrivedByRoute, arrivedByPriority } = section;
     arrivedByRoute.set(route.name, (arrivedByRoute.get(route.name) ?? 0) + 1);
-    const priority = organisation?.priority ?? route.priority;
+    // A call has the priority of its run; it is not admitted anew.
+    if (entry.isStarted) return;
     if (board.read('routes').table?.organisationByKey !== undefined) countOrganisation(entry);
     if (priority === route.priority) return;
     let byPriority = arrivedByPriority.get(route.name);
@@ -186,10 +186,23 @@
     if (running.size === 0) return undefined;
     const nowMs = clock.now();
     const { timeLeftMs } = request;
-    addMatches(section.matchedCalls, running, { called: route.name, timeLeftMs, nowMs });
-    const callers = board.read('demand').callersByRoute.get(route.name);
-    if (callers === undefined) return undefined;
-    return findParentRun({ runs: running, callers, timeLeftMs, nowMs })?.priority;
+    const { matchedCalls } = section;
+    const called = route.name;
+    const callers = board.read('demand').callersByRoute.get(called);
+    if (callers === undefined) {
+      addMatches(matchedCalls, running, { called, timeLeftMs, nowMs });
+      return undefined;
+    }
+    const parent = findParentRun({
+      runs: running,
+      callers,
+      timeLeftMs,
+      nowMs,
+      observeRun: (run, excessMs) => {
+        addMatch(matchedCalls, run.route, called, excessMs);
+      },
+    });
+    return parent?.priority;
   };
   /** Returns the refusal of a request that may not end before this node closes. */
   const findStopRefusal = (request: ClientRequest, route: ReadView<Route>): Refusal | undefined => {
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -5,7 +5,7 @@
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
-import type { HeartbeatPost, LeavePost } from './sections.js';
+import type { HeartbeatPost, LeavePost } from './requestPosts.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import type { TargetNotice } from './runPort.js';
 
