Let a heartbeat replace a target at whose address another one answers

A heartbeat with the right service and address, but another id and a start far in the future, took the place of the real target for good: its heartbeats were older, and each request got 421 from it. The start time is the sender's own word; the 421 is the target's.

After a 421 the next heartbeat of any other target is accepted, and the one that was refuted does not come back while the one in place answers. A target that was leaving when it was replaced still counts as leaving, so that a late heartbeat cannot undo an acknowledgement.

--- a/src/control/requests/requestPosts.ts
+++ b/src/control/requests/requestPosts.ts
@@ -44,6 +44,8 @@
     | { type: 'eject'; reason: string; isDown: boolean }
     | { type: 'suspect' }
     | { type: 'answered' }
+    /** Another target answered a request at the address of the one that is named by its id and start time. */
+    | { type: 'refuted'; id: string; startedAtMs: number }
     /** The target, named by its id and start time, answered a request that was sent to it at `sentAtMs`. */
     | { type: 'notice'; id: string; startedAtMs: number; sentAtMs: number; notice: TargetNotice };
   links:
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -144,6 +144,7 @@
         },
         fail: (failure) => {
           runContained(run, () => {
+            if (failure.kind === 'misdirected') board.post('target', { type: 'refuted', id, startedAtMs });
             fail(run, failure);
           });
         },
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -5,6 +5,7 @@
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
+import { createTargetStarts } from './targetStarts.js';
 import type { HeartbeatPost, LeavePost } from './requestPosts.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import type { TargetNotice } from './runPort.js';
@@ -31,6 +32,7 @@
   let publishedRate: number | undefined;
   /** True once the target answered since this process knows it. */
   let hasAnswered = false;
+  const starts = createTargetStarts(section);
   /** The last heartbeat that may be stale, since the history is not known yet; the next one in order confirms it. */
   let unconfirmed: { id: string; heartbeat: Heartbeat } | undefined;
 
@@ -58,6 +60,7 @@
   };
   const adopt = (id: string, heartbeat: Heartbeat): void => {
     if (!isSameStart(section, id, heartbeat.startedAtMs)) {
+      starts.recordReplaced();
       section.ratePerSecond = undefined;
       publishedRate = undefined;
       hasAnswered = false;
@@ -69,8 +72,9 @@
     section.slots = heartbeat.slots;
     section.ejectedUntilMs = 0;
   };
-  /** True if an earlier process of this node acknowledged that this start of the target leaves. */
+  /** True if this or an earlier process of this node acknowledged that this start of the target leaves. */
   const hasLeft = (id: string, targetStartedAtMs: number): boolean => {
+    if (starts.wasLeaving(id, targetStartedAtMs)) return true;
     const { previousTarget } = board.read('members');
     const isLeaving = previousTarget?.phase === 'draining' || previousTarget?.phase === 'left';
     return isLeaving && isSameStart(previousTarget, id, targetStartedAtMs);
@@ -95,7 +99,7 @@
   };
   const receiveHeartbeat = (id: string, heartbeat: Heartbeat, acknowledge: () => void): void => {
     const isKnown = isSameStart(section, id, heartbeat.startedAtMs);
-    if (compareHeartbeats(heartbeat, section) <= 0 && section.id !== '') {
+    if (section.id !== '' && !starts.isNext(id, heartbeat)) {
       const inputs = { target: id, sequence: heartbeat.sequence, known: section.id, knownSequence: section.sequence };
       board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'older than the last accepted heartbeat', inputs });
       acknowledge();
@@ -218,6 +222,7 @@
     sentAtMs: number,
   ): void => {
     hasAnswered = true;
+    starts.recordAnswer();
     reportUnreadableLimit(unreadable);
     if (ratePerSecond !== undefined || unreadable === undefined) updateRate(ratePerSecond, sentAtMs);
     if (!isLeaving || section.phase !== 'ready') return;
@@ -246,6 +251,9 @@
     checkHeartbeats();
     target.publishChange();
   };
+  const receiveRefutation = (id: string, startedAtMs: number): void => {
+    if (starts.recordRefuted(id, startedAtMs)) report('refuted', { target: id, address: section.address });
+  };
   /** Checks with a new connection whether the target crashed, after a connection to it was lost. */
   const probe = (): void => {
     const nowMs = clock.now();
@@ -269,6 +277,7 @@
     if (post.type === 'heartbeat' || post.type === 'leave') receiveMessage(post);
     else if (post.type === 'answered') restoreEjected();
     else if (post.type === 'suspect') probe();
+    else if (post.type === 'refuted') receiveRefutation(post.id, post.startedAtMs);
     else if (post.type === 'notice') {
       if (isSameStart(section, post.id, post.startedAtMs)) receiveNotice(post.notice, post.sentAtMs);
     } else eject(post.reason, post.isDown);
