--- a/src/core/fakeClock.ts
+++ b/src/core/fakeClock.ts
@@ -38,7 +38,7 @@
     now: () => nowMs,
     wallTime: () => startWallMs + nowMs,
     schedule: (delayMs, run) => {
-      const entry: ScheduledRun = { atMs: nowMs + Math.max(0, delayMs), order: nextOrder++, run };
+      const entry: ScheduledRun = { atMs: nowMs + (delayMs > 0 ? delayMs : 0), order: nextOrder++, run };
       addEntry(heap, entry);
       return () => {
         entry.run = undefined;
