Describe invalid values that JSON cannot print

Callers would see refused connections: one record of the configuration with a deeply nested field, or one link frame with a 64-bit integer where a number belongs, ends the process that reads it. A node that reads such a record ends again after each start.

Cause: a fault names what was found with JSON.stringify, which throws for a BigInt (msgpackr decodes 64-bit integers to it) and for nesting beyond its stack (JSON.parse reads 130,000 levels of a record of 256 KB). The value is refused as it should be; the report on it throws, in a promise callback of the store or in the data event of a socket, where nothing catches.

Ruled out: JSON.parse, which does not recurse; the compiled checks, which recurse as deep as their schema; deep nesting in a msgpack frame, whose decoder throws inside its try block; heartbeats, whose throw Fastify answers with 500.

Change: a value without JSON is described by its type.

Measured: node scripts/runTests.js unprintable: 3 of 3 failed before (RangeError, TypeError), 3 of 3 pass after.

--- a/src/schema/validate.ts
+++ b/src/schema/validate.ts
@@ -60,10 +60,19 @@
 
 function describeFound(value: unknown): string {
   if (value === undefined) return 'nothing';
-  const text = JSON.stringify(value) ?? typeof value;
+  const text = formatJson(value) ?? typeof value;
   return text.length > MAX_FOUND_LENGTH ? `${text.slice(0, MAX_FOUND_LENGTH)}...` : text;
 }
 
+/** Returns undefined for values without JSON: the BigInt of a msgpack message, or arrays nested beyond the depth of the stack. */
+function formatJson(value: unknown): string | undefined {
+  try {
+    return JSON.stringify(value);
+  } catch {
+    return undefined;
+  }
+}
+
 function describeAllowed(error: ValueError): string {
   const schema = error.schema;
   if (error.message === 'Unexpected property') return 'no property of this name';
