Tell an unreadable record from a deleted one

Callers would see 503 for a healthy host: when another writer puts bytes that are no JSON under the key of a live host, all nodes that read the store drop this host from their members until it publishes again.

Cause: the value of a record that cannot be read was undefined, and a record without a value stands for a deletion.

Ruled out: JSON null and values of another type, which were ignored as they should be.

--- a/src/schema/keyedStore.ts
+++ b/src/schema/keyedStore.ts
@@ -1,7 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
-/** The newest record of one key; without a value if the key was deleted. */
+/** The newest record of one key; without a value if the key was deleted, with null if the value cannot be read. */
 export const keyedRecordSchema = Type.Object({
   key: Type.String(),
   value: Type.Optional(Type.Unknown()),
