Bound the rate limit that a target names

Callers would see 503 for the services of a host: a target that names a limit of 309 digits or more makes its node publish a rate of Infinity. JSON writes null, so that no node reads the record any more, and peers close each link whose hello carries it.

Cause: Number of a long row of digits is Infinity, and the header was checked to consist of digits only.

Ruled out: the pace in the load header, of which figures outside 0.1 to 20 are ignored; the Keep-Alive timeout, which is compared and never sent; the status, which has three digits; the number of limits, as a head has at most 128 KB.

Change: a limit above 10^9 requests per second counts as that, and records with a higher rate are invalid.

Measured: node scripts/runTests.js targetSender: 'a limit beyond all numbers' failed before (Infinity), passes after.

--- a/src/http/responseCheck.ts
+++ b/src/http/responseCheck.ts
@@ -1,4 +1,5 @@
 import type { TargetNotice } from '../control/requests/runPort.js';
+import { MAX_RATE_PER_SECOND } from '../schema/nodeMember.js';
 import { findHeader, listHeader } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 
@@ -70,7 +71,7 @@
   const limits = listHeader(rawHeaders, names.rateLimit).flatMap((value) => value.split(','));
   const readable = limits.map((limit) => limit.trim()).filter((limit) => DECIMAL_NUMBER.test(limit));
   return {
-    ratePerSecond: readable.length > 0 ? Math.min(...readable.map(Number)) : undefined,
+    ratePerSecond: readable.length > 0 ? Math.min(...readable.map(Number), MAX_RATE_PER_SECOND) : undefined,
     isLeaving: findHeader(rawHeaders, names.leaving)?.trim() === '1',
     pace: parsePace(findHeader(rawHeaders, names.load)),
     unreadableLimit: limits.length > readable.length ? limits.join(',') : undefined,
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -1,6 +1,9 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
+/** Highest rate that a target is taken to name (requests per second), which limits nothing. */
+export const MAX_RATE_PER_SECOND = 1e9;
+
 /** `none`: no target is known; `left`: the target has sent its leave request. */
 export const targetPhaseSchema = Type.Union([
   Type.Literal('none'),
@@ -38,7 +41,7 @@
   address: Type.String(),
   slots: Type.Integer({ minimum: 1 }),
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
-  ratePerSecond: Type.Optional(Type.Number({ minimum: 0 })),
+  ratePerSecond: Type.Optional(Type.Number({ minimum: 0, maximum: MAX_RATE_PER_SECOND })),
 });
 export type PublishedTarget = Static<typeof publishedTargetSchema>;
 
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -6,6 +6,7 @@
 import { createTargetSender } from '../../src/http/targetSender.js';
 import type { TargetNotice } from '../../src/control/requests/runPort.js';
 import type { RunRequest } from '../../src/schema/linkFrame.js';
+import { MAX_RATE_PER_SECOND } from '../../src/schema/nodeMember.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import type { RawTarget } from '../fixtures/rawTarget.js';
 import { buildRunRequest, collectRun, testHeaderNames } from '../fixtures/requests.js';
@@ -131,6 +132,12 @@
       'test-limit: 30\r\ntest-limit: 20, x\r\n',
       { ratePerSecond: 20, isLeaving: false, unreadableLimit: '30,20, x', pace: undefined },
     ],
+    // Infinity cannot be published: no node would read the record of this one.
+    [
+      'a limit beyond all numbers',
+      `test-limit: ${'9'.repeat(400)}\r\n`,
+      { ratePerSecond: MAX_RATE_PER_SECOND, isLeaving: false, unreadableLimit: undefined, pace: undefined },
+    ],
     ['its pace', 'test-load: 3,0,8,250\r\n', { ...silent, pace: 2.5 }],
     ['a load without a pace', 'test-load: 3,0,8\r\n', silent],
     ['a negative pace', 'test-load: 3,0,8,-100\r\n', silent],
