Bound the rates and depths of quotas

Callers would see refused connections: a quota of 1.8e308 requests per second, which the schema of the configuration accepts, ends the process of the allocator ('Maximum call stack size exceeded') on the first request of that organisation, and then that of the next allocator.

Cause: the rate times the allowed excess is Infinity, and Infinity times an elapsed time of 0 is NaN. A grant of NaN tokens leaves the request waiting, so the allocator asks itself again at once; in a frame it makes peers close the link.

Ruled out: the smallest rates, whose waits are bounded; counts and waits in asks, which msgpack frames carry as checked integers.

Change: buckets count rates and depths up to 10^9.

--- a/src/policy/quotaLimits.ts
+++ b/src/policy/quotaLimits.ts
@@ -23,6 +23,9 @@
 const DEFAULT_SLACK = 20;
 /** Share of the allowed excess with which the buckets are filled, so that expired tokens are not missing. */
 const USED_EXCESS_SHARE = 0.5;
+/** Rate (requests per second) and depth up to which buckets count; what follows from larger ones may not be finite. */
+const MAX_PER_SECOND = 1e9;
+const MAX_DEPTH = 1e9;
 const MAX_VALIDITY_MS = 500;
 /** Grants take some milliseconds, so tokens are valid for this long although no excess is allowed (ms). */
 const MIN_VALIDITY_MS = 50;
@@ -61,7 +64,10 @@
   for (const organisation of organisations) {
     if (!isQuotaLimited(organisation)) continue;
     const { name, ratePerSecond = 0, burst = 0 } = organisation;
-    limits.set(name, { perSecond: ratePerSecond * rateFactor, depth: burst + extraDepth });
+    limits.set(name, {
+      perSecond: Math.min(MAX_PER_SECOND, ratePerSecond * rateFactor),
+      depth: Math.min(MAX_DEPTH, burst + extraDepth),
+    });
   }
   return limits;
 }
