Bound the weights of the services of a route

Callers would see 503: of a route with two services whose weights add up to more than 1.8e308, two requests at each node are served, and no service is chosen for those after them.

Cause: the sum of the weights is Infinity, so that all credits become -Infinity and none exceeds the initial one.

Ruled out: the smallest weights; weights of 0 only, which choose no service as documented.

Change: weights count up to 10^300, where the services of a route are listed.

Measured: node scripts/runTests.js extremeConfig: 'should divide requests among services with weights whose sum is Infinity' failed before, 3 of 3 pass after.

--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -1,6 +1,9 @@
 import type { ReadView } from '../core/blackboard.js';
 import type { Organisation, Route, RouteConfiguration } from '../schema/routeConfiguration.js';
 
+/** Weight up to which a service of a route counts. */
+const MAX_WEIGHT = 1e300;
+
 interface HostRoutes {
   /** Lengths of the host's prefixes, longest first. */
   lengths: number[];
@@ -63,8 +66,11 @@
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
 }
 
-/** Lists the services to which a route sends requests, with their weights. */
+/** Lists the services to which a route sends requests, with their weights, whose sum is finite. */
 export function listParts(route: ReadView<Route>): readonly { service: string; weight: number }[] {
-  if (route.parts !== undefined && route.parts !== null && route.parts.length > 0) return route.parts;
-  return typeof route.service === 'string' ? [{ service: route.service, weight: 1 }] : [];
+  const { service, parts } = route;
+  if (parts === undefined || parts === null || parts.length === 0)
+    return typeof service === 'string' ? [{ service, weight: 1 }] : [];
+  if (parts.every(({ weight }) => weight <= MAX_WEIGHT)) return parts;
+  return parts.map((part) => ({ ...part, weight: Math.min(part.weight, MAX_WEIGHT) }));
 }
--- a/tests/requests/extremeConfiguration.test.ts
+++ b/tests/requests/extremeConfiguration.test.ts
@@ -39,4 +39,10 @@
       expect(sendRequests({}, [{ name: 'acme', keys: ['key'], ...quota }])).toEqual({ '200': REQUESTS });
     });
   }
+
+  // Guards against credits of Infinity, with which no service of a route is chosen any more.
+  it('should divide requests among services with weights whose sum is Infinity', () => {
+    const parts = ['stock', 'orders'].map((service) => ({ service, weight: Number.MAX_VALUE }));
+    expect(sendRequests({ parts })).toEqual({ '200': REQUESTS });
+  });
 });
