Check text of others that is written to heads

Callers would see 502, or responses to requests that they did not send: line breaks in such text end the head of a request or response early, and what follows is read as headers or as the next message.

Cause: heads are written as Latin-1 text from parts that were strings of any kind: the id of a target (the path of a heartbeat, percent-decoded: %0d%0a), the name of an organisation (configuration), method, path, headers and status of frames. The letters U+010D and U+010A become CR and LF, as Latin-1 keeps the low byte.

Ruled out: what clients and targets send themselves, as the parser refuses control characters and gives Latin-1; refusals, whose body is JSON with its length in bytes; the older stack, whose headers undici checks and whose callers' values are printable ASCII.

An invalid id of a target gets 400, an organisation with control characters makes a configuration invalid, a frame with other text or a status outside 200 to 599 is invalid. Names beyond Latin-1 are written as UTF-8, since a configuration with such a name has to stay in force.

--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -1,12 +1,14 @@
 import Fastify from 'fastify';
 import type { FastifyInstance, FastifyReply } from 'fastify';
 import { FailureError } from '../schema/failure.js';
+import { targetIdSchema } from '../schema/headText.js';
 import { heartbeatSchema } from '../schema/nodeMember.js';
 import type { Heartbeat } from '../schema/nodeMember.js';
 import { parseAddress } from '../schema/requestSettings.js';
 import { compileSchema, formatFault } from '../schema/validate.js';
 
 const heartbeatValidator = compileSchema(heartbeatSchema);
+const targetIdValidator = compileSchema(targetIdSchema);
 const MAX_HEARTBEAT_BYTES = 64 * 1024;
 /** Time within which a message of the target is acknowledged or refused (ms); it waits for a second. */
 const MAX_ACKNOWLEDGE_MS = 900;
@@ -74,8 +76,16 @@
   server.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
     done(null, body);
   });
+  const refuseInvalidId = (id: string, reply: FastifyReply): boolean => {
+    const [fault] = targetIdValidator.listFaults(id).map(formatFault);
+    if (fault === undefined) return false;
+    options.reportInvalidHeartbeat('invalid target id', { target: id, fault });
+    void reply.code(400).send({ fault });
+    return true;
+  };
   server.post<{ Params: { id: string } }>('/v1/targets/:id/heartbeat', (request, reply) => {
     const { id } = request.params;
+    if (refuseInvalidId(id, reply)) return reply;
     const value = options.decodeHeartbeat(parseBody(request.body));
     if (heartbeatValidator.isValid(value)) {
       options.receiveHeartbeat(id, value, createAcknowledgement(reply));
@@ -86,7 +96,8 @@
     return reply.code(400).send({ fault });
   });
   server.post<{ Params: { id: string } }>('/v1/targets/:id/leave', (request, reply) => {
-    options.receiveLeave(request.params.id, createAcknowledgement(reply));
+    const { id } = request.params;
+    if (!refuseInvalidId(id, reply)) options.receiveLeave(id, createAcknowledgement(reply));
     return reply;
   });
 }
--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -22,6 +22,8 @@
   leaving: string;
 }
 
+const BEYOND_LATIN_1 = /[\u0100-\uffff]/;
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
@@ -89,3 +91,8 @@
 function isHeader(candidate: string, name: string): boolean {
   return candidate.length === name.length && candidate.toLowerCase() === name;
 }
+
+/** Encodes a name for a head that is written as Latin-1: as UTF-8 if it has characters beyond Latin-1. */
+export function encodeHeaderLabel(label: string): string {
+  return BEYOND_LATIN_1.test(label) ? Buffer.from(label).toString('latin1') : label;
+}
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -3,7 +3,7 @@
 import { STREAM_WINDOW_BYTES, MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { RunFailureKind } from '../schema/linkFrame.js';
 import { findResponseFault, isCloseDelimited, parseKeepAliveTimeout, parseTargetNotice } from './responseCheck.js';
-import { findHeader, selectEndToEndHeaders } from './requestHeaders.js';
+import { encodeHeaderLabel, findHeader, selectEndToEndHeaders } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 import type { TargetConnection } from './targetConnection.js';
 import type { TargetConnectionPool } from './targetConnectionPool.js';
@@ -189,8 +189,9 @@
       text += `${headers[index] ?? ''}: ${headers[index + 1] ?? ''}\r\n`;
     text += `${names.requestId}: ${request.requestId}\r\n`;
     text += `${names.timeLeft}: ${Math.max(1, Math.floor(request.timeLeftMs))}\r\n`;
-    text += `${names.callerService}: ${request.callerService}\r\n${names.targetId}: ${targetId}\r\n`;
-    if (request.organisation !== undefined) text += `${names.organisation}: ${request.organisation}\r\n`;
+    text += `${names.callerService}: ${encodeHeaderLabel(request.callerService)}\r\n${names.targetId}: ${targetId}\r\n`;
+    if (request.organisation !== undefined)
+      text += `${names.organisation}: ${encodeHeaderLabel(request.organisation)}\r\n`;
     if (isChunked) text += 'Transfer-Encoding: chunked\r\n';
     else if (body !== undefined && findHeader(headers, 'content-length') === undefined)
       text += `Content-Length: ${body.length}\r\n`;
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -2,6 +2,7 @@
 import type { Static } from '@sinclair/typebox';
 import { nodeMemberSchema, targetPhaseSchema } from './nodeMember.js';
 import { ranSchema } from './failure.js';
+import { headerLabelSchema, headTextSchema } from './headText.js';
 import { routeConfigurationSchema } from './routeConfiguration.js';
 
 /** Maximum size of a body that is sent in one frame; larger bodies are streamed in parts. */
@@ -17,11 +18,11 @@
 
 const runId = Type.Integer({ minimum: 0 });
 /** Alternating header names and values, in the order received. */
-const headerList = Type.Array(Type.String());
+const headerList = Type.Array(headTextSchema);
 
 /** A request as sent to the node that runs it at its local target. */
 export const runRequestSchema = Type.Object({
-  requestId: Type.String(),
+  requestId: headTextSchema,
   service: Type.String(),
   route: Type.String(),
   /** 0 is the most urgent; a call has that of the request to which it belongs. */
@@ -29,13 +30,13 @@
   /** True for a call of a running request; absent for new requests. */
   isStarted: Type.Optional(Type.Boolean()),
   isIdempotent: Type.Boolean(),
-  method: Type.String(),
-  path: Type.String(),
+  method: headTextSchema,
+  path: headTextSchema,
   headers: headerList,
   /** Service of the host at which the request entered. */
-  callerService: Type.String(),
+  callerService: headerLabelSchema,
   /** Organisation that sent the request; absent if none did. */
-  organisation: Type.Optional(Type.String()),
+  organisation: Type.Optional(headerLabelSchema),
   /** Time left until the request times out (ms). */
   timeLeftMs: Type.Number(),
   /** Time left in which the answer has its full worth (ms); negative after that time. */
@@ -154,7 +155,7 @@
 export const answerFrameSchema = Type.Object({
   type: Type.Literal('answer'),
   id: runId,
-  status: Type.Integer(),
+  status: Type.Integer({ minimum: 200, maximum: 599 }),
   headers: headerList,
   body: Type.Uint8Array(),
   /** True when the rest of the body follows in `part` frames. */
--- a/src/schema/routeConfiguration.ts
+++ b/src/schema/routeConfiguration.ts
@@ -1,5 +1,6 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { headerLabelSchema } from './headText.js';
 
 /** One of the services that share the requests of a route, and its weight. */
 export const routePartSchema = Type.Object({
@@ -55,7 +56,7 @@
 
 /** A client organisation, whose requests carry one of its keys. */
 export const organisationSchema = Type.Object({
-  name: Type.String({ minLength: 1 }),
+  name: headerLabelSchema,
   keys: Type.Array(Type.String({ minLength: 1 })),
   /** Replaces the priority of the routes; absent to keep it. */
   priority: Type.Optional(Type.Integer({ minimum: 0 })),
