Refuse announcements with an address that is no origin

Callers of the service calls would see refused connections: a target that announces http://127.0.0.1:65536 or an address with a query ends its node at the first call, since the constructor of the connection pool throws for it.

Cause: the pattern ^https?://[^/]+$ accepts what URL and undici refuse; the call is started from frames and timers.

Ruled out: host names that do not resolve and port 0, which fail the call; who may announce: only processes of the same host.

Change: an announcement is parsed in src/schema/member.ts, where the address has to be a scheme, a host and a port as URL reads it.

Measured: node scripts/runTests.js httpFaults: 7 new cases failed before (accepted), the file passes after (44 passed).

--- a/src/http/localController.ts
+++ b/src/http/localController.ts
@@ -2,15 +2,12 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { Node } from '../node/createNode.js';
 import type { SystemFailure } from '../schema/failure.js';
-import { targetAnnouncementSchema } from '../schema/member.js';
-import { compileSchema } from '../schema/validate.js';
+import { parseAnnouncement } from '../schema/member.js';
 import { getFirstValue, parseCallerCall } from './callRequest.js';
 import { sendFailure, sendResult } from './callReply.js';
 import { CONTROLLER_CONTEXT } from './httpServer.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
-const announcementValidator = compileSchema(targetAnnouncementSchema);
-
 /** Serves the target on this host: its announcements and its downstream calls. */
 @Controller('v1')
 export class LocalController {
@@ -18,17 +15,17 @@
 
   @Post('announce')
   handleAnnouncement(@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
-    const announcement = parseJsonBody(request.body);
-    if (!announcementValidator.isValid(announcement)) {
+    const parsed = parseAnnouncement(parseJsonBody(request.body));
+    if (parsed.type === 'invalid') {
       const failure: SystemFailure = {
         kind: 'announcementInvalid',
         message: 'the announcement of the target is malformed',
-        faults: announcementValidator.listFaults(announcement),
+        faults: parsed.faults,
       };
       void reply.code(400).send({ failure });
       return;
     }
-    this.node.announceTarget(announcement);
+    this.node.announceTarget(parsed.announcement);
     void reply.code(204).send();
   }
 
--- a/src/schema/member.ts
+++ b/src/schema/member.ts
@@ -1,5 +1,7 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import type { Fault } from './failure.js';
+import { compileSchema } from './validate.js';
 
 export const targetStateSchema = Type.Union([
   Type.Literal('none'),
@@ -43,3 +45,29 @@
   { additionalProperties: false },
 );
 export type TargetAnnouncement = Static<typeof targetAnnouncementSchema>;
+
+const announcementValidator = compileSchema(targetAnnouncementSchema);
+
+export type ParsedAnnouncement =
+  { type: 'parsed'; announcement: TargetAnnouncement } | { type: 'invalid'; faults: Fault[] };
+
+/**
+ * Validates an announcement against its schema, and its address against what connections accept.
+ *
+ * @example
+ * const parsed = parseAnnouncement(JSON.parse(text));
+ */
+export function parseAnnouncement(value: unknown): ParsedAnnouncement {
+  if (!announcementValidator.isValid(value))
+    return { type: 'invalid', faults: announcementValidator.listFaults(value) };
+  if (isOrigin(value.address)) return { type: 'parsed', announcement: value };
+  const allowed = 'an address such as http://127.0.0.1:8080';
+  return { type: 'invalid', faults: [{ path: 'address', found: JSON.stringify(value.address), allowed }] };
+}
+
+/** True for a URL of a scheme, a host and a port. */
+function isOrigin(address: string): boolean {
+  if (!URL.canParse(address)) return false;
+  const { origin, href } = new URL(address);
+  return href === `${origin}/`;
+}
--- a/tests/trust/httpFaults.test.ts
+++ b/tests/trust/httpFaults.test.ts
@@ -161,6 +161,13 @@
       name: 'an address with a path',
       body: JSON.stringify({ service: 'a', address: 'http://127.0.0.1:1/x', state: 'ready', incarnation: 'i' }),
     },
+    // Guards against a call to an address that the client cannot parse, which throws where nothing catches.
+    ...['127.0.0.1:65536', '127.0.0.1:-1', '1.2.3.4.5:80', 'a b:80', '127.0.0.1:1?x', '127.0.0.1:1#x', '[::1'].map(
+      (text) => ({
+        name: `the address ${text}`,
+        body: JSON.stringify({ service: 'a', address: `http://${text}`, state: 'ready', incarnation: 'i' }),
+      }),
+    ),
     {
       name: 'an unknown field',
       body: JSON.stringify({ service: 'a', address: 'http://127.0.0.1:1', state: 'ready', incarnation: 'i', limit: 9 }),
