Look up operations among the properties of a document only

Callers of the service calls would see odd outcomes: a call to the operation constructor or toString of any service passes for a known operation without a priority and a deadline, and its envelope carries NaN, which peers refuse by ending the stream.

Cause: the operations of a document are an object, and a name from the path of a call was looked up with its inherited properties.

Ruled out: documents, whose operations may have such names (schemas check own properties); maps by service, host and organisation.

Change: only own properties of the operations count.

Measured: node scripts/runTests.js inheritedNames: 4 of 4 failed before, 4 of 4 pass after.

--- a/src/control/buildEnvelope.ts
+++ b/src/control/buildEnvelope.ts
@@ -91,7 +91,9 @@
       failure: createCallFailure('unknownService', `no configuration of ${call.service} is in force`),
     };
   }
-  const operation = document.operations[call.operation];
+  const operation = Object.hasOwn(document.operations, call.operation)
+    ? document.operations[call.operation]
+    : undefined;
   if (operation === undefined) {
     const message = `the configuration of ${call.service} has no operation ${call.operation}`;
     return { type: 'failed', failure: createCallFailure('unknownOperation', message) };
