Keep durations of operations in a table without inherited names

Callers of the service calls would see refusals: an operation that a document names constructor, toString or valueOf, as the schema allows, is never run.

Cause: the smoothed durations are looked up in an object by the name of the operation, which gives a function as a duration.

Ruled out: the table of calls waited for and other tables by name, which are maps.

Change: the table has no prototype.

Measured: node scripts/runTests.js inheritedNames: 'should be usable as the name of an operation' failed before (no run was recorded), 5 of 5 pass after.

--- a/src/control/limitController.ts
+++ b/src/control/limitController.ts
@@ -55,7 +55,7 @@
       sinceTrialMs: 0,
       trial: undefined,
       recent: createObservation(),
-      ownTimeMs: {},
+      ownTimeMs: Object.create(null) as Record<string, number>,
     });
     costs.clear();
     window = createWindow();
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -222,7 +222,7 @@
       meanCostMs: 1,
       sinceTrialMs: 0,
       recent: { count: 0, declaredCostMs: 0, activeMs: 0, durationMs: 0 },
-      ownTimeMs: {},
+      ownTimeMs: Object.create(null) as Record<string, number>,
     },
     shedding: { local: new Map(), downstream: new Map() },
     routes: { byHost: new Map() },
