Fail calls whose target responds with a status that is none

Callers of the service calls would see refused connections: a target that responds with a status from 600 to 999 ends its node, as the reply to the caller throws for it, or makes the peer that forwarded the call end the stream with all calls on it.

Cause: the parser of undici reads any three digits, Fastify and the schema of frames accept 100 to 599.

Ruled out: interim responses, which are not passed on as the final one; content types, which are replaced if they are not printable.

Change: such a response fails the call; whether the target ran it is unknown.

Measured: node scripts/runTests.js targetStatus: the cases 600 and 999 failed before, 4 of 4 pass after.

--- a/src/http/targetClient.ts
+++ b/src/http/targetClient.ts
@@ -15,6 +15,7 @@
 
 const KEEP_ALIVE_TIMEOUT_MS = 60_000;
 const SERVICE_UNAVAILABLE = 503;
+const MAX_STATUS = 599;
 const DEFAULT_CONTENT_TYPE = 'application/octet-stream';
 const VALID_CONTENT_TYPE = /^[\x20-\x7e]{1,255}$/;
 
@@ -109,6 +110,8 @@
     },
     onResponseEnd: () => {
       if (state.isRefused) fail('targetRefused', `the target of ${request.service} refused the call`);
+      else if (state.status > MAX_STATUS)
+        fail('targetFailed', `${request.address} responded with status ${state.status}`, 'unknown');
       else
         settle({
           type: 'answer',
