Check the form of the addresses of peers

Callers of the service calls would see refused connections: a member record with an empty address, or one with a line break, ends each node that sends a frame to this member.

Cause: grpc-js throws for a target name that it cannot parse, in the call that opens the stream.

Ruled out: ports beyond 65535, unknown schemes and names that do not resolve, which fail the stream (shown with peerClient); they are refused all the same, as no node has such an address.

--- a/tests/trust/peerFrames.test.ts
+++ b/tests/trust/peerFrames.test.ts
@@ -49,6 +49,11 @@
       name: 'a member record with an unknown state',
       bytes: encodeValue({ type: 'hello', member: { ...member, nodeState: 'odd' } }),
     },
+    // Guards against a member to which grpc-js cannot be dialled: it throws for an address that it cannot parse.
+    ...['', '127.0.0.1:1\n', '127.0.0.1', '127.0.0.1:65536'].map((peerAddress) => ({
+      name: `a member record with the address ${JSON.stringify(peerAddress)}`,
+      bytes: encodeValue({ type: 'hello', member: { ...member, peerAddress } }),
+    })),
     {
       name: 'an answer with an invalid HTTP status',
       bytes: encodeValue({
