Bound the numbers of heartbeats and member records

Callers would see 503 for the services of a host: a record under its name with a start of 2^53 ms or later, from another writer, holds its place at all nodes, and the host is never heard of again, also after restarts.

Cause: a host that finds a record of its name with a later start takes the next number, which beyond 2^53 is the same one. The schema accepted any finite integer.

Ruled out: a revision of any size with an earlier start, which the start decides; coldLeftMs, which is only compared with the clock.

Change: times are in the range of Date, counters are exact integers, and a target has at most 10^6 slots, since sums over targets of 10^308 slots are Infinity and the shares computed from them NaN (by reading). Only the numeric fields of nodeMember.ts change.

--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -4,6 +4,12 @@
 /** Highest rate that a target is taken to name (requests per second), which limits nothing. */
 export const MAX_RATE_PER_SECOND = 1e9;
 
+/** Unix time (ms) in the range of Date, so that the next one differs from it. */
+const unixTime = Type.Integer({ minimum: 0, maximum: 8.64e15 });
+const counter = Type.Integer({ minimum: 0, maximum: Number.MAX_SAFE_INTEGER });
+/** No target runs more requests, and the sum over all targets is exact. */
+const slotCount = Type.Integer({ minimum: 1, maximum: 1_000_000 });
+
 /** `none`: no target is known; `left`: the target has sent its leave request. */
 export const targetPhaseSchema = Type.Union([
   Type.Literal('none'),
@@ -20,26 +26,26 @@
   address: Type.String({ pattern: '^[^:]+:[0-9]+$' }),
   dataCenter: Type.String(),
   /** Number of requests that the target runs concurrently. */
-  slots: Type.Integer({ minimum: 1 }),
+  slots: slotCount,
   state: Type.Union([Type.Literal('ready'), Type.Literal('draining')]),
   /** Increases with each heartbeat since the target started. */
-  sequence: Type.Integer({ minimum: 0 }),
+  sequence: counter,
   /** Remaining warm-up time (ms); the target is slow until it has passed. */
   coldLeftMs: Type.Number({ minimum: 0 }),
   /** Unix time at which the target started (ms); differs between a target and its restarted successor. */
-  startedAtMs: Type.Integer({ minimum: 0 }),
+  startedAtMs: unixTime,
 });
 export type Heartbeat = Static<typeof heartbeatSchema>;
 
 /** Local target as published by its node, so that after a restart the node still knows what it has acknowledged. */
 export const publishedTargetSchema = Type.Object({
   id: Type.String({ minLength: 1 }),
-  startedAtMs: Type.Integer({ minimum: 0 }),
-  sequence: Type.Integer({ minimum: 0 }),
+  startedAtMs: unixTime,
+  sequence: counter,
   phase: targetPhaseSchema,
   service: Type.String(),
   address: Type.String(),
-  slots: Type.Integer({ minimum: 1 }),
+  slots: slotCount,
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
   ratePerSecond: Type.Optional(Type.Number({ minimum: 0, maximum: MAX_RATE_PER_SECOND })),
 });
@@ -57,9 +63,9 @@
   /** Random id of one start of the process. */
   incarnation: Type.String({ minLength: 1 }),
   /** Unix time at which the process started (ms); the record of a later start replaces that of an earlier one. */
-  startedAtMs: Type.Integer({ minimum: 0 }),
+  startedAtMs: unixTime,
   /** Increases with each change of the record since the process started. */
-  revision: Type.Integer({ minimum: 0 }),
+  revision: counter,
   target: Type.Optional(publishedTargetSchema),
 });
 export type NodeMember = Static<typeof nodeMemberSchema>;
