Write the service of a host to heads without control characters

Callers would see 502: the service in the settings of a host stands in a header of all requests that enter there, and a line break in it ends the head. Since the check of frames, it made peers close the links of this host.

Cause: the service of the settings is any text, and a frame was invalid with a name that its sender did not check.

Ruled out: refusing such a frame, which punishes all requests on the link.

Change: names are written with spaces in place of control characters, whatever their source, and frames carry any service.

--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -23,6 +23,7 @@
 }
 
 const BEYOND_LATIN_1 = /[\u0100-\uffff]/;
+const CONTROL_CHARACTERS = /\p{Cc}/gu;
 
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
@@ -92,7 +93,11 @@
   return candidate.length === name.length && candidate.toLowerCase() === name;
 }
 
-/** Encodes a name for a head that is written as Latin-1: as UTF-8 if it has characters beyond Latin-1. */
+/**
+ * Encodes a name for a head that is written as Latin-1: as UTF-8 if it has characters beyond Latin-1, and with spaces in place of
+ * control characters.
+ */
 export function encodeHeaderLabel(label: string): string {
-  return BEYOND_LATIN_1.test(label) ? Buffer.from(label).toString('latin1') : label;
+  const text = label.replace(CONTROL_CHARACTERS, ' ');
+  return BEYOND_LATIN_1.test(text) ? Buffer.from(text).toString('latin1') : text;
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -34,7 +34,7 @@
   path: headTextSchema,
   headers: headerList,
   /** Service of the host at which the request entered. */
-  callerService: headerLabelSchema,
+  callerService: Type.String(),
   /** Organisation that sent the request; absent if none did. */
   organisation: Type.Optional(headerLabelSchema),
   /** Time left until the request times out (ms). */
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -93,6 +93,17 @@
     });
   }
 
+  it('should not end the head of a request with the service of its host', async () => {
+    const target = await startRawTarget(() => undefined);
+    const pool = createTargetConnectionPool(createSystemClock());
+    cleanups.push(target.stop, pool.stop);
+    const request = buildRunRequest({ callerService: 'stock\r\n\r\nGET /' });
+    const send = createTargetSender({ pool, names: testHeaderNames });
+    send({ address: target.address, targetId: 'i-1', request }, collectRun().events);
+    await waitUntil('the request', () => target.received[0]?.includes('\r\n\r\n') === true);
+    expect(target.received.join('').split('\r\n')).toInclude('test-caller: stock    GET /');
+  });
+
   it('should make a configuration invalid if an organisation has control characters in its name', () => {
     const validator = compileSchema(routeConfigurationSchema);
     const listPaths = (name: string): string[] =>
