--- a/src/http/requestHeaders.ts
+++ b/src/http/requestHeaders.ts
@@ -22,6 +22,9 @@
   leaving: string;
 }
 
+const BEYOND_LATIN_1 = /[\u0100-\uffff]/;
+const CONTROL_CHARACTERS = /\p{Cc}/gu;
+
 /** Headers that apply to a single connection and are not forwarded. */
 const hopByHopHeaders: ReadonlySet<string> = new Set([
   'connection',
@@ -89,3 +92,12 @@
 function isHeader(candidate: string, name: string): boolean {
   return candidate.length === name.length && candidate.toLowerCase() === name;
 }
+
+/**
+ * Encodes a name for a head that is written as Latin-1: as UTF-8 if it has characters beyond Latin-1, and with spaces in place of
+ * control characters.
+ */
+export function encodeHeaderLabel(label: string): string {
+  const text = label.replace(CONTROL_CHARACTERS, ' ');
+  return BEYOND_LATIN_1.test(text) ? Buffer.from(text).toString('latin1') : text;
+}
--- a/src/schema/member.ts
+++ b/src/schema/member.ts
@@ -1,5 +1,10 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import type { Fault } from './failure.js';
+import { compileSchema } from './validate.js';
+
+/** A port number from 0, which a node has until it listens, to 65535. */
+const PORT_PATTERN = '(0|[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])';
 
 export const targetStateSchema = Type.Union([
   Type.Literal('none'),
@@ -22,7 +27,7 @@
   version: Type.Integer({ minimum: 0 }),
   region: Type.String({ maxLength: 64 }),
   dataCenter: Type.String({ maxLength: 64 }),
-  peerAddress: Type.String({ maxLength: 255 }),
+  peerAddress: Type.String({ maxLength: 255, pattern: `^\\S+:${PORT_PATTERN}$` }),
   callerAddress: Type.String({ maxLength: 255 }),
   operatorAddress: Type.String({ maxLength: 255 }),
   service: Type.Optional(Type.String({ maxLength: 64 })),
@@ -43,3 +48,29 @@
   { additionalProperties: false },
 );
 export type TargetAnnouncement = Static<typeof targetAnnouncementSchema>;
+
+const announcementValidator = compileSchema(targetAnnouncementSchema);
+
+export type ParsedAnnouncement =
+  { type: 'parsed'; announcement: TargetAnnouncement } | { type: 'invalid'; faults: Fault[] };
+
+/**
+ * Validates an announcement against its schema, and its address against what connections accept.
+ *
+ * @example
+ * const parsed = parseAnnouncement(JSON.parse(text));
+ */
+export function parseAnnouncement(value: unknown): ParsedAnnouncement {
+  if (!announcementValidator.isValid(value))
+    return { type: 'invalid', faults: announcementValidator.listFaults(value) };
+  if (isOrigin(value.address)) return { type: 'parsed', announcement: value };
+  const allowed = 'an address such as http://127.0.0.1:8080';
+  return { type: 'invalid', faults: [{ path: 'address', found: JSON.stringify(value.address), allowed }] };
+}
+
+/** True for a URL of a scheme, a host and a port. */
+function isOrigin(address: string): boolean {
+  if (!URL.canParse(address)) return false;
+  const { origin, href } = new URL(address);
+  return href === `${origin}/`;
+}
--- a/tests/requests/targetSender.test.ts
+++ b/tests/requests/targetSender.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { TargetNotice } from '../../src/control/requests/runPort.js';
+import { MAX_RATE_PER_SECOND } from '../../src/schema/nodeMember.js';
 import { buildRunRequest, collectRun } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 import { createTargetSends, OK_HEAD } from '../fixtures/targetSends.js';
@@ -86,6 +87,12 @@
       'test-limit: 30\r\ntest-limit: 20, x\r\n',
       { ratePerSecond: 20, isLeaving: false, unreadableLimit: '30,20, x', pace: undefined },
     ],
+    // Infinity cannot be published: no node would read the record of this one.
+    [
+      'a limit beyond all numbers',
+      `test-limit: ${'9'.repeat(400)}\r\n`,
+      { ratePerSecond: MAX_RATE_PER_SECOND, isLeaving: false, unreadableLimit: undefined, pace: undefined },
+    ],
     ['its pace', 'test-load: 3,0,8,250\r\n', { ...silent, pace: 2.5 }],
     ['a load without a pace', 'test-load: 3,0,8\r\n', silent],
     ['a negative pace', 'test-load: 3,0,8,-100\r\n', silent],
