Refuse ids of targets that cannot be sent in a header

A sender of heartbeats could make the host's target run requests that no client sent, and break the links of its node: the id comes percent-decoded from the path and goes into a header of each request and into the node's record, with whatever it contains.

Class: a value from outside that is checked for its looks where it comes in, and used where another form is needed. An id is now visible ASCII.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -1,6 +1,6 @@
 import type { Controller } from '../context.js';
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
-import { findTargetFault } from '../../policy/ownTarget.js';
+import { findTargetFault, isTargetId } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
@@ -83,7 +83,7 @@
   };
   /** Refuses heartbeats that name no target of this host, so that they cannot take the place of its target. */
   const checkHeartbeat = ({ id, heartbeat, acknowledge, refuse }: HeartbeatPost): void => {
-    const fault = findTargetFault(heartbeat, board.read('settings').current);
+    const fault = findTargetFault({ ...heartbeat, id }, board.read('settings').current);
     if (fault === undefined) {
       receiveHeartbeat(id, heartbeat, acknowledge);
       return;
@@ -127,6 +127,11 @@
   const receiveLeave = (id: string, acknowledge: () => void): void => {
     const { previousTarget } = board.read('members');
     if (section.id === '' && previousTarget?.id === id) restoreTarget(previousTarget);
+    if (!isTargetId(id)) {
+      board.post('decisions', { kind: 'faultFound', outcome: 'leave with an unusable id', inputs: { target: id } });
+      acknowledge();
+      return;
+    }
     if (section.id !== id) {
       // Records the start time, since heartbeats that an unknown target sent before its leave must be ignored later.
       if (section.id !== '') {
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -11,6 +11,9 @@
 ]);
 export type TargetPhase = Static<typeof targetPhaseSchema>;
 
+/** Id of a target. It is sent in a header of each request, so it has visible ASCII characters only. */
+export const targetIdSchema = Type.String({ pattern: '^[!-~]{1,200}$' });
+
 /** Heartbeat of a target. */
 export const heartbeatSchema = Type.Object({
   service: Type.String({ minLength: 1 }),
@@ -30,12 +33,13 @@
 
 /** Local target as published by its node, so that after a restart the node still knows what it has acknowledged. */
 export const publishedTargetSchema = Type.Object({
+  /** Any text, since earlier versions published what they were told; the same holds for the address. */
   id: Type.String({ minLength: 1 }),
   startedAtMs: Type.Integer({ minimum: 0 }),
   sequence: Type.Integer({ minimum: 0 }),
   phase: targetPhaseSchema,
   service: Type.String(),
-  /** Any text, since earlier versions published what they were told; `isAddress` tells whether it can be used. */
+  /** Any text; `isAddress` tells whether it can be used. */
   address: Type.String(),
   slots: Type.Integer({ minimum: 1 }),
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
