Show that a restarted node forgets the leave of a target that it knew nothing else of

One that left before any heartbeat of it arrived has neither, so a node that acknowledged its leave takes a late heartbeat of it as ready after a restart (rule DRAIN).

node scripts/runTests.js requests/leaving: this one fails.

--- a/tests/requests/leaving.test.ts
+++ b/tests/requests/leaving.test.ts
@@ -203,6 +203,22 @@
     });
   }
 
+  // Guards against a restarted node that forgets a leave because it never heard the service and address of the target.
+  it('should stay left after a restart of its node if nothing was known of it before its leave', () => {
+    const fleet = createRequestFleet({ hosts, configuration, sendsHeartbeats: false });
+    let isAcknowledged = false;
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+      isAcknowledged = true;
+    });
+    fleet.clock.advance(1000);
+    expect(isAcknowledged).toEqual(true);
+    fleet.killNode('a2');
+    fleet.startNode('a2');
+    fleet.clock.advance(1500);
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+  });
+
   it('should not become ready again by a heartbeat that was sent before its leave', () => {
     const fleet = createRequestFleet({ hosts, configuration });
     const target = fleet.targets.get('a2');
