Restore the leave of a target that nothing else is known of

A node that acknowledged the leave of a target before any heartbeat of it took a late heartbeat as ready after a restart, and sent it requests: the record names neither service nor address, which counted as a foreign target since. Such a leave is restored now; it names no target that could take the place of the real one's service.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,7 +1,7 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
-import { findTargetFault } from '../../policy/ownTarget.js';
+import { findPublishedTargetFault } from '../../policy/ownTarget.js';
 import { isWriteOfEra } from '../../policy/storeEra.js';
 import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
@@ -59,7 +59,7 @@
   let stopWatcher = (): void => undefined;
 
   const isRestorable = (target: PublishedTarget): boolean =>
-    findTargetFault(target, board.read('settings').current) === undefined;
+    findPublishedTargetFault(target, board.read('settings').current) === undefined;
   /** The first record replaces that of an earlier process, so it has to say what that one said of the target. */
   const isFirstWriteDelayed = (): boolean => {
     if (hasWritten) return false;
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -1,6 +1,6 @@
 import type { Controller } from '../context.js';
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
-import { findTargetFault, isTargetId } from '../../policy/ownTarget.js';
+import { findPublishedTargetFault, findTargetFault, isTargetId } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
@@ -149,7 +149,7 @@
     acknowledgeLeaving(acknowledge);
   };
   const restoreTarget = (previous: PublishedTarget): void => {
-    const fault = findTargetFault(previous, board.read('settings').current);
+    const fault = findPublishedTargetFault(previous, board.read('settings').current);
     if (fault !== undefined) {
       reportForeignTarget(previous, fault);
       return;
--- a/src/policy/ownTarget.ts
+++ b/src/policy/ownTarget.ts
@@ -30,3 +30,19 @@
   if (targetAddress === undefined || address === targetAddress) return undefined;
   return `the target of this host has the address ${targetAddress}`;
 }
+
+/**
+ * The same for a published target. One that left before any heartbeat of it arrived has neither service nor address, and its
+ * leave holds all the same.
+ *
+ * @example
+ * if (findPublishedTargetFault(previousTarget, settings) === undefined) restoreTarget(previousTarget);
+ */
+export function findPublishedTargetFault(
+  target: PublishedTarget,
+  settings: Pick<RequestSettings, 'service' | 'targetAddress'>,
+): string | undefined {
+  const { id, phase, service, address } = target;
+  if (isTargetId(id) && phase === 'left' && service === '' && address === '') return undefined;
+  return findTargetFault(target, settings);
+}
