--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -1,6 +1,6 @@
 import type { Controller } from '../context.js';
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
-import { findTargetFault } from '../../policy/ownTarget.js';
+import { findPublishedTargetFault, findTargetFault, isTargetId } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
@@ -87,7 +87,7 @@
   };
   /** Refuses heartbeats that name no target of this host, so that they cannot take the place of its target. */
   const checkHeartbeat = ({ id, heartbeat, acknowledge, refuse }: HeartbeatPost): void => {
-    const fault = findTargetFault(heartbeat, board.read('settings').current);
+    const fault = findTargetFault({ ...heartbeat, id }, board.read('settings').current);
     if (fault === undefined) {
       receiveHeartbeat(id, heartbeat, acknowledge);
       return;
@@ -131,6 +131,11 @@
   const receiveLeave = (id: string, acknowledge: () => void): void => {
     const { previousTarget } = board.read('members');
     if (section.id === '' && previousTarget?.id === id) restoreTarget(previousTarget);
+    if (!isTargetId(id)) {
+      board.post('decisions', { kind: 'faultFound', outcome: 'leave with an unusable id', inputs: { target: id } });
+      acknowledge();
+      return;
+    }
     if (section.id !== id) {
       // Records the start time, since heartbeats that an unknown target sent before its leave must be ignored later.
       if (section.id !== '') {
@@ -148,7 +153,7 @@
     acknowledgeLeaving(acknowledge);
   };
   const restoreTarget = (previous: PublishedTarget): void => {
-    const fault = findTargetFault(previous, board.read('settings').current);
+    const fault = findPublishedTargetFault(previous, board.read('settings').current);
     if (fault !== undefined) {
       reportForeignTarget(previous, fault);
       return;
--- a/src/schema/headText.ts
+++ b/src/schema/headText.ts
@@ -6,10 +6,10 @@
  */
 export const headTextSchema = Type.String({ pattern: '^[\\x01-\\x09\\x0b\\x0c\\x0e-\\xff]*$' });
 
-/** Id of a target, which stands in a header of each request that is sent to it. */
+/** Id of a target. It stands in a header of each request that is sent to it, so it has visible ASCII characters only. */
 export const targetIdSchema = Type.String({
-  pattern: '^[\\x20-\\x7e\\x80-\\xff]+$',
-  description: 'Latin-1 text without control characters',
+  pattern: '^[!-~]{1,200}$',
+  description: 'up to 200 visible ASCII characters',
 });
 
 /** Name that stands in a header; characters beyond Latin-1 are written as UTF-8. */
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -39,12 +39,13 @@
 
 /** Local target as published by its node, so that after a restart the node still knows what it has acknowledged. */
 export const publishedTargetSchema = Type.Object({
+  /** Any text, since earlier versions published what they were told; the same holds for the address. */
   id: Type.String({ minLength: 1 }),
   startedAtMs: unixTime,
   sequence: counter,
   phase: targetPhaseSchema,
   service: Type.String(),
-  /** Any text, since earlier versions published what they were told; `isAddress` tells whether it can be used. */
+  /** Any text; `isAddress` tells whether it can be used. */
   address: Type.String(),
   slots: slotCount,
   /** Requests per second that the target takes from all nodes together; absent while it names no limit. */
--- a/tests/requests/leavingRestarts.test.ts
+++ b/tests/requests/leavingRestarts.test.ts
@@ -52,6 +52,22 @@
     });
   }
 
+  // Guards against a restarted node that forgets a leave because it never heard the service and address of the target.
+  it('should stay left after a restart of its node if nothing was known of it before its leave', () => {
+    const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
+    let isAcknowledged = false;
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+      isAcknowledged = true;
+    });
+    fleet.clock.advance(1000);
+    expect(isAcknowledged).toEqual(true);
+    fleet.killNode('a2');
+    fleet.startNode('a2');
+    fleet.clock.advance(1500);
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+  });
+
   // Guards against a process that takes over the leave and is replaced before anybody else hears it from this process.
   it('should stay left after two restarts of its node and a heartbeat that arrives late', () => {
     const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
