Split the writing of the own record from the list of members

The writer of the own record and the removal of earlier hosts at the own address are modules of their own now; behaviour is unchanged.

node scripts/runTests.js tests/requests tests/soak: no unexpected failure.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,21 +1,20 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
-import { findPublishedTargetFault } from '../../policy/ownTarget.js';
-import { isWriteOfEra } from '../../policy/storeEra.js';
-import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
-import type { KeyedRecord, StoreWrite } from '../../schema/keyedStore.js';
+import type { KeyedRecord } from '../../schema/keyedStore.js';
 import { isAddress } from '../../schema/address.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
-import type { NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
 import { createDurabilityWaits } from './durabilityWaits.js';
-import { isHistoryKnown, LINK_WAIT_MS, RESTORE_WAIT_MS } from './hostHistory.js';
-import { observeStoreEra, readReaderPlace, STORE_SOURCE } from './storeReading.js';
+import { LINK_WAIT_MS, RESTORE_WAIT_MS } from './hostHistory.js';
+import { createOwnRecordWriter, FIRST_WRITE_WAIT_MS } from './ownRecordWriter.js';
+import { createPredecessorRemoval } from './predecessorRemoval.js';
+import { readReaderPlace, STORE_SOURCE } from './storeReading.js';
 import { startTopicWatcher } from './topicWatcher.js';
 
 /** Pause after a read that returned records (ms). It may be long, since peers also send their own records over links. */
@@ -24,16 +23,8 @@
 const LARGE_FLEET_READ_PAUSE_MS = 3000;
 /** Time for which one read waits for a changed member (ms). It may be long, since peers send their own records as well. */
 const READ_WAIT_MS = 25_000;
-/** Mean pause before a failed write to the store is retried (ms). */
-const WRITE_RETRY_MS = 400;
 /** Maximum number of records passed to peers in one frame. */
 const MAX_FORWARDED_RECORDS = 64;
-/**
- * Time after its start in which a node of a large fleet waits for its target before it writes its record (ms), so that one
- * write suffices.
- */
-const FIRST_WRITE_WAIT_MS = 2500;
-
 /** Maximum number of ignored records that are remembered to log each only once. */
 const MAX_UNUSABLE_RECORDS = 100;
 
@@ -41,80 +32,20 @@
 
 /** Writes the list of nodes, and keeps this node's own record in the platform's store up to date. */
 export function createMemberController(context: RequestContext): Controller {
-  const { board, clock, random, io } = context;
+  const { board, clock, io } = context;
   const members = board.claim('members', 'memberController');
   const { section } = members;
   const durability = createDurabilityWaits(context);
-  const removedPredecessors = new Set<string>();
+  const ownRecord = createOwnRecordWriter(context, durability);
+  const predecessors = createPredecessorRemoval(context);
   /** By host: the start of a process whose record was ignored, since no connection can be opened to its address. */
   const unusableIncarnations = new Map<string, string>();
-  const startedAtMs = clock.now();
-  let writtenRevision = -1;
-  let hasWritten = false;
-  let isWriting = false;
-  /** The revision that was refused, until its next attempt is due. */
-  let failedRevision = -1;
-  let cancelRetry = (): void => undefined;
-  let isStopped = false;
   let stopWatcher = (): void => undefined;
 
-  const isRestorable = (target: PublishedTarget): boolean =>
-    findPublishedTargetFault(target, board.read('settings').current) === undefined;
-  /** The first record replaces that of an earlier process, so it has to say what that one said of the target. */
-  const isFirstWriteDelayed = (): boolean => {
-    if (hasWritten) return false;
-    if (!isHistoryKnown(board, clock.now())) return true;
-    if (section.self.target !== undefined) return false;
-    // What cannot be restored is not waited for.
-    if (section.previousTarget !== undefined && isRestorable(section.previousTarget)) return true;
-    return isStoreReadByFew(section.byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
-  };
-  const setWrittenRevision = (revision: number): void => {
-    writtenRevision = revision;
-    durability.setWrittenRevision(revision);
-  };
-  const writeSelf = (): void => {
-    if (isWriting || isStopped || failedRevision === section.self.revision || writtenRevision >= section.self.revision)
-      return;
-    if (isFirstWriteDelayed()) return;
-    isWriting = true;
-    const member = section.self;
-    const begun = board.read('store').era;
-    io.writeMember(member, (outcome) => {
-      isWriting = false;
-      if (outcome.type === 'written') hasWritten = true;
-      if (isInStore(outcome, begun)) setWrittenRevision(member.revision);
-      else if (begun === board.read('store').era) {
-        retryWrite(member.revision, outcome);
-        return;
-      }
-      writeSelf();
-    });
-  };
-  /** True when what was written or deleted is part of the records that the store has now. */
-  const isInStore = (outcome: StoreWrite, begun: StoreEra): boolean => {
-    const received = outcome.type === 'unknown' ? undefined : outcome.era;
-    observeStoreEra(board, received, STORE_SOURCE);
-    return outcome.type === 'written' && isWriteOfEra({ begun, received, known: board.read('store').era });
-  };
-  const retryWrite = (revision: number, outcome: StoreWrite): void => {
-    const detail = outcome.type === 'written' ? 'response of an earlier era' : outcome.detail;
-    const inputs = { revision, detail };
-    board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
-    cancelRetry();
-    cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
-      failedRevision = -1;
-      writeSelf();
-    });
-    failedRevision = revision;
-  };
   /** The store has lost what was written since its copy: writes it again, and lets the newest records show what is back. */
   const handleNewEra = (): void => {
-    removedPredecessors.clear();
-    cancelRetry();
-    failedRevision = -1;
-    setWrittenRevision(-1);
-    writeSelf();
+    predecessors.restart();
+    ownRecord.restart();
   };
   const replaceInDigest = (previous: NodeMember | undefined, next: NodeMember | undefined): void => {
     if (previous !== undefined) section.digest = updateDigest(section.digest, previous);
@@ -138,7 +69,7 @@
     const inputs = { startedAtMs, revision, target: target?.id, phase: target?.phase, isNewer, source };
     board.post('decisions', { kind: 'memberChanged', outcome: 'record of an earlier process', inputs });
     // A late write of the earlier process took the place of this one's record.
-    if (source === STORE_SOURCE && hasWritten) setWrittenRevision(-1);
+    if (source === STORE_SOURCE && ownRecord.hasWritten()) ownRecord.markLost();
     // The wall clock may have been set back since the earlier process started.
     if (incarnation !== section.self.incarnation && startedAtMs >= section.self.startedAtMs)
       updateSelf({ startedAtMs: startedAtMs + 1 });
@@ -151,32 +82,11 @@
     board.post('decisions', { kind: 'memberChanged', outcome: 'removed', inputs: { host, reason } });
     return true;
   };
-  /** Deletes the store record of an earlier host at this node's address. */
-  const removePredecessor = (host: string): void => {
-    if (removedPredecessors.has(host)) return;
-    removedPredecessors.add(host);
-    const begun = board.read('store').era;
-    io.dropMember(host, (outcome) => {
-      if (!isInStore(outcome, begun)) retryRemoval(host);
-      const inputs = { host, address: section.self.linkAddress };
-      board.post('decisions', {
-        kind: 'memberChanged',
-        outcome: `tombstone for the earlier host at this address: ${outcome.type}`,
-        inputs,
-      });
-    });
-  };
-  const retryRemoval = (host: string): void => {
-    removedPredecessors.delete(host);
-    clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
-      if (!isStopped) removePredecessor(host);
-    });
-  };
   /** Of two hosts with the same address, only the one started last can exist. True if the given one may be added. */
   const resolveAddressConflict = (record: NodeMember): boolean => {
     const { self } = section;
     if (record.linkAddress === self.linkAddress) {
-      removePredecessor(record.host);
+      predecessors.remove(record.host);
       return false;
     }
     for (const other of section.byHost.values()) {
@@ -225,7 +135,7 @@
   };
   /** Handles a deletion in the store. A node whose own record was deleted writes it again. */
   const removeDeleted = (host: string): void => {
-    if (host === section.self.host) setWrittenRevision(-1);
+    if (host === section.self.host) ownRecord.markLost();
     else if (remove(host, 'its record was deleted')) members.publishChange();
   };
   const recordComplete = (): void => {
@@ -234,7 +144,7 @@
     // What waits for the history of this host goes on then, although some peers have not responded.
     clock.schedule(LINK_WAIT_MS + 1, () => {
       members.publishChange();
-      writeSelf();
+      ownRecord.write();
     });
   };
   /** Returns the records that were new. */
@@ -250,7 +160,7 @@
     const hasChanged = changed.length > 0 || (isComplete && !section.isComplete);
     if (isComplete && !section.isComplete) recordComplete();
     if (hasChanged) members.publishChange();
-    writeSelf();
+    ownRecord.write();
     return changed;
   };
   const reportMalformed = (records: readonly KeyedRecord[]): void => {
@@ -278,12 +188,12 @@
     }
     updateSelf({ target: post.target });
     members.publishChange();
-    writeSelf();
+    ownRecord.write();
   });
   return {
     start: () => {
-      for (const delayMs of [RESTORE_WAIT_MS + 1, FIRST_WRITE_WAIT_MS]) clock.schedule(delayMs, writeSelf);
-      board.subscribe('links', writeSelf);
+      for (const delayMs of [RESTORE_WAIT_MS + 1, FIRST_WRITE_WAIT_MS]) clock.schedule(delayMs, ownRecord.write);
+      board.subscribe('links', ownRecord.write);
       board.subscribe('links', durability.check);
       board.subscribe('store', handleNewEra);
       stopWatcher = startTopicWatcher(context, {
@@ -302,7 +212,8 @@
       });
     },
     stop: () => {
-      isStopped = true;
+      ownRecord.stop();
+      predecessors.stop();
       stopWatcher();
     },
   };
--- /dev/null
+++ b/src/control/requests/ownRecordWriter.ts
@@ -0,0 +1,112 @@
+import { findPublishedTargetFault } from '../../policy/ownTarget.js';
+import { isWriteOfEra } from '../../policy/storeEra.js';
+import type { StoreEra } from '../../policy/storeEra.js';
+import { isStoreReadByFew } from '../../policy/storeReaders.js';
+import type { StoreWrite } from '../../schema/keyedStore.js';
+import type { RequestContext } from './context.js';
+import type { DurabilityWaits } from './durabilityWaits.js';
+import { isHistoryKnown } from './hostHistory.js';
+import type { RequestBoard } from './sections.js';
+import { observeStoreEra, STORE_SOURCE } from './storeReading.js';
+
+/** Mean pause before a failed write to the store is retried (ms). */
+export const WRITE_RETRY_MS = 400;
+/**
+ * Time after its start in which a node of a large fleet waits for its target before it writes its record (ms), so that one
+ * write suffices.
+ */
+export const FIRST_WRITE_WAIT_MS = 2500;
+
+/** Keeps this node's own record in the platform's store up to date. */
+export interface OwnRecordWriter {
+  /** True once the store has had a record of this process. */
+  hasWritten(): boolean;
+  /** Writes the record unless the store has its last revision. */
+  write(): void;
+  /** Notes that the store has lost the record, or has another one in its place; the next `write` writes it again. */
+  markLost(): void;
+  /** Writes the record again, since the store has lost what was written after the copy that it was restored from. */
+  restart(): void;
+  stop(): void;
+}
+
+/** True when what was written or deleted is part of the records that the store has now. */
+export function isInStore(board: RequestBoard, outcome: StoreWrite, begun: StoreEra): boolean {
+  const received = outcome.type === 'unknown' ? undefined : outcome.era;
+  observeStoreEra(board, received, STORE_SOURCE);
+  return outcome.type === 'written' && isWriteOfEra({ begun, received, known: board.read('store').era });
+}
+
+/** Creates the writer of the record in the section `members`; tells `durability` which revisions the store has. */
+export function createOwnRecordWriter(context: RequestContext, durability: DurabilityWaits): OwnRecordWriter {
+  const { board, clock, random, io } = context;
+  const startedAtMs = clock.now();
+  let writtenRevision = -1;
+  let hasWritten = false;
+  let isWriting = false;
+  /** The revision that was refused, until its next attempt is due. */
+  let failedRevision = -1;
+  let cancelRetry = (): void => undefined;
+  let isStopped = false;
+
+  /** The first record replaces that of an earlier process, so it has to say what that one said of the target. */
+  const isFirstWriteDelayed = (): boolean => {
+    const { self, previousTarget, byHost } = board.read('members');
+    if (hasWritten) return false;
+    if (!isHistoryKnown(board, clock.now())) return true;
+    if (self.target !== undefined) return false;
+    // What cannot be restored is not waited for.
+    const isRestorable =
+      previousTarget !== undefined &&
+      findPublishedTargetFault(previousTarget, board.read('settings').current) === undefined;
+    return isRestorable || (isStoreReadByFew(byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS);
+  };
+  const setWrittenRevision = (revision: number): void => {
+    writtenRevision = revision;
+    durability.setWrittenRevision(revision);
+  };
+  const write = (): void => {
+    const { self } = board.read('members');
+    if (isWriting || isStopped || failedRevision === self.revision || writtenRevision >= self.revision) return;
+    if (isFirstWriteDelayed()) return;
+    isWriting = true;
+    const begun = board.read('store').era;
+    io.writeMember(self, (outcome) => {
+      isWriting = false;
+      if (outcome.type === 'written') hasWritten = true;
+      if (isInStore(board, outcome, begun)) setWrittenRevision(self.revision);
+      else if (begun === board.read('store').era) {
+        scheduleRetry(self.revision, outcome);
+        return;
+      }
+      write();
+    });
+  };
+  const scheduleRetry = (revision: number, outcome: StoreWrite): void => {
+    const detail = outcome.type === 'written' ? 'response of an earlier era' : outcome.detail;
+    const inputs = { revision, detail };
+    board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
+    cancelRetry();
+    cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
+      failedRevision = -1;
+      write();
+    });
+    failedRevision = revision;
+  };
+  return {
+    hasWritten: () => hasWritten,
+    write,
+    markLost: () => {
+      setWrittenRevision(-1);
+    },
+    restart: () => {
+      cancelRetry();
+      failedRevision = -1;
+      setWrittenRevision(-1);
+      write();
+    },
+    stop: () => {
+      isStopped = true;
+    },
+  };
+}
