Replace records of other writers that keep this host out of service

A record in the store that the host's node had not written could keep the host out of service for good: a malformed one under its key stayed, so that nodes that started later did not find it; a copy of its record with another link address or service was believed by all; and one of another host with its link address and a later start made them remove it.

Cause: a node took its own record in the store for its own word, whatever it said, and start times were believed. Class: what is accepted displaces what works. A node now writes its record again over a malformed one, and makes it newer than one that names its process without being its own, or its address under another host.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,6 +1,7 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isNewerMember } from '../../policy/memberOrder.js';
+import { isForgedRecord } from '../../policy/ownRecord.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
 import type { KeyedRecord } from '../../schema/keyedStore.js';
@@ -56,9 +57,19 @@
     section.self = { ...previous, ...change, revision: previous.revision + 1 };
     replaceInDigest(previous, section.self);
   };
+  /** Makes the own record newer than one that other nodes may have taken over in its place. */
+  const replaceRecord = ({ startedAtMs, incarnation }: NodeMember, reason: string, source: string): void => {
+    const inputs = { startedAtMs, incarnation, source };
+    board.post('decisions', { kind: 'faultFound', outcome: reason, inputs });
+    updateSelf({ startedAtMs: Math.max(startedAtMs, section.self.startedAtMs) + 1 });
+  };
   /** Takes over what an earlier process of this host published, from the store or a peer. */
   const applyEarlierSelf = (record: NodeMember, source: string): void => {
     const { incarnation, startedAtMs, revision, target } = record;
+    if (isForgedRecord(record, section.self)) {
+      replaceRecord(record, 'forged record of this process', source);
+      return;
+    }
     if (!isHistoryNews(record, section.self)) return;
     const { previousTarget, previousOrder } = section;
     const isNewer = isNewerMember(record, previousOrder);
@@ -83,10 +94,13 @@
     return true;
   };
   /** Of two hosts with the same address, only the one started last can exist. True if the given one may be added. */
-  const resolveAddressConflict = (record: NodeMember): boolean => {
+  const resolveAddressConflict = (record: NodeMember, source: string): boolean => {
     const { self } = section;
     if (record.linkAddress === self.linkAddress) {
       predecessors.remove(record.host);
+      // This process listens there, so the record is wrong, but other nodes believe the later start.
+      if (record.startedAtMs >= self.startedAtMs)
+        replaceRecord(record, 'address of this host in another record', source);
       return false;
     }
     for (const other of section.byHost.values()) {
@@ -114,7 +128,7 @@
       return false;
     }
     const known = section.byHost.get(record.host);
-    if (!isNewerMember(record, known) || !resolveAddressConflict(record)) return false;
+    if (!isNewerMember(record, known) || !resolveAddressConflict(record, source)) return false;
     // A restarted process may not know yet that its target has left.
     section.byHost.set(record.host, mergeTargets(record, known));
     replaceInDigest(known, record);
@@ -149,6 +163,7 @@
   };
   /** Returns the records that were new. */
   const applyRecords = (records: readonly NodeMember[], source: string, isComplete: boolean): NodeMember[] => {
+    const { revision } = section.self;
     const changed = records.filter((record) => {
       try {
         return applyRecord(record, source);
@@ -157,7 +172,7 @@
         return false;
       }
     });
-    const hasChanged = changed.length > 0 || (isComplete && !section.isComplete);
+    const hasChanged = changed.length > 0 || section.self.revision !== revision || (isComplete && !section.isComplete);
     if (isComplete && !section.isComplete) recordComplete();
     if (hasChanged) members.publishChange();
     ownRecord.write();
@@ -201,7 +216,10 @@
         getPauseMs: () => (isStoreReadByFew(section.byHost) ? LARGE_FLEET_READ_PAUSE_MS : READ_PAUSE_MS),
         getWaitMs: () => (readReaderPlace(board, clock.now()) === undefined ? undefined : READ_WAIT_MS),
         apply: (records, isComplete) => {
-          for (const { key, value } of records) if (value === undefined) removeDeleted(key);
+          for (const { key, value } of records) {
+            if (value === undefined) removeDeleted(key);
+            else if (key === section.self.host && !validator.isValid(value)) ownRecord.markLost();
+          }
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
           reportMalformed(records);
           const changed = applyRecords(values, STORE_SOURCE, isComplete);
