Share the check of the fuzzers

In the way: both fuzzers had the same function that throws when a condition does not hold, one of them exported from the oracle of the other.

--- a/src/fuzz/callOracle.ts
+++ b/src/fuzz/callOracle.ts
@@ -1,6 +1,6 @@
-import { FailureError } from '../schema/failure.js';
 import type { CallResult, TargetRequest } from '../schema/call.js';
 import type { Frame } from '../schema/frame.js';
+import { check } from './check.js';
 
 /** A request from the view of its caller; all sends of it have the same body and ticket. */
 export interface FuzzRequest {
@@ -60,6 +60,7 @@
 
 const SHED_KINDS = new Set(['shed', 'overloaded', 'deadlineUnreachable', 'deadlineExceeded']);
 
+/** Creates the oracle of one fuzzed run. Its checks throw a `FailureError` that names the invariant. */
 export function createCallOracle({ getNow, retryAllowance, maxDrainDelayMs }: CallOracleOptions): CallOracle {
   const runsByBody = new Map<string, Run[]>();
   const runsByRequest = new Map<string, Run[]>();
@@ -158,11 +159,6 @@
   };
 }
 
-/** Throws an error with the message if a condition does not hold. */
-export function check(holds: boolean, message: string): void {
-  if (!holds) throw new FailureError({ kind: 'processFailed', message });
-}
-
 function addTo<T>(lists: Map<string, T[]>, key: string, item: T): T[] {
   const list = lists.get(key) ?? [];
   list.push(item);
--- a/src/fuzz/callSystem.ts
+++ b/src/fuzz/callSystem.ts
@@ -1,8 +1,9 @@
 import type { FakeFleet, FakeHost, FakeHostOptions } from '../bench/fakes/fakeFleet.js';
 import { buildOrderCall, createOrderFleet } from '../bench/fakes/orderFleet.js';
 import type { CancelCall } from '../control/calls.js';
-import { check, createCallOracle } from './callOracle.js';
+import { createCallOracle } from './callOracle.js';
 import type { CallOracle, FuzzRequest, FuzzSend } from './callOracle.js';
+import { check } from './check.js';
 
 export const FUZZ_DATA_CENTERS = ['d1', 'd2'] as const;
 export const FUZZ_HOSTS = FUZZ_DATA_CENTERS.flatMap((dataCenter) =>
--- a/src/fuzz/runControlActions.ts
+++ b/src/fuzz/runControlActions.ts
@@ -1,7 +1,7 @@
 import { buildSnapshot } from '../policy/snapshot.js';
 import { createFoldState } from '../policy/configurationFold.js';
-import { FailureError } from '../schema/failure.js';
 import type { ServiceConfiguration } from '../schema/serviceConfiguration.js';
+import { check } from './check.js';
 import { DATA_CENTERS, HOSTS } from './controlActions.js';
 import type { ControlAction, ControlRun } from './controlActions.js';
 import { createControlFleet } from './controlFleet.js';
@@ -253,7 +253,3 @@
   else fold.documents.delete('service-0');
   return buildSnapshot(fold, { author });
 }
-
-function check(holds: boolean, message: string): void {
-  if (!holds) throw new FailureError({ kind: 'processFailed', message });
-}
