Document functions, types and constants that had no comment

In the way: eight exported functions of src/policy and src/control, some exported types of the routed requests, and constants whose name does not tell what they bound had no doc comment; those of the defaults of quotas and of some intervals told no unit.

Only comments changed. A constant that stands behind a documented one of the same pair is left with it.

No test was run for comments alone.

--- a/src/control/callController.ts
+++ b/src/control/callController.ts
@@ -24,6 +24,7 @@
 }
 
 const ignore = (): void => undefined;
+/** Interval at which a stopping node checks whether calls are in flight (ms). */
 const IDLE_CHECK_MS = 20;
 
 /** Writes the call sections: accepts calls, dispatches them to targets, and runs those for the local target. */
--- a/src/control/callQueue.ts
+++ b/src/control/callQueue.ts
@@ -38,6 +38,7 @@
   readonly nonEmpty: PriorityLevel[];
 }
 
+/** Creates an empty queue. */
 export function createCallQueue(): CallQueue {
   return { length: 0, byPriority: new Map(), nonEmpty: [] };
 }
--- a/src/control/limitController.ts
+++ b/src/control/limitController.ts
@@ -7,6 +7,7 @@
 import { computeActiveMs } from './activeTime.js';
 import type { Controller, ControllerContext } from './context.js';
 
+/** Interval between adjustments of the limit (ms). */
 const ADJUST_INTERVAL_MS = 100;
 /** Number of finished calls with which a window is closed at once. */
 const FULL_WINDOW_CALLS = 8;
@@ -19,7 +20,9 @@
 const MAX_WINDOW_MS = 1000;
 /** Slow start begins at this share of the hint, so that a host much slower than the hint is not overloaded at once. */
 const SLOW_START_SHARE = 0.5;
+/** Weight of one call in the mean own time of its operation. */
 const OWN_TIME_SMOOTHING = 0.05;
+/** Weight of one call in the estimated cost of its operation. */
 const COST_SMOOTHING = 0.01;
 
 /**
--- a/src/control/linkController.ts
+++ b/src/control/linkController.ts
@@ -6,9 +6,11 @@
 
 /** Half of the heartbeat interval; bounds the delay until a missed heartbeat is noticed. */
 const TICK_INTERVAL_MS = 500;
+/** Interval between heartbeats (ms). */
 const HEARTBEAT_INTERVAL_MS = 1000;
 /** A tick later than this means that this process was paused and may have missed heartbeats that peers did send. */
 const LATE_TICK_MS = 250;
+/** Maximum number of updates that are remembered so that duplicates are dropped. */
 const MAX_UPDATE_IDS = 4096;
 /** Unit of the ages in heartbeats. */
 const AGE_UNIT_MS = 100;
--- a/src/control/logPoller.ts
+++ b/src/control/logPoller.ts
@@ -19,7 +19,9 @@
 
 /** An empty response faster than this means that the log did not hold the read open until a record arrived. */
 const MIN_POLL_MS = 500;
+/** Pause between two reads while the log is up (ms). */
 const POLL_DELAY_MS = 10;
+/** Base of the delay after failed reads, which doubles with each of them (ms). */
 const MIN_BACKOFF_MS = 200;
 /** Well below the 7 s in which a change must be in force after an outage. */
 const MAX_BACKOFF_MS = 2000;
--- a/src/control/membershipController.ts
+++ b/src/control/membershipController.ts
@@ -17,8 +17,11 @@
  * partition during which hosts of the data centre are replaced.
  */
 const DOWN_RECORD_RETENTION_MS = 600_000;
+/** Interval between exchanges of digests with a random neighbour (ms). */
 const EXCHANGE_INTERVAL_MS = 10_000;
+/** Maximum random delay of the start, so that a fleet that starts at once does not ask its seeds together (ms). */
 const START_JITTER_MS = 1000;
+/** Bounds of the interval between hellos of a node that hears from no neighbour; it doubles with each hello (ms). */
 const MIN_HELLO_INTERVAL_MS = 1000;
 const MAX_HELLO_INTERVAL_MS = 8000;
 /** Gateways keep sending hellos to seeds, so that parts of a fleet that started during a partition find each other. */
--- a/src/control/requests/clientBudget.ts
+++ b/src/control/requests/clientBudget.ts
@@ -10,6 +10,7 @@
   destroy(): void;
 }
 
+/** Options of `createClientBudget`. */
 export interface ClientBudgetOptions {
   now: () => number;
   /** Maximum number of bytes that all connections hold together. */
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -16,6 +16,7 @@
   close(): void;
 }
 
+/** Callbacks of a connection to another node; `closed` is called at most once. */
 export interface LinkEvents {
   opened(connection: LinkConnection): void;
   receive(frame: LinkFrame): void;
--- a/src/control/requests/decisionController.ts
+++ b/src/control/requests/decisionController.ts
@@ -5,9 +5,11 @@
 
 /** Maximum rate of log lines for decisions on requests; excess lines are dropped and counted. */
 const LINES_PER_SECOND = 400;
+/** Number of lines that may be written at once after a time with few. */
 const BURST_LINES = 800;
 /** Maximum number of lines buffered while the log's reader does not keep up. */
 const MAX_WAITING_LINES = 4000;
+/** Interval between writes of the waiting lines (ms). */
 const FLUSH_INTERVAL_MS = 100;
 
 /** Decision kinds whose number grows with the load; all other kinds are exempt from the rate limit. */
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -22,6 +22,7 @@
   refuse(entry: Entry, refusal: Refusal): void;
 }
 
+/** The attempts of entries at the nodes of targets. */
 export interface EntryAttempts {
   /** Sends a request to the target with the shortest expected latency; refuses it if there is no target. */
   sendEntry(entry: Entry): void;
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -22,6 +22,7 @@
 import { createEntryQuota } from './entryQuota.js';
 import type { RunHandle } from './runPort.js';
 
+/** Accepts the requests of the front end. */
 export interface EntryController extends Controller {
   /** Accepts a request from a client or from the local target. */
   acceptRequest(request: ClientRequest, reply: ClientReply): RunHandle;
--- a/src/control/requests/firstConfiguration.ts
+++ b/src/control/requests/firstConfiguration.ts
@@ -5,6 +5,7 @@
 
 type ConfigurationPost = RequestPosts['routes'];
 
+/** Interval at which the conditions are checked while a configuration is held back (ms). */
 const CHECK_INTERVAL_MS = 10;
 
 /** The configurations that a new process receives before one is in force. */
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -26,6 +26,7 @@
  */
 const MIN_PROFILE_INTERVAL_MS = 250;
 const MAX_PROFILE_INTERVAL_MS = 1000;
+/** Minimum interval between profiles on idle routine connections (ms). */
 const IDLE_PROFILE_INTERVAL_MS = 4000;
 /** Time after the last received frame for which a connection counts as active (ms). */
 const ACTIVE_WINDOW_MS = 1000;
--- a/src/control/requests/incomingRuns.ts
+++ b/src/control/requests/incomingRuns.ts
@@ -33,6 +33,7 @@
   untilMs: number;
 }
 
+/** Options of `createIncomingRuns`. */
 export interface IncomingRunsOptions {
   host: string;
   clock: Clock;
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -12,6 +12,7 @@
 /** Time without a tick after which received requests count as old (ms): their senders replace a silent link after 750 ms. */
 const MIN_PAUSE_MS = 1000;
 
+/** Accepts the connections of other nodes. */
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
   acceptLink(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
--- a/src/control/requests/nodeController.ts
+++ b/src/control/requests/nodeController.ts
@@ -6,6 +6,7 @@
 
 /** Maximum time that a new node waits for its links before it becomes ready (ms). */
 const MAX_LINK_WAIT_MS = 600;
+/** Interval at which a starting node checks whether it is ready (ms). */
 const CHECK_INTERVAL_MS = 20;
 
 /**
--- a/src/control/requests/outgoingRuns.ts
+++ b/src/control/requests/outgoingRuns.ts
@@ -27,6 +27,7 @@
   failAll(detail: string): void;
 }
 
+/** Options of `createOutgoingRuns`. */
 export interface OutgoingRunsOptions {
   host: string;
   /** Returns a number that no other request of this process has, whichever lane sends it. */
--- a/src/control/requests/quarantineController.ts
+++ b/src/control/requests/quarantineController.ts
@@ -7,6 +7,7 @@
 const QUARANTINE_MS = 60_000;
 /** Requests whose connection was lost within this time before a crash was detected count as running at the crash (ms). */
 const CRASH_WINDOW_MS = 1500;
+/** Maximum numbers of fingerprints, of known reports and of requests with a lost connection; the oldest are forgotten. */
 const MAX_FINGERPRINTS = 4096;
 const MAX_REPORTS = 4096;
 const MAX_LOST_REQUESTS = 512;
--- a/src/control/requests/quotaController.ts
+++ b/src/control/requests/quotaController.ts
@@ -22,6 +22,7 @@
 const EXCEEDING_MS = 5000;
 /** Maximum number of organisations with counts of their own; the others are counted together. */
 const MAX_COUNTED = 100;
+/** Name under which the other organisations are counted. */
 const OTHERS = 'other';
 
 /**
--- a/src/control/requests/quotaSection.ts
+++ b/src/control/requests/quotaSection.ts
@@ -33,6 +33,7 @@
   counts: Map<string, QuotaCounts>;
 }
 
+/** Requests to the writer of the quotas. */
 export type QuotaPost =
   | { type: 'take'; request: QuotaRequest }
   /** The request no longer waits for a token. */
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -155,6 +155,7 @@
   };
 }
 
+/** The blackboard of a request node. */
 export type RequestBoard = Board<RequestSections, RequestPosts>;
 
 /** Creates the sections of a starting node. */
--- a/src/control/requests/topicWatcher.ts
+++ b/src/control/requests/topicWatcher.ts
@@ -11,6 +11,7 @@
 /** Time after which a node that does not read the topic reads it once, in case its peers missed a change (ms). */
 export const UNREAD_LIMIT_MS = 120_000;
 
+/** Options of `startTopicWatcher`. */
 export interface TopicWatcherOptions {
   topic: KeyedTopic;
   /** Name of the topic in log lines. */
--- a/src/control/routingController.ts
+++ b/src/control/routingController.ts
@@ -2,10 +2,13 @@
 import type { RouteState, Sample } from '../schema/state.js';
 import type { Controller, ControllerContext } from './context.js';
 
+/** Interval between reads of the finished calls (ms). */
 const ADJUST_INTERVAL_MS = 100;
+/** Weight of one call in the failure rate and the latency of its target. */
 const SMOOTHING_FACTOR = 0.2;
 /** Consecutive failures, of the kinds that mean that a target is unavailable, after which it is ejected. */
 const EJECT_AFTER_FAILURES = 3;
+/** Duration of the first ejection; it doubles with each failed trial up to the maximum (ms). */
 const MIN_EJECTION_MS = 1000;
 const MAX_EJECTION_MS = 8000;
 const UNAVAILABLE_KINDS = new Set([
--- a/src/control/sections.ts
+++ b/src/control/sections.ts
@@ -30,7 +30,9 @@
 import { createCallQueue } from './callQueue.js';
 import type { CallQueue } from './callQueue.js';
 
+/** Number of finished calls that are kept for the controllers that read them. */
 const MAX_SAMPLES = 4096;
+/** Number of events that are kept for the timeline. */
 const MAX_EVENTS = 8192;
 
 /** A document in force; its version is the log offset of its change. */
--- a/src/control/sheddingController.ts
+++ b/src/control/sheddingController.ts
@@ -9,9 +9,11 @@
 import type { FractionState } from '../schema/state.js';
 import type { Controller, ControllerContext } from './context.js';
 
+/** Interval between adjustments of the fractions (ms). */
 const ADJUST_INTERVAL_MS = 100;
 /** Maximum number of adjustments until a changed fraction takes effect on the calls of all entry nodes. */
 const MAX_LAG_INTERVALS = 4;
+/** Weight of one interval in the smoothed throughput and number of calls in flight. */
 const THROUGHPUT_SMOOTHING = 0.5;
 /** Desired queue time as a share of its bound. */
 const DESIRED_QUEUE_SHARE = 0.3;
@@ -19,6 +21,7 @@
 const REPLY_SMOOTHING = 0.3;
 /** Time after which a downstream fraction is raised if no reply reported it again. */
 const DOWNSTREAM_DECAY_MS = 500;
+/** Factor by which such a fraction is raised per interval. */
 const RECOVERY_FACTOR = 1.25;
 /** Minimum relative change of a fraction that is recorded as an event. */
 const MIN_EVENT_CHANGE = 0.1;
--- a/src/control/snapshotWriter.ts
+++ b/src/control/snapshotWriter.ts
@@ -25,6 +25,7 @@
  * complete either: it would have written two snapshots by then. The documents in force here then become the state.
  */
 const RECOVERY_TIMEOUT_SHARE = 1 / 2;
+/** Maximum number of wrong snapshots that one snapshot names; the latest are named. */
 const MAX_REFUTED = 64;
 /** Short, since a reader that starts before a wrong snapshot is refuted may adopt it. */
 const REFUTE_DELAY_MS = 2000;
--- a/src/core/hash.ts
+++ b/src/core/hash.ts
@@ -1,5 +1,6 @@
 import murmurhash from 'murmurhash';
 
+/** Number of distinct hashes. */
 const HASH_RANGE = 2 ** 32;
 
 /** Hashes a string to an unsigned 32-bit integer. */
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -60,8 +60,10 @@
  * limits admission.
  */
 const MIN_EXCESS_ERRORS = 2;
+/** Factors on the capacity correction per interval. */
 const DECREASE_FACTOR = 0.98;
 const INCREASE_FACTOR = 1.04;
+/** Bounds of the capacity correction. */
 const MIN_FACTOR = 0.6;
 const MAX_FACTOR = 1.2;
 
--- a/src/policy/callGraph.ts
+++ b/src/policy/callGraph.ts
@@ -67,6 +67,7 @@
 const MIN_CALLS_PER_RUN = 0.1;
 /** Number of standard errors by which an estimate must exceed zero. */
 const MIN_STANDARD_ERRORS = 3;
+/** Maximum number of iterations of the solution. */
 const MAX_ITERATIONS = 40;
 /** Change per iteration below which the solution has converged (calls per run). */
 const CONVERGENCE_THRESHOLD = 0.005;
--- a/src/policy/callMatches.ts
+++ b/src/policy/callMatches.ts
@@ -31,7 +31,9 @@
 const DECAY_FACTOR = 0.97;
 /** Number of matches from which they count. */
 const MIN_MATCHES = 10;
+/** Number of standard errors by which matches must exceed what chance explains. */
 const MIN_STANDARD_ERRORS = 3;
+/** Estimates below this number of calls per run are treated as noise. */
 const MIN_CALLS_PER_RUN = 0.1;
 /** Share of the calls estimated otherwise from which matches replace that estimate. */
 const MIN_MATCHED_SHARE = 0.6;
--- a/src/policy/clientBytes.ts
+++ b/src/policy/clientBytes.ts
@@ -1,5 +1,6 @@
 /** Share of the memory that clients may hold; a node without clients uses up to half of 200 MB. */
 const CLIENT_MEMORY_SHARE = 0.125;
+/** Lower bound of the share, however little memory there is. */
 const MIN_CLIENT_BYTES = 8 * 1024 * 1024;
 /** 4,000 connections with a whole head of 16 KiB each. */
 const MAX_CLIENT_BYTES = 64 * 1024 * 1024;
--- a/src/policy/configurationFold.ts
+++ b/src/policy/configurationFold.ts
@@ -49,6 +49,7 @@
   replaced: ReplacedVersion[];
 }
 
+/** What the fold decided on a record, with the reason where it was not accepted. */
 export type Verdict =
   | { type: 'accepted'; offset: number; change: ChangeRecord }
   /** `winner` is the version in force, if the service has one. */
--- a/src/policy/failureShare.ts
+++ b/src/policy/failureShare.ts
@@ -17,6 +17,13 @@
   return { share: 0, updatedAtMs: 0 };
 }
 
+/**
+ * Adds one result.
+ *
+ * @example
+ * addResult(failures, outcome.type === 'failed', clock.now());
+ * const isHealthy = readFailureShare(failures, clock.now()) < 0.15;
+ */
 export function addResult(failures: FailureShare, isFailure: boolean, nowMs: number): void {
   if (!isFailure && failures.share === 0) return;
   const share = readFailureShare(failures, nowMs);
--- a/src/policy/fleetBudget.ts
+++ b/src/policy/fleetBudget.ts
@@ -3,6 +3,7 @@
   tokens: number;
 }
 
+/** The fleet-wide bound on repeated arrivals, and among how many nodes it is divided. */
 export interface FleetBudgetOptions {
   /** Fleet-wide bound: repeated arrivals per request. */
   ratio: number;
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -26,6 +26,7 @@
 const INTERNAL_SHARE = 0.5;
 /** Duration assumed for a route without measured runs (ms). */
 const DEFAULT_DURATION_MS = 20;
+/** Lower bound of the rate of a service, which avoids a division by zero (runs per ms). */
 const MIN_RATE_PER_MS = 1e-9;
 /** Minimum share of the nodes running a route that must have observed a call for the call to count. */
 const MIN_AGREEMENT = 0.5;
--- a/src/policy/logReader.ts
+++ b/src/policy/logReader.ts
@@ -41,6 +41,7 @@
 export type PageOutcome =
   { type: 'applied'; verdicts: Verdict[]; snapshots: SnapshotVerdict[] } | { type: 'restarted'; message: string };
 
+/** Options of `applyPage`. */
 export interface ApplyPageOptions {
   /** Versions in force at this node, from any source; a snapshot that lacks one of them is wrong. */
   knownVersions?: ReadonlyMap<string, { version: number }>;
@@ -50,6 +51,7 @@
   maxBuffered?: number;
 }
 
+/** Default of `maxBuffered`. */
 const MAX_BUFFERED_ENTRIES = 16_384;
 
 /** Creates a reader at the start of the log. */
--- a/src/policy/paceHint.ts
+++ b/src/policy/paceHint.ts
@@ -15,6 +15,7 @@
 /** Figures outside this range say nothing about the pace. */
 const MIN_PACE = 0.1;
 const MAX_PACE = 20;
+/** Number of answers over which the mean is smoothed. */
 const SMOOTHING_SAMPLES = 32;
 /** Age at which a hint has lost about two thirds of its weight (ms): targets change their pace several times a second. */
 const HINT_LIFETIME_MS = 300;
--- a/src/policy/peerChoice.ts
+++ b/src/policy/peerChoice.ts
@@ -7,6 +7,7 @@
   service: string;
 }
 
+/** What a node knows when it chooses its links. */
 export interface PeerChoiceInput {
   self: { host: string; dataCenter: string };
   members: Iterable<PeerCandidate>;
--- a/src/policy/quotaDemand.ts
+++ b/src/policy/quotaDemand.ts
@@ -35,6 +35,7 @@
   elapsedMs: number;
 }
 
+/** Whether a request may run, waits for a token, or is refused. */
 export type TokenDecision = 'granted' | 'waiting' | 'refused';
 
 /** Time constant of the smoothed rate (s). */
@@ -47,13 +48,16 @@
 /** Maximum time for which a request waits for a token (ms), and the same as a share of the time left to its client. */
 const MAX_TOKEN_WAIT_MS = 250;
 const TOKEN_WAIT_SHARE = 0.1;
+/** Lower bound of the delay after which a refused client should retry (ms). */
 const MIN_RETRY_DELAY_MS = 50;
 /** The same while no allocator responds (ms). */
 const UNANSWERED_RETRY_DELAY_MS = 500;
+/** Upper bound of that delay (ms). */
 const MAX_RETRY_DELAY_MS = 30_000;
 /** Spread of the delay, so that refused clients do not return at the same time. */
 const RETRY_JITTER = 0.3;
 
+/** Creates the demand of one organisation at a host: no tokens in hand, and no requests that wait. */
 export function createQuotaDemand<Request extends TokenRequest>(nowMs: number): QuotaDemand<Request> {
   return {
     tokens: [],
--- a/src/policy/quotaLender.ts
+++ b/src/policy/quotaLender.ts
@@ -36,6 +36,7 @@
   readonly avoidedUntilMs: Map<string, number>;
 }
 
+/** What a host knows of the hosts that may be the allocator. */
 export interface AllocatorView {
   /** Hosts of the pool in their order. */
   ranked: readonly string[];
@@ -58,6 +59,7 @@
 /** Time after which a host that did not respond is tried again (ms). */
 const AVOID_MS = 3000;
 
+/** Creates the lender of a starting process, which follows no allocator. */
 export function createQuotaLender(): QuotaLender {
   return {
     allocator: undefined,
--- a/src/policy/quotaLimits.ts
+++ b/src/policy/quotaLimits.ts
@@ -18,11 +18,13 @@
 
 type QuotaBounds = Pick<RequestBounds, 'quotaWindowSeconds' | 'quotaExcess' | 'quotaSlack'>;
 
+/** Defaults of the bounds: the window (s), the allowed excess as a share of the rate, and the slack (requests). */
 const DEFAULT_WINDOW_SECONDS = 5;
 const DEFAULT_EXCESS = 0.1;
 const DEFAULT_SLACK = 20;
 /** Share of the allowed excess with which the buckets are filled, so that expired tokens are not missing. */
 const USED_EXCESS_SHARE = 0.5;
+/** Upper bound of the validity of a token (ms). */
 const MAX_VALIDITY_MS = 500;
 /** Grants take some milliseconds, so tokens are valid for this long although no excess is allowed (ms). */
 const MIN_VALIDITY_MS = 50;
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -51,8 +51,14 @@
 const MAX_WAIT_MS = 500;
 /** The same while the shares are still being lent, or the organisation is not known yet since the host has a newer configuration (ms). */
 const UNKNOWN_WAIT_MS = 50;
+/** Maximum time between two tokens that a host is told (ms). */
 const MAX_STEP_MS = 30_000;
 
+/**
+ * Creates the pool of an allocator to which nothing is lent.
+ *
+ * @param incarnation The process of the allocator; loans to an earlier process do not count.
+ */
 export function createQuotaPool(incarnation: string): QuotaPool {
   return {
     incarnation,
--- a/src/policy/quotaShare.ts
+++ b/src/policy/quotaShare.ts
@@ -17,6 +17,7 @@
 const GROWTH_WAIT_MS = 500;
 const MIN_GROWTH = 1.1;
 
+/** Creates the counts of a process that knows no members. */
 export function createMemberCounts(): MemberCounts {
   return { current: 0, grownAtMs: -Infinity, grownTo: 0, earlier: [], hasShare: false };
 }
--- a/src/policy/recoveryPace.ts
+++ b/src/policy/recoveryPace.ts
@@ -25,6 +25,7 @@
 
 /** Share of its slots at which a target begins. */
 const START_SHARE = 0.2;
+/** Smallest limit (requests), so that there are answers that can raise it. */
 const MIN_LIMIT = 1;
 /**
  * Duration, relative to that at other targets, above which an answer does not raise the limit. Targets may take twice as
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -1,5 +1,6 @@
 import type { BudgetState } from '../schema/state.js';
 
+/** The bound on the retries to one service. */
 export interface RetryBudgetOptions {
   /** Tokens added by each first attempt: the long-term ratio of retries to first attempts. */
   ratio: number;
@@ -14,6 +15,7 @@
   state.tokens = Math.min(options.capacity, state.tokens + options.ratio);
 }
 
+/** Takes the token of a retry; a budget that lacks a whole token is left empty. */
 export function takeRetryToken(state: BudgetState): void {
   state.tokens = Math.max(0, state.tokens - 1);
 }
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -16,6 +16,13 @@
   readonly organisationByKey: ReadonlyMap<string, Organisation> | undefined;
 }
 
+/**
+ * Indexes a configuration by host, route and key.
+ *
+ * @example
+ * const table = buildRouteTable(configuration);
+ * const route = findRoute(table, 'shop.example', '/orders/17');
+ */
 export function buildRouteTable(configuration: RouteConfiguration): RouteTable {
   const byHost = new Map<string, HostRoutes>();
   const byName = new Map<string, Route>();
--- a/src/policy/shedDelay.ts
+++ b/src/policy/shedDelay.ts
@@ -4,7 +4,9 @@
 const ADMISSION_INTERVAL_MS = 250;
 /** Share of its remaining time for which a client waits before it retries. */
 const HONOURED_SHARE = 1 / 3;
+/** Shortest delay that clients are told (ms). */
 const MIN_DELAY_MS = 50;
+/** Bounds of the random factor on a delay, which keeps refused clients from returning at the same time. */
 const MIN_JITTER_FACTOR = 0.75;
 const MAX_JITTER_FACTOR = 1.25;
 
--- a/src/policy/storeReaders.ts
+++ b/src/policy/storeReaders.ts
@@ -1,5 +1,6 @@
 import { hashToUnit } from '../core/hash.js';
 
+/** What a node knows when it decides whether it waits for changes at the store. */
 export interface StoreReaderInput {
   self: { host: string; dataCenter: string };
   /** All other members of the fleet. */
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -19,6 +19,7 @@
   sentSinceReport: number;
 }
 
+/** What is known of a request and of the targets that may run it. */
 export interface TargetChoiceInput {
   candidates: readonly TargetCandidate[];
   /** Mean duration of a run of the request's route at the service (ms). */
--- a/src/policy/targetSpeed.ts
+++ b/src/policy/targetSpeed.ts
@@ -16,6 +16,7 @@
   byHost: ReadonlyMap<string, TargetSpeed>;
 }
 
+/** How fast a target runs requests, compared with the other targets of its service. */
 export interface TargetSpeed {
   /** Duration of a run relative to the mean of its route. */
   slowness: number;
--- a/src/policy/ticket.ts
+++ b/src/policy/ticket.ts
@@ -36,6 +36,7 @@
   | { type: 'repeat'; outcome: TicketOutcome & { type: 'ran' | 'failed' } }
   | { type: 'refuse'; failure: CallFailure };
 
+/** Version of the format, the first field of a ticket. */
 const VERSION = 't1';
 /** Not allowed in host names, so that the fields can be separated unambiguously. */
 const SEPARATOR = ':';
--- a/src/policy/treeChance.ts
+++ b/src/policy/treeChance.ts
@@ -21,6 +21,7 @@
   weakest: WeakestService | undefined;
 }
 
+/** What is known of the calls of each route and of the services that serve them. */
 export interface TreeChanceInput extends Pick<WorkInput, 'listParts' | 'listCalls'> {
   /** Returns the chances of a request at a service; undefined if nothing is known of it. */
   getChance: (service: string) => ServiceChance | undefined;
