Add examples to the decision functions of routed requests

In the way: 45 exported functions of src/policy that serve routed requests had no example, so that the shape of their arguments could only be read from their callers.

Only comments changed.

No test was run for comments alone.

--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -71,6 +71,9 @@
  * Adjusts the capacity correction of a service once per interval. The queue length is only evaluated while the service
  * limits admission; otherwise the factor returns to 1, and `DECREASE_FACTOR` is the factor on its difference from 1. A
  * long queue that shrinks is left from before the limit and does not show that the estimated capacity is too high.
+ *
+ * @example
+ * corrections.set(service, adjustCorrection(corrections.get(service), capacity));
  */
 export function adjustCorrection(
   previous: ServiceCorrection | undefined,
@@ -99,6 +102,9 @@
  *
  * @param corrections By service; `isLimiting` is updated.
  * @returns The admitted share by kind; kinds that are admitted in full are left out.
+ * @example
+ * const fractions = computeAdmission(demands, computeCapacities(views), corrections);
+ * const fraction = fractions.get(formatKind(route, priority)) ?? 1;
  */
 export function computeAdmission(
   demands: readonly RouteDemand[],
--- a/src/policy/allocatorChoice.ts
+++ b/src/policy/allocatorChoice.ts
@@ -32,8 +32,8 @@
 }
 
 /**
- * Returns the Unix time (ms) up to which processes must have started to be settled: all nodes know those that have run for some time, and
- * those that started together with most of the fleet.
+ * Returns the Unix time (ms) up to which processes must have started to be settled: all nodes know those that have run for
+ * some time, and those that started together with most of the fleet.
  */
 export function computeSettledStart(startedAtMs: readonly number[], nowWallMs: number): number {
   const sorted = [...startedAtMs].sort((left, right) => left - right);
@@ -44,6 +44,9 @@
 /**
  * Lists the hosts to which a node must have a link, so that it reaches an allocator when the first one fails or its data
  * centre is cut off. Hosts that do not respond do not count.
+ *
+ * @example
+ * for (const host of listAllocatorCandidates(ranked, self, isSilent)) openLink(host);
  */
 export function listAllocatorCandidates(
   ranked: readonly PoolMember[],
--- a/src/policy/callGraph.ts
+++ b/src/policy/callGraph.ts
@@ -77,7 +77,13 @@
   return { ran: new Map(), arrived: new Map(), runProducts: new Map(), arrivals: new Map(), intervals: 0 };
 }
 
-/** Adds the counts of one interval. */
+/**
+ * Adds the counts of one interval.
+ *
+ * @example
+ * // Two ledgers ran in this interval, and six scans entered beside their target.
+ * addCallSample(estimator, { ran: new Map([['ledger', 2]]), arrived: new Map([['scan', 6]]), isClientTrafficExcluded: true });
+ */
 export function addCallSample(estimator: CallGraphEstimator, sample: CallSample): void {
   updateCounts(estimator.ran, sample.ran, sample.isClientTrafficExcluded);
   updateCounts(estimator.arrived, sample.arrived, sample.isClientTrafficExcluded);
--- a/src/policy/callMatches.ts
+++ b/src/policy/callMatches.ts
@@ -79,7 +79,13 @@
   return { matches: new Map(), ran: new Map() };
 }
 
-/** Adds the runs started and the matches counted in one interval. */
+/**
+ * Adds the runs started and the matches counted in one interval.
+ *
+ * @example
+ * addMatchSample(estimator, startedSinceLast, matchesSinceLast);
+ * const calls = estimateMatchedCalls(estimator);
+ */
 export function addMatchSample(
   estimator: CallMatchEstimator,
   ran: ReadonlyMap<string, number>,
@@ -102,7 +108,12 @@
   }
 }
 
-/** Estimates the calls per run from the matches; those that chance may explain are left out. */
+/**
+ * Estimates the calls per run from the matches; those that chance may explain are left out.
+ *
+ * @example
+ * estimateMatchedCalls(estimator); // [{ ran: 'ledger', called: 'scan', perRun: 0.97 }]
+ */
 export function estimateMatchedCalls({ matches, ran }: CallMatchEstimator): CallEstimate[] {
   return [...matches].flatMap(([route, byCalled]) =>
     [...byCalled].flatMap(([called, { net, gross }]) => {
@@ -116,6 +127,9 @@
 /**
  * Combines both estimates. For a called route whose calls mostly carry the time left of their run, the matches show which
  * routes call it; others carry the time limit of their own route, and the matches are too few.
+ *
+ * @example
+ * const calls = mergeCallEstimates(estimateCalls(callEstimator), estimateMatchedCalls(matchEstimator), matchEstimator.ran);
  */
 export function mergeCallEstimates(
   correlated: readonly CallEstimate[],
--- a/src/policy/durationEstimate.ts
+++ b/src/policy/durationEstimate.ts
@@ -24,6 +24,11 @@
 /**
  * Adds one sample. The mean of the first samples is a plain average; after a time without samples, the mean follows the
  * new ones faster.
+ *
+ * @example
+ * const estimate = createDurationEstimate();
+ * addDuration(estimate, 20, clock.now());
+ * addDuration(estimate, 30, clock.now()); // estimate.meanMs is 25
  */
 export function addDuration(estimate: DurationEstimate, durationMs: number, nowMs: number): void {
   estimate.recentSamples = Math.min(SMOOTHING_SAMPLES, countRecentSamples(estimate, nowMs) + 1);
--- a/src/policy/fleetBudget.ts
+++ b/src/policy/fleetBudget.ts
@@ -31,7 +31,13 @@
   return ratio * OWN_SHARE;
 }
 
-/** Adds the tokens earned by one request to the service. */
+/**
+ * Adds the tokens earned by one request to the service.
+ *
+ * @example
+ * addRequest(budget, options);
+ * if (hasRetryToken(budget)) retry();
+ */
 export function addRequest(budget: FleetBudget, options: FleetBudgetOptions): void {
   budget.tokens = Math.min(computeCapacity(options), budget.tokens + computeRetryShare(options.ratio));
 }
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -38,7 +38,12 @@
 const MIN_CHANGE_SHARE = 0.4;
 const MIN_CHANGE_PER_SECOND = 4;
 
-/** True when the demand of some route has changed enough to send it before the next regular update. */
+/**
+ * True when the demand of some route has changed enough to send it before the next regular update.
+ *
+ * @example
+ * if (hasDemandChanged(profile, lastSentProfile)) send({ type: 'profile', profile });
+ */
 export function hasDemandChanged(profile: Profile, sent: Profile): boolean {
   const known = new Map(sent.demand.map(({ route, perSecond }) => [route, perSecond]));
   return profile.demand.some(({ route, perSecond }) => {
@@ -51,6 +56,9 @@
  * Weights the nodes that sent reports so that they represent all nodes of their services.
  *
  * @param counts Number of all nodes by service, with or without a report.
+ * @example
+ * // Two of four nodes have reported: each of them counts twice.
+ * const views = weighViews(reports, new Map([['stock', 4]]));
  */
 export function weighViews(
   views: readonly Omit<NodeView, 'weight'>[],
@@ -69,7 +77,12 @@
   return ratePerSecond === undefined ? limit : Math.min(limit, (ratePerSecond * Math.max(1, durationMs)) / 1000);
 }
 
-/** Computes the total capacity of the ready targets of each service. */
+/**
+ * Computes the total capacity of the ready targets of each service.
+ *
+ * @example
+ * const capacities = computeCapacities(weighViews(reports, counts));
+ */
 export function computeCapacities(views: readonly NodeView[]): ServiceCapacity[] {
   const byService = new Map<string, { slots: number; queued: number; perMs: number }>();
   for (const { load, weight } of views) {
@@ -94,6 +107,8 @@
  *
  * @param findRoute Returns the route with a name; undefined when it is no longer configured.
  * @param chances By service.
+ * @example
+ * const demands = computeClientDemands(views, (name) => table.byName.get(name), chances);
  */
 export function computeClientDemands(
   views: readonly NodeView[],
@@ -152,6 +167,9 @@
 /**
  * Computes the lower median; 0 without values. As a route's internal calls raise the rates at few services only, the
  * median over services ignores them.
+ *
+ * @example
+ * computeLowMedian([3, 1, 9, 2]); // 2
  */
 export function computeLowMedian(values: readonly number[]): number {
   const sorted = [...values].sort((left, right) => left - right);
--- a/src/policy/heartbeatOrder.ts
+++ b/src/policy/heartbeatOrder.ts
@@ -6,7 +6,12 @@
   sequence: number;
 }
 
-/** Compares two heartbeats from targets of one host; negative when `left` was sent earlier. */
+/**
+ * Compares two heartbeats from targets of one host; negative when `left` was sent earlier.
+ *
+ * @example
+ * if (compareHeartbeats(heartbeat, latest) <= 0) ignore(heartbeat);
+ */
 export function compareHeartbeats(left: HeartbeatOrder, right: HeartbeatOrder): number {
   return left.startedAtMs - right.startedAtMs || left.sequence - right.sequence;
 }
--- a/src/policy/memberOrder.ts
+++ b/src/policy/memberOrder.ts
@@ -6,6 +6,9 @@
 /**
  * True when a record replaces another one of the same host: it has a later start, or a later revision of the same
  * start.
+ *
+ * @example
+ * isNewerMember({ startedAtMs: 2000, revision: 1 }, { startedAtMs: 1000, revision: 7 }); // true
  */
 export function isNewerMember(candidate: RecordOrder, known: RecordOrder | undefined): boolean {
   if (known === undefined) return true;
--- a/src/policy/organisationShares.ts
+++ b/src/policy/organisationShares.ts
@@ -17,7 +17,12 @@
   return { perSecond: new Map(), counts: new Map() };
 }
 
-/** Adds the requests since the latest update. */
+/**
+ * Adds the requests since the latest update.
+ *
+ * @example
+ * updateOrganisationRates(rates, new Map([['acme', 12]]), 0.25);
+ */
 export function updateOrganisationRates(
   rates: OrganisationRates,
   counts: ReadonlyMap<string, number>,
--- a/src/policy/organisations.ts
+++ b/src/policy/organisations.ts
@@ -35,7 +35,12 @@
   return { type: 'unknown', detail };
 }
 
-/** Lists the services to which requests of the highest priority may go. */
+/**
+ * Lists the services to which requests of the highest priority may go.
+ *
+ * @example
+ * if (listUrgentServices(table).has(member.service)) openLane(member, 'urgent');
+ */
 export function listUrgentServices(table: ReadView<RouteTable>): Set<string> {
   const { routes, organisations = [] } = table.configuration;
   const hasUrgentOrganisation = organisations.some(({ priority }) => priority === 0);
--- a/src/policy/paceHint.ts
+++ b/src/policy/paceHint.ts
@@ -27,7 +27,12 @@
   return { latest: 1, mean: 1, count: 0, atMs: -Infinity };
 }
 
-/** Adds the figure of one answer; a figure that cannot be true is ignored. */
+/**
+ * Adds the figure of one answer; a figure that cannot be true is ignored.
+ *
+ * @example
+ * addPace(hint, 2.5, clock.now()); // work takes 2.5 times as long as usual
+ */
 export function addPace(hint: PaceHint, pace: number, nowMs: number): void {
   if (!(pace >= MIN_PACE && pace <= MAX_PACE)) return;
   hint.count = Math.min(SMOOTHING_SAMPLES, hint.count + 1);
--- a/src/policy/parentRun.ts
+++ b/src/policy/parentRun.ts
@@ -12,6 +12,12 @@
  * Collects the callers of each called route from the estimated calls per run.
  *
  * @param rates Runs started at the local target and requests that entered beside it, by route (per second).
+ * @example
+ * const callers = collectCallers([{ ran: 'ledger', called: 'scan', perRun: 2 }], {
+ *   startedPerSecond: new Map([['ledger', 10]]),
+ *   arrivedPerSecond: new Map([['scan', 25]]),
+ * });
+ * callers.get('scan'); // { routes: new Set(['ledger']), callShare: 0.8 }
  */
 export function collectCallers(
   calls: readonly CallEstimate[],
--- a/src/policy/peerChoice.ts
+++ b/src/policy/peerChoice.ts
@@ -36,6 +36,8 @@
  * evenly over all hosts and keeps the choice stable while members join and leave.
  *
  * @returns Host names.
+ * @example
+ * const hosts = choosePeers({ self, members: byHost.values(), isUsable: () => true, isUsed: (service) => service === 'stock' });
  */
 export function choosePeers({ self, members, isUsable, isUsed }: PeerChoiceInput): Set<string> {
   const byService = new Map<string, PeerCandidate[]>();
--- a/src/policy/quotaDemand.ts
+++ b/src/policy/quotaDemand.ts
@@ -72,7 +72,12 @@
   };
 }
 
-/** Computes for how long a request may wait for a token (ms). */
+/**
+ * Computes for how long a request may wait for a token (ms).
+ *
+ * @example
+ * computeTokenWait(1000); // 100
+ */
 export function computeTokenWait(timeLeftMs: number): number {
   return Math.min(MAX_TOKEN_WAIT_MS, TOKEN_WAIT_SHARE * timeLeftMs);
 }
@@ -108,6 +113,9 @@
  * Takes in a grant. Returns the requests that get its tokens, and those that cannot have their turn in time any more.
  *
  * @param expiresAtMs Time of the elapsed clock at which the tokens expire.
+ * @example
+ * const { granted, refused } = applyQuotaGrant(demand, grant, { nowMs, elapsedMs, expiresAtMs });
+ * for (const request of granted) request.grant();
  */
 export function applyQuotaGrant<Request extends TokenRequest>(
   demand: QuotaDemand<Request>,
@@ -137,7 +145,13 @@
   return isQuiet && demand.waiting.length === 0 && demand.refusedAtMs === -Infinity;
 }
 
-/** Computes what to ask for now; undefined if nothing is wanted, or there is no room yet. */
+/**
+ * Computes what to ask for now; undefined if nothing is wanted, or there is no room yet.
+ *
+ * @example
+ * const want = computeQuotaWant(demand, 'acme', { nowMs, elapsedMs });
+ * if (want !== undefined) wants.push(want);
+ */
 export function computeQuotaWant(
   demand: QuotaDemand<TokenRequest>,
   organisation: string,
--- a/src/policy/quotaLender.ts
+++ b/src/policy/quotaLender.ts
@@ -141,6 +141,8 @@
  * share is not bound to another one.
  *
  * @param share Undefined while this host has none.
+ * @example
+ * const frame = buildQuotaAsk(lender, { host, share, wants, incarnation, sentAtMs: nowMs, sentAtElapsedMs: elapsedMs });
  */
 export function buildQuotaAsk(
   lender: QuotaLender,
@@ -167,6 +169,10 @@
 /**
  * Takes in a grant: the stamp, and whether it ends the loan. Returns the ask that it responds to; undefined if there is none,
  * or it was forgotten.
+ *
+ * @example
+ * const ask = applyQuotaStamp(lender, host, frame, clock.now());
+ * if (ask === undefined) return;
  */
 export function applyQuotaStamp(
   lender: QuotaLender,
--- a/src/policy/quotaLimits.ts
+++ b/src/policy/quotaLimits.ts
@@ -54,7 +54,13 @@
   return organisation?.ratePerSecond !== undefined && organisation.ratePerSecond > 0;
 }
 
-/** Lists the limits by name of the organisation; organisations without a limit have no entry. */
+/**
+ * Lists the limits by name of the organisation; organisations without a limit have no entry.
+ *
+ * @example
+ * const limits = listQuotaLimits(organisations, computeQuotaRules(settings.bounds));
+ * applyQuotaLimits(pool, limits, nowMs);
+ */
 export function listQuotaLimits(
   organisations: readonly ReadView<Organisation>[],
   { rateFactor, extraDepth }: QuotaRules,
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -79,7 +79,12 @@
   pool.isConfigured = false;
 }
 
-/** Applies the limits of a configuration. Tokens are kept up to the new depth; a new organisation begins with full buckets. */
+/**
+ * Applies the limits of a configuration. Tokens are kept up to the new depth; a new organisation begins with full buckets.
+ *
+ * @example
+ * applyQuotaLimits(pool, new Map([['acme', { perSecond: 50, depth: 100 }]]), nowMs);
+ */
 export function applyQuotaLimits(pool: QuotaPool, limits: ReadonlyMap<string, QuotaLimit>, nowMs: number): void {
   expireQuotaLoans(pool, nowMs);
   for (const name of pool.buckets.keys()) if (!limits.has(name)) pool.buckets.delete(name);
@@ -97,7 +102,12 @@
   pool.isConfigured = true;
 }
 
-/** Ends the loans whose time is over, each at its own time. Returns the number of them. */
+/**
+ * Ends the loans whose time is over, each at its own time. Returns the number of them.
+ *
+ * @example
+ * const ended = expireQuotaLoans(pool, clock.elapsed());
+ */
 export function expireQuotaLoans(pool: QuotaPool, nowMs: number): number {
   const expired = [...pool.loans].filter(([, { untilMs }]) => untilMs <= nowMs);
   expired.sort(([, left], [, right]) => left.untilMs - right.untilMs);
--- a/src/policy/quotaShare.ts
+++ b/src/policy/quotaShare.ts
@@ -22,7 +22,12 @@
   return { current: 0, grownAtMs: -Infinity, grownTo: 0, earlier: [], hasShare: false };
 }
 
-/** Records the number of hosts in the member list, this one included. */
+/**
+ * Records the number of hosts in the member list, this one included.
+ *
+ * @example
+ * observeMemberCount(counts, byHost.size + 1, clock.now());
+ */
 export function observeMemberCount(counts: MemberCounts, count: number, nowMs: number): void {
   counts.earlier = counts.earlier.filter(({ untilMs }) => untilMs > nowMs);
   if (count > MIN_GROWTH * counts.grownTo) {
--- a/src/policy/rateGate.ts
+++ b/src/policy/rateGate.ts
@@ -26,7 +26,12 @@
   return { perSecond: Math.max(MIN_RATE_PER_SECOND, perSecond), tokens: 0, updatedAtMs: nowMs };
 }
 
-/** Changes the rate; tokens are kept up to the depth at the new rate. */
+/**
+ * Changes the rate; tokens are kept up to the depth at the new rate.
+ *
+ * @example
+ * changeRate(gate, 20, clock.now()); // 20 requests a second from now on
+ */
 export function changeRate(gate: RateGate, perSecond: number, nowMs: number): void {
   gate.tokens = countTokens(gate, nowMs);
   gate.updatedAtMs = nowMs;
@@ -40,7 +45,13 @@
   return Math.min(computeBurst(gate), tokens + ((nowMs - updatedAtMs) / 1000) * perSecond);
 }
 
-/** Takes the token of one request; returns false if there is none yet. */
+/**
+ * Takes the token of one request; returns false if there is none yet.
+ *
+ * @example
+ * if (takeToken(gate, clock.now())) start(run);
+ * else clock.schedule(computeGateWait(gate, 0, clock.now()), startNext);
+ */
 export function takeToken(gate: RateGate, nowMs: number): boolean {
   const tokens = countTokens(gate, nowMs);
   if (tokens < 1) return false;
@@ -49,7 +60,13 @@
   return true;
 }
 
-/** Computes the time until there is a token for a request with `ahead` others before it (ms). */
+/**
+ * Computes the time until there is a token for a request with `ahead` others before it (ms).
+ *
+ * @example
+ * // A gate without tokens at 20 requests a second, with two requests ahead: 150 ms.
+ * const waitMs = computeGateWait(gate, 2, clock.now());
+ */
 export function computeGateWait(gate: Readonly<RateGate>, ahead: number, nowMs: number): number {
   return computeTokenWait({ perSecond: gate.perSecond, tokens: countTokens(gate, nowMs) }, ahead);
 }
--- a/src/policy/recoveryPace.ts
+++ b/src/policy/recoveryPace.ts
@@ -48,7 +48,12 @@
   return { limit, isSlowStart: true, changedAtMs: nowMs, decreasedAtMs: -Infinity };
 }
 
-/** Adjusts the limit after one request: timely answers raise it, a failure halves it once per round of requests. */
+/**
+ * Adjusts the limit after one request: timely answers raise it, a failure halves it once per round of requests.
+ *
+ * @example
+ * updateRecoveryPace(pace, { isFailure: false, durationMs: 22, expectedMs: 20, startedAtMs, nowMs: clock.now() });
+ */
 export function updateRecoveryPace(pace: RecoveryPace, sample: PaceSample): void {
   const { isFailure, durationMs, expectedMs, startedAtMs, nowMs } = sample;
   if (isFailure) {
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -70,7 +70,12 @@
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
 }
 
-/** Lists the services to which a route sends requests, with their weights. */
+/**
+ * Lists the services to which a route sends requests, with their weights.
+ *
+ * @example
+ * listParts(route); // [{ service: 'stock', weight: 1 }]
+ */
 export function listParts(route: ReadView<Route>): readonly { service: string; weight: number }[] {
   if (route.parts !== undefined && route.parts !== null && route.parts.length > 0) return route.parts;
   return typeof route.service === 'string' ? [{ service: route.service, weight: 1 }] : [];
--- a/src/policy/servedShare.ts
+++ b/src/policy/servedShare.ts
@@ -26,6 +26,9 @@
  * without their turn. Targets that lose more weigh less, since fewer requests are sent there.
  *
  * @param retryShare Retries that the budget allows per request to a service.
+ * @example
+ * const chances = computeServiceChances(views, computeRetryShare(bounds.retryRatio));
+ * chances.get('stock'); // { served: 0.8, succeeded: 0.79 }
  */
 export function computeServiceChances(
   views: readonly NodeView[],
--- a/src/policy/shedDelay.ts
+++ b/src/policy/shedDelay.ts
@@ -26,6 +26,8 @@
  * return together; at most what clients honour, and early enough for the request to end in time.
  *
  * @param options.expectedMs Expected duration of the request.
+ * @example
+ * const retryAfterMs = limitRetryDelay({ delayMs: 400, timeLeftMs: 1800, expectedMs: 200, random });
  */
 export function limitRetryDelay(options: {
   delayMs: number;
--- a/src/policy/stopPlan.ts
+++ b/src/policy/stopPlan.ts
@@ -34,6 +34,9 @@
 /**
  * True when a stopping node takes a request that arrives now and has its final answer by `deadlineAtMs` at the latest. Once
  * clients can know that the node stops, it takes only what is certain to end before it closes.
+ *
+ * @example
+ * isTakenWhileStopping({ takeAllUntilMs: 2600, closeAtMs: 5600 }, { nowMs: 3000, deadlineAtMs: 9000 }); // false
  */
 export function isTakenWhileStopping(
   { takeAllUntilMs, closeAtMs }: StopPlan,
@@ -45,6 +48,9 @@
 /**
  * Computes when a client that a stopping node refused may come again (ms): soon if its data centre has other nodes, otherwise
  * once this one has closed.
+ *
+ * @example
+ * const retryAfterMs = computeStopRetryDelay(stop, { nowMs: clock.now(), hasOtherNodes: true });
  */
 export function computeStopRetryDelay(
   { closeAtMs }: StopPlan,
--- a/src/policy/storeReaders.ts
+++ b/src/policy/storeReaders.ts
@@ -41,10 +41,12 @@
 }
 
 /**
- * True when the store turns away those nodes that wait for changes for this one, as far as it is linked to them. They are alive, so no others
- * take their place, and the store may serve other nodes.
+ * True when the store turns away those nodes that wait for changes for this one, as far as it is linked to them. They are
+ * alive, so no others take their place, and the store may serve other nodes.
  *
  * @param isTurnedAway Undefined for a host without a link.
+ * @example
+ * if (hasLostReaders(input, (host) => peers.get(host)?.isStoreLost)) readTopic();
  */
 export function hasLostReaders(
   { self, members, isSilent }: StoreReaderInput,
--- a/src/policy/targetChoice.ts
+++ b/src/policy/targetChoice.ts
@@ -77,6 +77,9 @@
 /**
  * Returns a target to which a request should be sent as a trial: one without any request from this node, or, for a small
  * share of the requests, one that seemed slow but ran too few requests lately to know whether it still is.
+ *
+ * @example
+ * const target = chooseTrial(candidates, random) ?? chooseTarget({ candidates, ...request, random });
  */
 export function chooseTrial(candidates: readonly TargetCandidate[], random: Random): TargetCandidate | undefined {
   const untried = candidates.find(({ isUntried }) => isUntried);
@@ -84,7 +87,12 @@
   return candidates.find(({ speed }) => speed.samples < MIN_KNOWN_SAMPLES && speed.slowness > MIN_DOUBTED_SLOWNESS);
 }
 
-/** Estimates the time until a new request starts at a target (ms). */
+/**
+ * Estimates the time until a new request starts at a target (ms).
+ *
+ * @example
+ * estimateWait(peer.load, peer.sentSinceReport, 20); // 0 while a slot is free
+ */
 export function estimateWait(load: LoadReport, sentSinceReport: number, durationMs: number): number {
   const ahead = load.running + load.queued + sentSinceReport + 1 - load.limit;
   const slotMs = ahead <= 0 ? 0 : (ahead / Math.max(1, load.limit)) * durationMs;
--- a/src/policy/targetHistory.ts
+++ b/src/policy/targetHistory.ts
@@ -4,7 +4,12 @@
 /** Order of the phases of one start of a target: it may leave, but not come back. */
 const leavingRanks: Record<TargetPhase, number> = { none: 0, ready: 0, draining: 1, left: 2 };
 
-/** True when a target in the first phase has come further in leaving than in the second. */
+/**
+ * True when a target in the first phase has come further in leaving than in the second.
+ *
+ * @example
+ * isFurtherLeaving('left', 'draining'); // true
+ */
 export function isFurtherLeaving(phase: TargetPhase, than: TargetPhase): boolean {
   return leavingRanks[phase] > leavingRanks[than];
 }
@@ -31,7 +36,13 @@
   return { ...newer, phase: older.phase, sequence: Math.max(newer.sequence, older.sequence) };
 }
 
-/** Returns a record of a host with what an older one says of its target, as far as that still holds. */
+/**
+ * Returns a record of a host with what an older one says of its target, as far as that still holds.
+ *
+ * @example
+ * // A restarted process may not know yet that its target has left.
+ * byHost.set(record.host, mergeTargets(record, byHost.get(record.host)));
+ */
 export function mergeTargets(newer: NodeMember, older: NodeMember | undefined): NodeMember {
   const target = mergePublishedTargets(newer.target, older?.target);
   return target === undefined || target === newer.target ? newer : { ...newer, target };
--- a/src/policy/wasteLimit.ts
+++ b/src/policy/wasteLimit.ts
@@ -39,6 +39,8 @@
  *
  * @param previous The shares of the previous interval: shares may fall at once and at most double per interval.
  * @returns The admitted share by kind; kinds that are admitted in full are left out.
+ * @example
+ * wasteLimits = limitWaste(computeClientDemands(views, findRoute, chances), wasteLimits);
  */
 export function limitWaste(demands: readonly TreeDemand[], previous: ReadonlyMap<string, number>): Map<string, number> {
   const affected = demands.filter(({ chance, perSecond }) => chance.whole < 1 && perSecond > 0);
