--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -16,6 +16,7 @@
 /** Reason of a connection that was closed after an error in the handling of a frame. */
 const INTERNAL_ERROR = 'internal error';
 
+/** Accepts the connections of other nodes. */
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
   acceptLink(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
--- a/src/policy/callGraph.ts
+++ b/src/policy/callGraph.ts
@@ -67,6 +67,7 @@
 const MIN_CALLS_PER_RUN = 0.1;
 /** Number of standard errors by which an estimate must exceed zero. */
 const MIN_STANDARD_ERRORS = 3;
+/** Maximum number of iterations of the solution. */
 const MAX_ITERATIONS = 40;
 /** Change per iteration below which the solution has converged (calls per run). */
 const CONVERGENCE_THRESHOLD = 0.005;
@@ -76,7 +77,13 @@
   return { ran: new Map(), arrived: new Map(), runProducts: new Map(), arrivals: new Map(), intervals: 0 };
 }
 
-/** Adds the counts of one interval. */
+/**
+ * Adds the counts of one interval.
+ *
+ * @example
+ * // Two ledgers ran in this interval, and six scans entered beside their target.
+ * addCallSample(estimator, { ran: new Map([['ledger', 2]]), arrived: new Map([['scan', 6]]), isClientTrafficExcluded: true });
+ */
 export function addCallSample(estimator: CallGraphEstimator, sample: CallSample): void {
   updateCounts(estimator.ran, sample.ran, sample.isClientTrafficExcluded);
   updateCounts(estimator.arrived, sample.arrived, sample.isClientTrafficExcluded);
--- a/src/policy/fleetBudget.ts
+++ b/src/policy/fleetBudget.ts
@@ -3,6 +3,7 @@
   tokens: number;
 }
 
+/** The fleet-wide bound on repeated arrivals, and among how many nodes it is divided. */
 export interface FleetBudgetOptions {
   /** Fleet-wide bound: repeated arrivals per request. */
   ratio: number;
@@ -30,7 +31,13 @@
   return ratio * OWN_SHARE;
 }
 
-/** Adds the tokens earned by one request to the service. */
+/**
+ * Adds the tokens earned by one request to the service.
+ *
+ * @example
+ * addRequest(budget, options);
+ * if (hasRetryToken(budget)) retry();
+ */
 export function addRequest(budget: FleetBudget, options: FleetBudgetOptions): void {
   budget.tokens = Math.min(computeCapacity(options), budget.tokens + computeRetryShare(options.ratio));
 }
--- a/src/policy/paceHint.ts
+++ b/src/policy/paceHint.ts
@@ -15,6 +15,7 @@
 /** Figures outside this range say nothing about the pace. */
 const MIN_PACE = 0.1;
 const MAX_PACE = 20;
+/** Number of answers over which the mean is smoothed. */
 const SMOOTHING_SAMPLES = 32;
 /** Age at which a hint has lost about two thirds of its weight (ms): targets change their pace several times a second. */
 const HINT_LIFETIME_MS = 300;
@@ -26,7 +27,12 @@
   return { latest: 1, mean: 1, count: 0, atMs: -Infinity };
 }
 
-/** Adds the figure of one answer; a figure that cannot be true is ignored. */
+/**
+ * Adds the figure of one answer; a figure that cannot be true is ignored.
+ *
+ * @example
+ * addPace(hint, 2.5, clock.now()); // work takes 2.5 times as long as usual
+ */
 export function addPace(hint: PaceHint, pace: number, nowMs: number): void {
   if (!(pace >= MIN_PACE && pace <= MAX_PACE)) return;
   hint.count = Math.min(SMOOTHING_SAMPLES, hint.count + 1);
--- a/src/policy/quotaDemand.ts
+++ b/src/policy/quotaDemand.ts
@@ -35,6 +35,7 @@
   elapsedMs: number;
 }
 
+/** Whether a request may run, waits for a token, or is refused. */
 export type TokenDecision = 'granted' | 'waiting' | 'refused';
 
 /** Time constant of the smoothed rate (s). */
@@ -47,13 +48,16 @@
 /** Maximum time for which a request waits for a token (ms), and the same as a share of the time left to its client. */
 const MAX_TOKEN_WAIT_MS = 250;
 const TOKEN_WAIT_SHARE = 0.1;
+/** Lower bound of the delay after which a refused client should retry (ms). */
 const MIN_RETRY_DELAY_MS = 50;
 /** The same while no allocator responds (ms). */
 const UNANSWERED_RETRY_DELAY_MS = 500;
+/** Upper bound of that delay (ms). */
 const MAX_RETRY_DELAY_MS = 30_000;
 /** Spread of the delay, so that refused clients do not return at the same time. */
 const RETRY_JITTER = 0.3;
 
+/** Creates the demand of one organisation at a host: no tokens in hand, and no requests that wait. */
 export function createQuotaDemand<Request extends TokenRequest>(nowMs: number): QuotaDemand<Request> {
   return {
     tokens: [],
@@ -68,7 +72,12 @@
   };
 }
 
-/** Computes for how long a request may wait for a token (ms). */
+/**
+ * Computes for how long a request may wait for a token (ms).
+ *
+ * @example
+ * computeTokenWait(1000); // 100
+ */
 export function computeTokenWait(timeLeftMs: number): number {
   return Math.min(MAX_TOKEN_WAIT_MS, TOKEN_WAIT_SHARE * timeLeftMs);
 }
@@ -104,6 +113,9 @@
  * Takes in a grant. Returns the requests that get its tokens, and those that cannot have their turn in time any more.
  *
  * @param expiresAtMs Time of the elapsed clock at which the tokens expire.
+ * @example
+ * const { granted, refused } = applyQuotaGrant(demand, grant, { nowMs, elapsedMs, expiresAtMs });
+ * for (const request of granted) request.grant();
  */
 export function applyQuotaGrant<Request extends TokenRequest>(
   demand: QuotaDemand<Request>,
@@ -133,7 +145,13 @@
   return isQuiet && demand.waiting.length === 0 && demand.refusedAtMs === -Infinity;
 }
 
-/** Computes what to ask for now; undefined if nothing is wanted, or there is no room yet. */
+/**
+ * Computes what to ask for now; undefined if nothing is wanted, or there is no room yet.
+ *
+ * @example
+ * const want = computeQuotaWant(demand, 'acme', { nowMs, elapsedMs });
+ * if (want !== undefined) wants.push(want);
+ */
 export function computeQuotaWant(
   demand: QuotaDemand<TokenRequest>,
   organisation: string,
--- a/src/policy/quotaLender.ts
+++ b/src/policy/quotaLender.ts
@@ -36,6 +36,7 @@
   readonly avoidedUntilMs: Map<string, number>;
 }
 
+/** What a host knows of the hosts that may be the allocator. */
 export interface AllocatorView {
   /** Hosts of the pool in their order. */
   ranked: readonly string[];
@@ -58,6 +59,7 @@
 /** Time after which a host that did not respond is tried again (ms). */
 const AVOID_MS = 3000;
 
+/** Creates the lender of a starting process, which follows no allocator. */
 export function createQuotaLender(): QuotaLender {
   return {
     allocator: undefined,
@@ -139,6 +141,8 @@
  * share is not bound to another one.
  *
  * @param share Undefined while this host has none.
+ * @example
+ * const frame = buildQuotaAsk(lender, { host, share, wants, incarnation, sentAtMs: nowMs, sentAtElapsedMs: elapsedMs });
  */
 export function buildQuotaAsk(
   lender: QuotaLender,
@@ -165,6 +169,10 @@
 /**
  * Takes in a grant: the stamp, and whether it ends the loan. Returns the ask that it responds to; undefined if there is none,
  * or it was forgotten.
+ *
+ * @example
+ * const ask = applyQuotaStamp(lender, host, frame, clock.now());
+ * if (ask === undefined) return;
  */
 export function applyQuotaStamp(
   lender: QuotaLender,
--- a/src/policy/quotaLimits.ts
+++ b/src/policy/quotaLimits.ts
@@ -18,6 +18,7 @@
 
 type QuotaBounds = Pick<RequestBounds, 'quotaWindowSeconds' | 'quotaExcess' | 'quotaSlack'>;
 
+/** Defaults of the bounds: the window (s), the allowed excess as a share of the rate, and the slack (requests). */
 const DEFAULT_WINDOW_SECONDS = 5;
 const DEFAULT_EXCESS = 0.1;
 const DEFAULT_SLACK = 20;
@@ -26,6 +27,7 @@
 /** Rate (requests per second) and depth up to which buckets count; what follows from larger ones may not be finite. */
 const MAX_PER_SECOND = 1e9;
 const MAX_DEPTH = 1e9;
+/** Upper bound of the validity of a token (ms). */
 const MAX_VALIDITY_MS = 500;
 /** Grants take some milliseconds, so tokens are valid for this long although no excess is allowed (ms). */
 const MIN_VALIDITY_MS = 50;
@@ -55,7 +57,13 @@
   return organisation?.ratePerSecond !== undefined && organisation.ratePerSecond > 0;
 }
 
-/** Lists the limits by name of the organisation; organisations without a limit have no entry. */
+/**
+ * Lists the limits by name of the organisation; organisations without a limit have no entry.
+ *
+ * @example
+ * const limits = listQuotaLimits(organisations, computeQuotaRules(settings.bounds));
+ * applyQuotaLimits(pool, limits, nowMs);
+ */
 export function listQuotaLimits(
   organisations: readonly ReadView<Organisation>[],
   { rateFactor, extraDepth }: QuotaRules,
--- a/src/policy/quotaPool.ts
+++ b/src/policy/quotaPool.ts
@@ -51,8 +51,14 @@
 const MAX_WAIT_MS = 500;
 /** The same while the shares are still being lent, or the organisation is not known yet since the host has a newer configuration (ms). */
 const UNKNOWN_WAIT_MS = 50;
+/** Maximum time between two tokens that a host is told (ms). */
 const MAX_STEP_MS = 30_000;
 
+/**
+ * Creates the pool of an allocator to which nothing is lent.
+ *
+ * @param incarnation The process of the allocator; loans to an earlier process do not count.
+ */
 export function createQuotaPool(incarnation: string): QuotaPool {
   return {
     incarnation,
@@ -73,7 +79,12 @@
   pool.isConfigured = false;
 }
 
-/** Applies the limits of a configuration. Tokens are kept up to the new depth; a new organisation begins with full buckets. */
+/**
+ * Applies the limits of a configuration. Tokens are kept up to the new depth; a new organisation begins with full buckets.
+ *
+ * @example
+ * applyQuotaLimits(pool, new Map([['acme', { perSecond: 50, depth: 100 }]]), nowMs);
+ */
 export function applyQuotaLimits(pool: QuotaPool, limits: ReadonlyMap<string, QuotaLimit>, nowMs: number): void {
   expireQuotaLoans(pool, nowMs);
   for (const name of pool.buckets.keys()) if (!limits.has(name)) pool.buckets.delete(name);
@@ -91,7 +102,12 @@
   pool.isConfigured = true;
 }
 
-/** Ends the loans whose time is over, each at its own time. Returns the number of them. */
+/**
+ * Ends the loans whose time is over, each at its own time. Returns the number of them.
+ *
+ * @example
+ * const ended = expireQuotaLoans(pool, clock.elapsed());
+ */
 export function expireQuotaLoans(pool: QuotaPool, nowMs: number): number {
   const expired = [...pool.loans].filter(([, { untilMs }]) => untilMs <= nowMs);
   expired.sort(([, left], [, right]) => left.untilMs - right.untilMs);
--- a/src/policy/recoveryPace.ts
+++ b/src/policy/recoveryPace.ts
@@ -25,6 +25,7 @@
 
 /** Share of its slots at which a target begins. */
 const START_SHARE = 0.2;
+/** Smallest limit (requests), so that there are answers that can raise it. */
 const MIN_LIMIT = 1;
 /**
  * Duration, relative to that at other targets, above which an answer does not raise the limit. Targets may take twice as
@@ -47,7 +48,12 @@
   return { limit, isSlowStart: true, changedAtMs: nowMs, decreasedAtMs: -Infinity };
 }
 
-/** Adjusts the limit after one request: timely answers raise it, a failure halves it once per round of requests. */
+/**
+ * Adjusts the limit after one request: timely answers raise it, a failure halves it once per round of requests.
+ *
+ * @example
+ * updateRecoveryPace(pace, { isFailure: false, durationMs: 22, expectedMs: 20, startedAtMs, nowMs: clock.now() });
+ */
 export function updateRecoveryPace(pace: RecoveryPace, sample: PaceSample): void {
   const { isFailure, durationMs, expectedMs, startedAtMs, nowMs } = sample;
   if (isFailure) {
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -19,6 +19,13 @@
   readonly organisationByKey: ReadonlyMap<string, Organisation> | undefined;
 }
 
+/**
+ * Indexes a configuration by host, route and key.
+ *
+ * @example
+ * const table = buildRouteTable(configuration);
+ * const route = findRoute(table, 'shop.example', '/orders/17');
+ */
 export function buildRouteTable(configuration: RouteConfiguration): RouteTable {
   const byHost = new Map<string, HostRoutes>();
   const byName = new Map<string, Route>();
@@ -66,7 +73,12 @@
   return (colon < 0 ? host : host.slice(0, colon)).toLowerCase();
 }
 
-/** Lists the services to which a route sends requests, with their weights, whose sum is finite. */
+/**
+ * Lists the services to which a route sends requests, with their weights, whose sum is finite.
+ *
+ * @example
+ * listParts(route); // [{ service: 'stock', weight: 1 }]
+ */
 export function listParts(route: ReadView<Route>): readonly { service: string; weight: number }[] {
   const { service, parts } = route;
   if (parts === undefined || parts === null || parts.length === 0)
--- a/src/policy/shedDelay.ts
+++ b/src/policy/shedDelay.ts
@@ -4,7 +4,9 @@
 const ADMISSION_INTERVAL_MS = 250;
 /** Share of its remaining time for which a client waits before it retries. */
 const HONOURED_SHARE = 1 / 3;
+/** Shortest delay that clients are told (ms). */
 const MIN_DELAY_MS = 50;
+/** Bounds of the random factor on a delay, which keeps refused clients from returning at the same time. */
 const MIN_JITTER_FACTOR = 0.75;
 const MAX_JITTER_FACTOR = 1.25;
 
@@ -24,6 +26,8 @@
  * return together; at most what clients honour, and early enough for the request to end in time.
  *
  * @param options.expectedMs Expected duration of the request.
+ * @example
+ * const retryAfterMs = limitRetryDelay({ delayMs: 400, timeLeftMs: 1800, expectedMs: 200, random });
  */
 export function limitRetryDelay(options: {
   delayMs: number;
