Write the own record again after a malformed one took its place

Nodes that started later did not find a host whose record in the store another writer had replaced by a malformed one, and the host's own node forgot at its restart what it had acknowledged: the node reported the record and left it there, unlike a deleted one. It now writes its own record again.

node scripts/runTests.js foreignRecords: the three listed tests pass, which failed before.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -261,6 +261,11 @@
       board.post('decisions', { kind: 'faultFound', outcome: 'malformed member record', inputs });
     }
   };
+  /** A malformed record under the key of this host took the place of its own record, which is then written again. */
+  const checkOwnKey = (records: readonly KeyedRecord[]): void => {
+    for (const { key, value } of records)
+      if (key === section.self.host && value !== undefined && !validator.isValid(value)) setWrittenRevision(-1);
+  };
   /** Passes what was new in the store to peers that do not read it. */
   const forwardChanges = (changed: readonly NodeMember[]): void => {
     if (!isStoreReadByFew(section.byHost)) return;
@@ -294,6 +299,7 @@
           for (const { key, value } of records) if (value === undefined) removeDeleted(key);
           const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
           reportMalformed(records);
+          checkOwnKey(records);
           const changed = applyRecords(values, STORE_SOURCE, isComplete);
           if (!isComplete) forwardChanges(changed);
         },
