Replace altered copies of the running process's record

All other nodes believed a copy of a node's own record in which another writer had changed one field: with another link address, none of them sent the host a request, until it published a change of its target and by its revision perhaps never. The node saw that the record names its process and took it for its own. A copy that is newer than what it published, or differs from it, is now replaced as the record of an earlier process is: by a record with a later start, which wins whatever the copy's revision is. The later start is also sent to peers, not only to the store.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,6 +1,6 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
-import { isNewerMember } from '../../policy/memberOrder.js';
+import { isAlteredCopy, isNewerMember } from '../../policy/memberOrder.js';
 import { findPublishedTargetFault } from '../../policy/ownTarget.js';
 import { isWriteOfEra } from '../../policy/storeEra.js';
 import type { StoreEra } from '../../policy/storeEra.js';
@@ -125,9 +125,14 @@
     section.self = { ...previous, ...change, revision: previous.revision + 1 };
     replaceInDigest(previous, section.self);
   };
+  /** Takes the place of a record at all nodes, with a later start: it is not of the process that runs here. */
+  const replaceRecord = ({ startedAtMs }: NodeMember): void => {
+    if (startedAtMs >= section.self.startedAtMs) updateSelf({ startedAtMs: startedAtMs + 1 });
+  };
   /** Takes over what an earlier process of this host published, from the store or a peer. */
   const applyEarlierSelf = (record: NodeMember, source: string): void => {
     const { incarnation, startedAtMs, revision, target } = record;
+    if (isAlteredCopy(record, section.self)) replaceRecord(record);
     if (!isHistoryNews(record, section.self)) return;
     const { previousTarget, previousOrder } = section;
     const isNewer = isNewerMember(record, previousOrder);
@@ -140,8 +145,7 @@
     // A late write of the earlier process took the place of this one's record.
     if (source === STORE_SOURCE && hasWritten) setWrittenRevision(-1);
     // The wall clock may have been set back since the earlier process started.
-    if (incarnation !== section.self.incarnation && startedAtMs >= section.self.startedAtMs)
-      updateSelf({ startedAtMs: startedAtMs + 1 });
+    if (incarnation !== section.self.incarnation) replaceRecord(record);
   };
   const remove = (host: string, reason: string): boolean => {
     const known = section.byHost.get(host);
@@ -239,6 +243,7 @@
   };
   /** Returns the records that were new. */
   const applyRecords = (records: readonly NodeMember[], source: string, isComplete: boolean): NodeMember[] => {
+    const ownRevision = section.self.revision;
     const changed = records.filter((record) => {
       try {
         return applyRecord(record, source);
@@ -247,7 +252,8 @@
         return false;
       }
     });
-    const hasChanged = changed.length > 0 || (isComplete && !section.isComplete);
+    const isOwnChanged = section.self.revision !== ownRevision;
+    const hasChanged = changed.length > 0 || isOwnChanged || (isComplete && !section.isComplete);
     if (isComplete && !section.isComplete) recordComplete();
     if (hasChanged) members.publishChange();
     writeSelf();
--- a/src/policy/memberOrder.ts
+++ b/src/policy/memberOrder.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util';
 import type { NodeMember } from '../schema/nodeMember.js';
 
 /** The fields of a record that order it among those of its host. */
@@ -12,3 +13,10 @@
   if (candidate.startedAtMs !== known.startedAtMs) return candidate.startedAtMs > known.startedAtMs;
   return candidate.revision > known.revision;
 }
+
+/** True when a record names the process of a current one, but was not written by it: it is newer, or differs from it. */
+export function isAlteredCopy(record: NodeMember, current: NodeMember): boolean {
+  if (record.incarnation !== current.incarnation) return false;
+  if (isNewerMember(record, current)) return true;
+  return !isNewerMember(current, record) && !isDeepStrictEqual(record, current);
+}
