Take back the own address from a record of another host

A record of another host with a node's link address and a later start made all others remove the node's host; the node deleted the record, but nobody added the host again, since its own record had not changed. It now publishes a later start as well.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -181,6 +181,8 @@
     const { self } = section;
     if (record.linkAddress === self.linkAddress) {
       removePredecessor(record.host);
+      // The others would go on believing the record, or remove this host because of it.
+      replaceRecord(record);
       return false;
     }
     for (const other of section.byHost.values()) {
