Show what contained errors leave occupied or untold

With errors injected where contains them: a client whose answer could not be passed on gets nothing, and a streamed one's run holds its slot to the deadline; a request whose acceptance throws counts as open for ever, for which a stopping node waits; a run frame that throws closes the link, but its sender is told nothing over the next one and waits to its deadline; and after a draining heartbeat that threw halfway, the next one is acknowledged although it was never published.

--- a/tests/requests/containment.test.ts
+++ b/tests/requests/containment.test.ts
@@ -1,8 +1,11 @@
 import { beforeEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { LinkConnection } from '../../src/control/requests/context.js';
+import type { ClientRequest } from '../../src/control/requests/entry.js';
 import type { RequestNode } from '../../src/node/createRequestNode.js';
 import { FailureError } from '../../src/schema/failure.js';
+import type { LinkFrame } from '../../src/schema/linkFrame.js';
+import type { NodeMember } from '../../src/schema/nodeMember.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
 import type { RequestFleet } from '../fixtures/requestFleet.js';
 
@@ -16,6 +19,21 @@
   throw new FailureError({ kind: 'usage', message: 'injected' });
 }
 
+function buildRequest(): ClientRequest {
+  return {
+    requestId: 'r',
+    method: 'GET',
+    path: '/check/1',
+    headers: [],
+    identityHeaders: [],
+    key: undefined,
+    timeLeftMs: 1000,
+    body: undefined,
+    isStreamed: false,
+    host: 'shop.example',
+  };
+}
+
 /** Guards against one throw in the handling of outside input that ends the process, or that keeps what it occupied. */
 describe('an error in one unit of work', () => {
   let fleet: RequestFleet;
@@ -67,18 +85,7 @@
 
   it('should fail only the request whose head is handled with an error', () => {
     let refused = '';
-    const request = {
-      requestId: 'r',
-      method: 'GET',
-      path: '/check/1',
-      headers: [],
-      identityHeaders: [],
-      key: undefined,
-      timeLeftMs: 1000,
-      body: undefined,
-      isStreamed: false,
-      host: '',
-    };
+    const request = buildRequest();
     const reply = {
       answer: injectFault,
       part: injectFault,
@@ -125,4 +132,90 @@
     expect(acknowledged).toEqual(1);
     verifyService();
   });
+
+  /** Sends a request whose answer throws when it is passed on to the client. */
+  function sendWithFaultyReply(): { isAborted: boolean } {
+    const client = { isAborted: false };
+    const reply = {
+      answer: injectFault,
+      part: injectFault,
+      abort: () => (client.isAborted = true),
+      grantBody: injectFault,
+      refuse: injectFault,
+    };
+    node.acceptRequest(buildRequest(), reply);
+    fleet.clock.advance(100);
+    return client;
+  }
+
+  // Guards against a client that gets neither an answer nor the end of its connection.
+  it('should close the connection of a request whose answer cannot be passed on', () => {
+    expect(sendWithFaultyReply()).toEqual({ isAborted: true });
+    verifyService();
+  });
+
+  // Guards against a run that holds its slot until the deadline of a request that has ended.
+  it('should cancel the run of a request whose streamed answer cannot be passed on', () => {
+    const target = getTarget(fleet, 'a1');
+    target.respond = (_send, events) => {
+      fleet.clock.schedule(5, () => {
+        events.answer({ status: 200, headers: [], body: Buffer.alloc(0), isStreamed: true });
+      });
+      return 'handled';
+    };
+    expect(sendWithFaultyReply()).toEqual({ isAborted: true });
+    target.respond = () => 'answer';
+    verifyService();
+  });
+
+  // Guards against a count of open requests that never returns to 0, so that the node waits for them when it stops.
+  it('should not count a request as open whose acceptance throws', () => {
+    let isFaulty = false;
+    fleet = createRequestFleet({
+      hosts,
+      configuration,
+      wrapClock: (_host, clock) => ({
+        ...clock,
+        schedule: (delayMs, run) => (isFaulty ? injectFault() : clock.schedule(delayMs, run)),
+      }),
+    });
+    isFaulty = true;
+    const sent = fleet.send('a1');
+    isFaulty = false;
+    fleet.clock.advance(2000);
+    expect(sent.refusal?.kind).toEqual('failed');
+    node = fleet.nodes.get('a1') as RequestNode;
+    verifyService();
+  });
+
+  // Guards against a request whose sender waits until its deadline, since the error closed the link but did not end the run.
+  it('should end a run of another node whose acceptance throws', () => {
+    const self = fleet.nodes.get('a2')?.board.read('members').self;
+    const member = { ...self, host: 'a3', linkAddress: '10.0.0.9:7000' } as NodeMember;
+    const frames: LinkFrame[] = [];
+    const connection: LinkConnection = {
+      send: (frame) => frames.push(frame),
+      bufferedBytes: 0,
+      close: () => undefined,
+    };
+    const hello = { type: 'hello', to: 'a1', member, lane: 'routine' } as const;
+    const first = node.acceptLink(connection);
+    first.receive({ ...hello, pending: [] });
+    first.receive({ type: 'run', id: 7, request: Object.defineProperty({}, 'service', { get: injectFault }) as never });
+    node.acceptLink(connection).receive({ ...hello, pending: [7] });
+    const outcome = frames.find((frame) => frame.type === 'failed');
+    expect([outcome?.id, outcome?.failure.ran]).toEqual([7, 'unknown']);
+  });
+
+  // Guards against an acknowledged leave that a restarted node does not know of.
+  it('should not acknowledge a repeated draining heartbeat before it is published', () => {
+    const target = getTarget(fleet, 'a1');
+    target.state = 'draining';
+    const stop = node.board.subscribe('target', injectFault);
+    expect(fleet.sendHeartbeat('a1')).toEqual(false);
+    stop();
+    expect(fleet.sendHeartbeat('a1')).toEqual(true);
+    const record = fleet.store.records.members.filter(({ key }) => key === 'a1').at(-1)?.value as NodeMember;
+    expect(record.target?.phase).toEqual('draining');
+  });
 });
