End the attempt and the answer of a request whose handling throws

A client whose answer could not be passed on got neither an answer nor the end of its connection, since the request already counted as answered; the run of a streamed one held its slot at the target to its deadline; and a request counted as open for ever if setting its deadline threw. A contained error now cancels the attempt, closes the client's connection if the request counts as ended, and covers all that follows the counting.

--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -91,7 +91,18 @@
     } catch (error) {
       reportInternalError(board, { unit: 'request', id: entry.request.requestId, error });
       entry.mayHaveRun = true;
-      refuse(entry, internalErrorRefusal);
+      cancelContained(entry);
+      // The client of a request that counts as ended may not have got its answer.
+      if (entry.isEnded) entry.reply.abort();
+      else refuse(entry, internalErrorRefusal);
+    }
+  };
+  /** Cancels the current attempt; an error in that is reported only. */
+  const cancelContained = (entry: Entry): void => {
+    try {
+      attempts.cancelEntry(entry);
+    } catch (error) {
+      reportInternalError(board, { unit: 'request', id: entry.request.requestId, error });
     }
   };
   const attempts = createEntryAttempts(context, { section, callbacks: { end, refuse, runContained } });
@@ -148,13 +159,13 @@
     });
     open.add(entry);
     section.open = open.size;
-    board.post('budgets', { type: 'request', service });
-    entry.cancelDeadline = deadlines.add(entry.deadlineAtMs + FALLBACK_DELAY_MS, () => {
-      runContained(entry, () => {
-        expire(entry);
-      });
-    });
     runContained(entry, () => {
+      board.post('budgets', { type: 'request', service });
+      entry.cancelDeadline = deadlines.add(entry.deadlineAtMs + FALLBACK_DELAY_MS, () => {
+        runContained(entry, () => {
+          expire(entry);
+        });
+      });
       startEntry(entry);
     });
     return buildHandle(entry);
@@ -243,8 +254,8 @@
       if (entry.isEnded) return;
       runContained(entry, () => {
         end(entry, 'cancelled', 'the client disconnected');
-        attempts.cancelEntry(entry);
       });
+      cancelContained(entry);
     },
     grantAnswer: (bytes) => entry.attempt?.handle?.grantAnswer(bytes),
     sendBody: (data, isLast) => {
