End a run of another node whose acceptance throws

A request frame that threw closed its link, as meant, but the request stayed in the list of those that run: over the next connection its sender was told nothing and waited to its deadline, where a retry could have served it. It is now taken off the list, and the sender hears that its outcome is not known.

node scripts/runTests.js requests/containment requests/links requests/silentLinks: the listed test passes, which failed before.

--- a/src/control/requests/incomingRuns.ts
+++ b/src/control/requests/incomingRuns.ts
@@ -124,7 +124,13 @@
       isAnswering: false,
     };
     open.set(id, run);
-    options.accept(run.attempt);
+    try {
+      options.accept(run.attempt);
+    } catch (error) {
+      // The sender hears over its next connection that the outcome is not known.
+      cancel(id);
+      throw error;
+    }
   };
   const cancel = (id: number): void => {
     const run = open.get(id);
