Publish the state of the target before others are told of it

If a subscriber to the target threw, the node did not publish that the target drains, and acknowledged the next draining heartbeat since its phase had changed already; after a restart it would have sent the target requests (rule DRAIN). The record is now updated first, and the acknowledgement waits for it as before.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -44,8 +44,9 @@
     return { id, startedAtMs: targetStartedAtMs, ...state };
   };
   const publish = (): void => {
-    target.publishChange();
+    // First, so that an error in a subscriber does not keep the record from what is acknowledged next.
     board.post('members', { type: 'publishTarget', target: describeTarget() });
+    target.publishChange();
   };
   const enterPhase = (phase: TargetPhase, reason: string): void => {
     section.phase = phase;
