--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,7 +1,6 @@
 import type { Controller } from '../context.js';
 import { updateDigest } from '../../policy/membersDigest.js';
-import { isNewerMember } from '../../policy/memberOrder.js';
-import { isForgedRecord } from '../../policy/ownRecord.js';
+import { isAlteredCopy, isNewerMember } from '../../policy/memberOrder.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import { isHistoryNews, mergePublishedTargets, mergeTargets } from '../../policy/targetHistory.js';
 import type { KeyedRecord } from '../../schema/keyedStore.js';
@@ -66,8 +65,8 @@
   /** Takes over what an earlier process of this host published, from the store or a peer. */
   const applyEarlierSelf = (record: NodeMember, source: string): void => {
     const { incarnation, startedAtMs, revision, target } = record;
-    if (isForgedRecord(record, section.self)) {
-      replaceRecord(record, 'forged record of this process', source);
+    if (isAlteredCopy(record, section.self)) {
+      replaceRecord(record, 'altered record of this process', source);
       return;
     }
     if (!isHistoryNews(record, section.self)) return;
