Log changed settings whose fields have no text

Operators would see settings that do not come into force: a field that this version ignores, of an object with a toString of its own, makes the reload fail, and the same text is not read again.

Cause: the log line names each changed field with String, which throws for such an object, before the settings are applied.

Ruled out: settings that cannot be read or are invalid, which leave those before in force and are reported; a throw at the start, which is reported and ends the process; deep nesting, which counts as unreadable since the parser of the platform's JSON checks it.

Change: objects are named as JSON.

--- a/src/control/requests/settingsController.ts
+++ b/src/control/requests/settingsController.ts
@@ -20,7 +20,11 @@
     const known = (previous as Record<string, unknown>)[name];
     if (typeof value === 'object' && value !== null && typeof known === 'object' && known !== null)
       return listChangedFields(known, value, `${prefix}${name}.`);
-    return known === value ? [] : [{ name: `${prefix}${name}`, from: String(known), to: String(value) }];
+    return known === value ? [] : [{ name: `${prefix}${name}`, from: formatField(known), to: formatField(value) }];
   });
   return changes.flat();
 }
+
+function formatField(value: unknown): string {
+  return typeof value === 'object' ? JSON.stringify(value) : String(value);
+}
--- a/tests/requests/settings.test.ts
+++ b/tests/requests/settings.test.ts
@@ -13,4 +13,17 @@
     const line = fleet.lines.find(({ outcome }) => outcome === 'settings reloaded');
     expect(line?.inputs?.changed).toEqual('service: stock -> orders, bounds.drainMs: 2000 -> 700');
   });
+
+  // Guards against settings that never come into force, since a field that this version ignores cannot be logged.
+  it('should apply beside a new field that has no text', () => {
+    const fleet = createRequestFleet({ hosts: [{ host: 'a1', dataCenter: 'd1', service: 'stock' }] });
+    const board = fleet.nodes.get('a1')?.board;
+    const current = board?.read('settings').current;
+    const changed = { ...current, service: 'orders', unknown: { toString: 1 } } as never;
+    board?.post('settings', changed);
+    expect(board?.read('settings').current.service).toEqual('orders');
+    fleet.clock.advance(200);
+    const line = fleet.lines.find(({ outcome }) => outcome === 'settings reloaded');
+    expect(line?.inputs?.changed).toEqual('service: stock -> orders, unknown: undefined -> {"toString":1}');
+  });
 });
