Bound the time after which clients are asked to retry

Callers would see a Retry-After of 'Infinity' or '1e+297', which no client reads: the time until a stopping node closes follows from graceSeconds of the settings, which may be any finite number.

Cause: graceSeconds in ms may be Infinity, and toFixed writes numbers from 10^21 on with an exponent.

Ruled out: other refusals, whose time is bounded by the time left to the client or by a constant.

Change: at most an hour is named.

Measured: node scripts/runTests.js headText: 'should name the time after which to retry as a decimal number' failed before, 14 of 14 pass after.

--- a/src/http/responseWriter.ts
+++ b/src/http/responseWriter.ts
@@ -38,6 +38,8 @@
 
 /** Maximum size of a body that is written in one call with its head. */
 const MAX_COALESCED_BODY_BYTES = 16 * 1024;
+/** Longest time after which clients are asked to retry (ms). */
+const MAX_RETRY_AFTER_MS = 3_600_000;
 const LAST_CHUNK = '0\r\n\r\n';
 
 /** Creates the writer of one response. */
@@ -110,7 +112,8 @@
 export function formatRefusal({ kind, detail, retryAfterMs }: Refusal): { head: string; body: string } {
   const body = JSON.stringify({ failure: kind, detail });
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
-  if (retryAfterMs !== undefined) headers.push('Retry-After', (retryAfterMs / 1000).toFixed(3));
+  if (retryAfterMs !== undefined)
+    headers.push('Retry-After', (Math.min(retryAfterMs, MAX_RETRY_AFTER_MS) / 1000).toFixed(3));
   return { head: formatHead(refusalStatus[kind], headers), body };
 }
 
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createSystemClock } from '../../src/core/clock.js';
 import { startControlServers } from '../../src/http/controlServers.js';
+import { formatRefusal } from '../../src/http/responseWriter.js';
 import { createTargetConnectionPool } from '../../src/http/targetConnectionPool.js';
 import { createTargetSender } from '../../src/http/targetSender.js';
 import { linkFrameSchema } from '../../src/schema/linkFrame.js';
@@ -104,6 +105,13 @@
     expect(target.received.join('').split('\r\n')).toInclude('test-caller: stock    GET /');
   });
 
+  // Guards against a header that no client can read; the time of a stopping node follows from its settings.
+  it('should name the time after which to retry as a decimal number', () => {
+    const formatRetry = (retryAfterMs: number): string | undefined =>
+      /Retry-After: (.*)\r\n/.exec(formatRefusal({ kind: 'stopping', detail: '', retryAfterMs }).head)?.[1];
+    expect([0, 250, 1e300, Infinity].map(formatRetry)).toEqual(['0.000', '0.250', '3600.000', '3600.000']);
+  });
+
   it('should make a configuration invalid if an organisation has control characters in its name', () => {
     const validator = compileSchema(routeConfigurationSchema);
     const listPaths = (name: string): string[] =>
