Write the id of a target to heads without control characters

Callers would see 502: an id with a line break in the record of an earlier process is restored after a start and ends the head of each request to the target.

Cause: ids of heartbeats are checked since they are written to heads, ids of records are not.

Ruled out: the check of records alone, which would make the whole record of a host invalid for its peers.

Change: the id is written like the names of services.

Measured: node scripts/runTests.js headText: the test of the service and the id failed before, 14 of 14 pass after.

--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -189,7 +189,7 @@
       text += `${headers[index] ?? ''}: ${headers[index + 1] ?? ''}\r\n`;
     text += `${names.requestId}: ${request.requestId}\r\n`;
     text += `${names.timeLeft}: ${Math.max(1, Math.floor(request.timeLeftMs))}\r\n`;
-    text += `${names.callerService}: ${encodeHeaderLabel(request.callerService)}\r\n${names.targetId}: ${targetId}\r\n`;
+    text += `${names.callerService}: ${encodeHeaderLabel(request.callerService)}\r\n${names.targetId}: ${encodeHeaderLabel(targetId)}\r\n`;
     if (request.organisation !== undefined)
       text += `${names.organisation}: ${encodeHeaderLabel(request.organisation)}\r\n`;
     if (isChunked) text += 'Transfer-Encoding: chunked\r\n';
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -94,15 +94,17 @@
     });
   }
 
-  it('should not end the head of a request with the service of its host', async () => {
+  // The id may come from the record of an earlier process of the host.
+  it('should not end the head of a request with the service of its host or the id of its target', async () => {
     const target = await startRawTarget(() => undefined);
     const pool = createTargetConnectionPool(createSystemClock());
     cleanups.push(target.stop, pool.stop);
     const request = buildRunRequest({ callerService: 'stock\r\n\r\nGET /' });
     const send = createTargetSender({ pool, names: testHeaderNames });
-    send({ address: target.address, targetId: 'i-1', request }, collectRun().events);
+    send({ address: target.address, targetId: 'i-1\r\nx: y', request }, collectRun().events);
     await waitUntil('the request', () => target.received[0]?.includes('\r\n\r\n') === true);
-    expect(target.received.join('').split('\r\n')).toInclude('test-caller: stock    GET /');
+    const lines = target.received.join('').split('\r\n');
+    expect(lines).toInclude('test-caller: stock    GET /', 'test-target: i-1  x: y');
   });
 
   // Guards against a header that no client can read; the time of a stopping node follows from its settings.
