--- a/tests/fuzz/valuesFromOutside.test.ts
+++ b/tests/fuzz/valuesFromOutside.test.ts
@@ -7,14 +7,13 @@
 import { linkFrameSchema } from '../../src/schema/linkFrame.js';
 import type { LinkFrame, LoadReport } from '../../src/schema/linkFrame.js';
 import { heartbeatSchema, nodeMemberSchema } from '../../src/schema/nodeMember.js';
-import type { Heartbeat, NodeMember } from '../../src/schema/nodeMember.js';
 import { parseRequestSettings } from '../../src/schema/requestSettings.js';
 import { compileSchema } from '../../src/schema/validate.js';
+import { checkLinkFrame } from '../../src/transport/linkStream.js';
 import { changeOddly } from '../fixtures/oddValues.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
 import type { FleetHost, RequestFleet } from '../fixtures/requestFleet.js';
-import { buildRequestSettings, buildRunRequest } from '../fixtures/requests.js';
-import { checkLinkFrame } from '../../src/transport/linkStream.js';
+import { buildHeartbeat, buildMember, buildRequestSettings, buildRunRequest } from '../fixtures/requests.js';
 
 /** `FUZZ_SEED=7 FUZZ_RUNS=2000 node scripts/runTests.js valuesFromOutside` plays others. */
 const seed = Number(process.env.FUZZ_SEED ?? 20_261_207);
@@ -27,7 +26,7 @@
 const memberValidator = compileSchema(nodeMemberSchema);
 const frameValidator = compileSchema(linkFrameSchema);
 
-/** The odd values concern `a2` and the hosts that do not exist; requests enter at the others. */
+/** The odd values concern `a2` and hosts that do not exist; the others have to serve the requests of the end. */
 const hosts: FleetHost[] = ['a1', 'a2', 'b1'].map((host) => ({
   host,
   dataCenter: `d${host[0] ?? ''}`,
@@ -37,28 +36,13 @@
 const organisation = { name: 'acme', keys: ['key'], priority: 1, ratePerSecond: 50, burst: 10 };
 const configuration = { ...buildRouteConfiguration(1, routes), organisations: [organisation] };
 
-const heartbeat: Heartbeat = {
-  service: 'stock',
-  address: '127.0.0.1:9000',
-  dataCenter: 'd1',
-  slots: 4,
-  state: 'ready',
-  sequence: 1,
-  coldLeftMs: 100,
-  startedAtMs: 1_700_000_000_000,
-};
+const heartbeat = buildHeartbeat({ coldLeftMs: 100, startedAtMs: 1_700_000_000_000 });
 const target = { id: 'i-x1', startedAtMs: 1, sequence: 1, phase: 'ready' as const, service: 'stock', slots: 4 };
-const member: NodeMember = {
+const member = buildMember({
   host: 'x1',
-  dataCenter: 'd1',
-  region: 'r1',
-  service: 'stock',
   linkAddress: '10.0.0.99:7000',
-  incarnation: 'i1',
-  startedAtMs: 1,
-  revision: 1,
   target: { ...target, address: '127.0.0.1:9000', ratePerSecond: 5 },
-};
+});
 const load: LoadReport = {
   phase: 'ready',
   service: 'other',
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -11,7 +11,7 @@
 import { compileSchema } from '../../src/schema/validate.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import { buildRouteConfiguration } from '../fixtures/requestFleet.js';
-import { buildRunRequest, collectRun, findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
+import { buildHeartbeat, buildRunRequest, collectRun, findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
 /** Line breaks, also as the low bytes of letters, which remain of them in Latin-1. */
@@ -44,23 +44,12 @@
     return targetListen;
   }
 
-  const heartbeat = {
-    service: 'stock',
-    address: '127.0.0.1:9000',
-    dataCenter: 'd1',
-    slots: 4,
-    state: 'ready',
-    sequence: 1,
-    coldLeftMs: 0,
-    startedAtMs: 1,
-  };
-
   // Guards against requests with headers of the sender of a heartbeat, or that no target reads.
   it('should not be taken over from the id of a target', async () => {
     const address = await startServers();
     const sendMessage = async (id: string, action: string): Promise<number> => {
       const url = `http://${address}/v1/targets/${encodeURIComponent(id)}/${action}`;
-      const response = await fetch(url, { method: 'POST', body: JSON.stringify(heartbeat) });
+      const response = await fetch(url, { method: 'POST', body: JSON.stringify(buildHeartbeat()) });
       return response.status;
     };
     const ids = ['i-1', ...lineBreaks.map((text) => `i-1${text}x: y`), 'i\0'];
