--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'earl';
 import { createSystemClock } from '../../src/core/clock.js';
 import { startControlServers } from '../../src/http/controlServers.js';
+import { formatRefusal } from '../../src/http/responseWriter.js';
 import { createTargetConnectionPool } from '../../src/http/targetConnectionPool.js';
 import { createTargetSender } from '../../src/http/targetSender.js';
 import { linkFrameSchema } from '../../src/schema/linkFrame.js';
@@ -10,7 +11,7 @@
 import { compileSchema } from '../../src/schema/validate.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import { buildRouteConfiguration } from '../fixtures/requestFleet.js';
-import { buildRunRequest, collectRun, findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
+import { buildHeartbeat, buildRunRequest, collectRun, findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 
 /** Line breaks, also as the low bytes of letters, which remain of them in Latin-1. */
@@ -43,23 +44,12 @@
     return targetListen;
   }
 
-  const heartbeat = {
-    service: 'stock',
-    address: '127.0.0.1:9000',
-    dataCenter: 'd1',
-    slots: 4,
-    state: 'ready',
-    sequence: 1,
-    coldLeftMs: 0,
-    startedAtMs: 1,
-  };
-
   // Guards against requests with headers of the sender of a heartbeat, or that no target reads.
   it('should not be taken over from the id of a target', async () => {
     const address = await startServers();
     const sendMessage = async (id: string, action: string): Promise<number> => {
       const url = `http://${address}/v1/targets/${encodeURIComponent(id)}/${action}`;
-      const response = await fetch(url, { method: 'POST', body: JSON.stringify(heartbeat) });
+      const response = await fetch(url, { method: 'POST', body: JSON.stringify(buildHeartbeat()) });
       return response.status;
     };
     const ids = ['i-1', ...lineBreaks.map((text) => `i-1${text}x: y`), 'i\0'];
@@ -93,15 +83,24 @@
     });
   }
 
-  it('should not end the head of a request with the service of its host', async () => {
+  // The id may come from the record of an earlier process of the host.
+  it('should not end the head of a request with the service of its host or the id of its target', async () => {
     const target = await startRawTarget(() => undefined);
     const pool = createTargetConnectionPool(createSystemClock());
     cleanups.push(target.stop, pool.stop);
     const request = buildRunRequest({ callerService: 'stock\r\n\r\nGET /' });
     const send = createTargetSender({ pool, names: testHeaderNames });
-    send({ address: target.address, targetId: 'i-1', request }, collectRun().events);
+    send({ address: target.address, targetId: 'i-1\r\nx: y', request }, collectRun().events);
     await waitUntil('the request', () => target.received[0]?.includes('\r\n\r\n') === true);
-    expect(target.received.join('').split('\r\n')).toInclude('test-caller: stock    GET /');
+    const lines = target.received.join('').split('\r\n');
+    expect(lines).toInclude('test-caller: stock    GET /', 'test-target: i-1  x: y');
+  });
+
+  // Guards against a header that no client can read; the time of a stopping node follows from its settings.
+  it('should name the time after which to retry as a decimal number', () => {
+    const formatRetry = (retryAfterMs: number): string | undefined =>
+      /Retry-After: (.*)\r\n/.exec(formatRefusal({ kind: 'stopping', detail: '', retryAfterMs }).head)?.[1];
+    expect([0, 250, 1e300, Infinity].map(formatRetry)).toEqual(['0.000', '0.250', '3600.000', '3600.000']);
   });
 
   it('should make a configuration invalid if an organisation has control characters in its name', () => {
