Show that a node takes the leave that its peers know of for an altered record

A peer that holds an earlier record merges the leave in it into the record of the restarted process, and sends that back to it. Since the node takes the result for an altered copy of its own record and drops the leave, so requests go to the target for longer (rule DRAIN).

--- a/tests/requests/leavingRestarts.test.ts
+++ b/tests/requests/leavingRestarts.test.ts
@@ -68,6 +68,30 @@
     expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
   });
 
+  // Guards against a node that takes what its peers know of the leave for an altered copy of its own record.
+  it('should stay left when its node published it as ready before it heard its peers', () => {
+    const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    fleet.store.delayWrites('a2', { count: 1, lateMs: 60_000 });
+    let isAcknowledged = false;
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+      isAcknowledged = true;
+      fleet.killNode('a2');
+    });
+    fleet.clock.advance(900);
+    expect(isAcknowledged).toEqual(true);
+    for (const peer of ['a1', 'a3']) fleet.links.cut('a2', peer);
+    fleet.startNode('a2');
+    fleet.clock.advance(1000);
+    for (const sequence of [3, 4, 5]) fleet.sendHeartbeat('a2', { sequence });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('ready');
+    fleet.clock.advance(3000);
+    for (const peer of ['a1', 'a3']) fleet.links.heal('a2', peer);
+    fleet.clock.advance(10_000);
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+    expect(fleet.lines.filter(({ kind }) => kind === 'faultFound').map(({ outcome }) => outcome)).toEqual([]);
+  });
+
   // Guards against a process that takes over the leave and is replaced before anybody else hears it from this process.
   it('should stay left after two restarts of its node and a heartbeat that arrives late', () => {
     const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
