Accept a leave that peers merged into this node's own record

A peer that knows of a leave merges it into the record that a restarted node sent, and sends that back. Since the change before, the node took the result for an altered copy and dropped the leave, so that requests reached the target for longer (rule DRAIN). A record that differs from the own one by such a leave alone is not an altered copy.

--- a/src/policy/memberOrder.ts
+++ b/src/policy/memberOrder.ts
@@ -1,5 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
 import type { NodeMember } from '../schema/nodeMember.js';
+import { mergeTargets } from './targetHistory.js';
 
 /** The fields of a record that order it among those of its host. */
 export type RecordOrder = Pick<NodeMember, 'startedAtMs' | 'revision'>;
@@ -17,9 +18,13 @@
   return candidate.revision > known.revision;
 }
 
-/** True when a record names the process of a current one, but was not written by it: it is newer, or differs from it. */
+/**
+ * True when a record names the process of a current one, but was not written by it: it is newer, or differs from it otherwise
+ * than by a leave of the target that peers know of.
+ */
 export function isAlteredCopy(record: NodeMember, current: NodeMember): boolean {
   if (record.incarnation !== current.incarnation) return false;
   if (isNewerMember(record, current)) return true;
-  return !isNewerMember(current, record) && !isDeepStrictEqual(record, current);
+  if (isNewerMember(current, record) || isDeepStrictEqual(record, current)) return false;
+  return !isDeepStrictEqual(record, mergeTargets(current, record));
 }
