Bound what clients hold at the listeners for heartbeats, readiness and metrics

Callers saw: no response to a heartbeat or a scrape within 5 s beside 450 connections that send empty lines without end; the process ended, out of memory, when clients pipelined requests at these listeners and read no response, or sent a body in chunks of one byte.

Cause: these listeners were HTTP servers of their own, with the parser's limit for heads as their only bound. Nothing bounded connections, bytes held, unread responses or the time that reads take from the event loop.

Ruled out: long and endless heads (the parser refuses them at 16 KiB); readiness itself, which was answered throughout.

Change: the three are request servers now, with the turns, the budget and the reader of the request listener, each with its own bounds (maxListenerBytes, 6% of maxDescriptors) and its own handler. What varied became options of the request server: checkHead, minIdleMs, isPipeliningAllowed, turns. A connection that sends more behind a request is closed with its response, since the kernel takes these small responses (125 KB of them on the side of the client alone) before the bound on unread bytes holds. Scrapes within 200 ms share one rendering.

tests/requests/controlServers.test.ts keeps its check and gains ids, paths and the two kinds of connections; other tests only name the new options.

--- a/src/control/requests/clientBudget.ts
+++ b/src/control/requests/clientBudget.ts
@@ -16,15 +16,21 @@
   maxHeldBytes: number;
   /** Number of connections from which on a new one takes the place of another. */
   maxConnections: number;
+  /** An idle connection gives way to a new one only after this time (ms). Default: that of `chooseDisplaced`. */
+  minIdleMs?: number;
 }
 
-/** What all clients of a process occupy, and the connections that were closed to bound it. */
-export interface ClientBudget {
+/** What the connections of a listener occupy, and how many were closed to bound it. */
+export interface EvictionCounts {
   readonly heldBytes: number;
   readonly maxHeldBytes: number;
   readonly connections: ReadonlySet<BudgetedClient>;
   /** Number of closed connections by reason. */
   readonly closedCounts: ReadonlyMap<EvictionReason, number>;
+}
+
+/** Bounds what the connections of a listener occupy. */
+export interface ClientBudget extends EvictionCounts {
   /** Adds a new connection; if there are too many, closes the least useful one. */
   add(client: BudgetedClient): void;
   /** Takes a change of a connection's `heldBytes` into account; if all hold too many, closes the heaviest ones. */
@@ -33,9 +39,9 @@
   remove(client: BudgetedClient): void;
 }
 
-/** Creates the common budget of all client connections of a process. */
+/** Creates the common budget of all connections of a listener. */
 export function createClientBudget(options: ClientBudgetOptions): ClientBudget {
-  const { now, maxHeldBytes, maxConnections } = options;
+  const { now, maxHeldBytes, maxConnections, minIdleMs } = options;
   const connections = new Set<BudgetedClient>();
   const closedCounts = new Map<EvictionReason, number>();
   let heldBytes = 0;
@@ -57,7 +63,8 @@
     connections,
     closedCounts,
     add: (client) => {
-      const displaced = connections.size < maxConnections ? undefined : chooseDisplaced(connections, now());
+      const isFull = connections.size >= maxConnections;
+      const displaced = isFull ? chooseDisplaced(connections, { nowMs: now(), minIdleMs }) : undefined;
       if (displaced !== undefined) evict(displaced, 'connections');
       connections.add(client);
       heldBytes += client.heldBytes;
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -8,8 +8,11 @@
 import { startControlServers } from '../http/controlServers.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
 import { probeAddress } from '../http/probeAddress.js';
+import { checkRoutedHead } from '../http/checkRequestHead.js';
+import { createReadTurns } from '../http/readTurns.js';
 import { createDurationMetrics, createRequestMetrics } from '../http/requestMetrics.js';
 import { startRequestServer } from '../http/requestServer.js';
+import type { Evictions } from '../http/requestServer.js';
 import { createTargetConnectionPool } from '../http/targetConnectionPool.js';
 import { createTargetSender } from '../http/targetSender.js';
 import { createRequestNode } from '../node/createRequestNode.js';
@@ -39,6 +42,9 @@
 const MAX_SEED = 2 ** 31;
 /** Share of the file descriptors for client connections; the rest is for files, links and the target. */
 const CLIENT_DESCRIPTOR_SHARE = 0.5;
+/** Share of the file descriptors for the connections of each of the listeners for heartbeats, readiness and metrics. */
+const CONTROL_DESCRIPTOR_SHARE = 0.06;
+const MIN_CONTROL_CONNECTIONS = 8;
 const STDOUT_DESCRIPTOR = 1;
 const FLUSH_DELAY_MS = 100;
 
@@ -70,6 +76,10 @@
     writeLines: createLineWriter(STDOUT_DESCRIPTOR),
   });
   const { board } = node;
+  const turns = createReadTurns(clock.now);
+  const reportEvictions = (listener: string, { reason, ...inputs }: Evictions): void => {
+    board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs: { listener, ...inputs } });
+  };
   const linkServer = await startLinkServer(settings.linkListen, node.acceptLink);
   const requestServer = await startRequestServer({
     listen: settings.requestListen,
@@ -77,15 +87,25 @@
     clock,
     maxConnections: Math.floor(settings.maxDescriptors * CLIENT_DESCRIPTOR_SHARE),
     maxHeldBytes: settings.maxClientBytes ?? computeClientBytes(listMemoryLimits()),
-    reportEvictions: ({ reason, ...inputs }) => {
-      board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs });
+    turns,
+    checkHead: checkRoutedHead,
+    reportEvictions: (evictions) => {
+      reportEvictions('requests', evictions);
     },
     readLimits: () => board.read('routes').table?.configuration.limits,
     accept: node.acceptRequest,
     isIdempotent: node.isIdempotent,
   });
+  const metrics = createRequestMetrics(board, durations, requestServer.budget);
+  const { maxListenerBytes } = settings;
   const controlServers = await startControlServers({
     ...settings,
+    names: headerNames,
+    clock,
+    turns,
+    maxConnections: Math.max(MIN_CONTROL_CONNECTIONS, Math.floor(settings.maxDescriptors * CONTROL_DESCRIPTOR_SHARE)),
+    ...(maxListenerBytes === undefined ? {} : { maxHeldBytes: maxListenerBytes }),
+    reportEvictions,
     isReady: () => board.read('node').phase === 'ready',
     decodeHeartbeat: options.decodeHeartbeat,
     receiveHeartbeat: node.receiveHeartbeat,
@@ -93,8 +113,9 @@
     reportInvalidHeartbeat: (outcome, inputs) => {
       board.post('decisions', { kind: 'faultFound', outcome, inputs });
     },
-    renderMetrics: createRequestMetrics(board, durations, requestServer.budget).renderText,
+    renderMetrics: metrics.renderText,
   });
+  for (const [listener, budget] of controlServers.budgets) metrics.addListener(listener, budget);
   node.start();
   return {
     reload: (changed) => {
@@ -111,7 +132,7 @@
       await new Promise((resolve) => setTimeout(resolve, FLUSH_DELAY_MS));
       linkServer.stop();
       pool.stop();
-      await controlServers.stop();
+      controlServers.stop();
     },
   };
 }
--- a/src/http/checkRequestHead.ts
+++ b/src/http/checkRequestHead.ts
@@ -3,6 +3,12 @@
 import type { MessageHead } from './messageParser.js';
 import type { RequestHead } from './requestHead.js';
 
+/** Returns the refusal of a request without what a node needs to route it and to name its response. */
+export function checkRoutedHead({ host, requestId }: RequestHead): Refusal | undefined {
+  if (host === '') return { kind: 'malformed', detail: 'the Host header is missing' };
+  return requestId === '' ? { kind: 'malformed', detail: 'the header with the request id is missing' } : undefined;
+}
+
 /** Returns the refusal of a request whose head is invalid or beyond the limits. */
 export function checkRequestHead(
   request: { head: RequestHead; message: MessageHead; readBytes: number },
@@ -10,8 +16,6 @@
 ): Refusal | undefined {
   const { head, message, readBytes } = request;
   if (message.isUpgrade) return { kind: 'malformed', detail: 'protocol upgrades are not supported' };
-  if (head.host === '') return { kind: 'malformed', detail: 'the Host header is missing' };
-  if (head.requestId === '') return { kind: 'malformed', detail: 'the header with the request id is missing' };
   if (!message.url.startsWith('/')) return { kind: 'malformed', detail: 'the path must begin with a slash' };
   if (limits === undefined) return undefined;
   const { headBytes, bodyBytes } = head;
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -44,10 +44,12 @@
   /** Pipelined requests of all connections that run ahead of others. */
   runAhead: RunAheadCount;
   readHead: (message: { rawHeaders: string[]; url: string }) => RequestHead;
+  /** Returns the refusal of a request whose head lacks what this listener needs. */
+  checkHead: (head: RequestHead) => Refusal | undefined;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
-  /** True once the connection has to be closed after the current response. */
-  isStopping: () => boolean;
+  /** True once the connection has to be closed after the current response; `hasMoreInput` if the client sent more behind it. */
+  isStopping: (hasMoreInput: boolean) => boolean;
   accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
   /** True if a request may run before the requests in front of it are answered. */
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
@@ -121,7 +123,7 @@
   const exchanges = createExchangeQueue({
     runAhead: options.runAhead,
     readLimits: options.readLimits,
-    isStopping: options.isStopping,
+    isStopping: () => options.isStopping(unparsed.length > 0 || deferred.length > 0),
     handleLastResponse: (exchange) => {
       // The rest of the request itself is still read.
       if (reading !== exchange) abandonInput();
@@ -195,7 +197,7 @@
     });
     exchanges.add(exchange);
     reading = exchange;
-    const refusal = checkRequestHead({ message, head, readBytes }, readLimits());
+    const refusal = options.checkHead(head) ?? checkRequestHead({ message, head, readBytes }, readLimits());
     if (refusal !== undefined) exchange.refuse(refusal);
     else exchange.start();
   };
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -1,112 +1,111 @@
-import Fastify from 'fastify';
-import type { FastifyInstance, FastifyReply } from 'fastify';
-import { FailureError } from '../schema/failure.js';
-import { heartbeatSchema } from '../schema/nodeMember.js';
-import type { Heartbeat } from '../schema/nodeMember.js';
-import { parseAddress } from '../schema/requestSettings.js';
-import { compileSchema, formatFault } from '../schema/validate.js';
+import type { EvictionCounts } from '../control/requests/clientBudget.js';
+import type { Clock } from '../core/clock.js';
+import type { RequestLimits } from '../schema/routeConfiguration.js';
+import { createReadRoute, createTargetRoutes } from './controlRoutes.js';
+import type { AcceptRequest, TargetRouteOptions } from './controlRoutes.js';
+import type { ReadTurns } from './readTurns.js';
+import type { RequestHeaderNames } from './requestHeaders.js';
+import { startRequestServer } from './requestServer.js';
+import type { Evictions, RequestServer } from './requestServer.js';
 
-const heartbeatValidator = compileSchema(heartbeatSchema);
-const MAX_HEARTBEAT_BYTES = 64 * 1024;
-/** Time within which a message of the target is acknowledged or refused (ms); it waits for a second. */
-const MAX_ACKNOWLEDGE_MS = 900;
-
-export interface ControlServerOptions {
+export interface ControlServerOptions extends TargetRouteOptions {
   targetListen: string;
   readyListen: string;
   metricsListen: string;
   isReady: () => boolean;
-  /** Maps the JSON body that the target sent to the fields of a heartbeat; the result is validated afterwards. */
-  decodeHeartbeat: (body: unknown) => unknown;
-  /** Handles a heartbeat of the local target; calls `acknowledge` once to send the response. */
-  receiveHeartbeat: (id: string, heartbeat: Heartbeat, acknowledge: () => void) => void;
-  /** Handles the announcement that the local target leaves; calls `acknowledge` once to send the response. */
-  receiveLeave: (id: string, acknowledge: () => void) => void;
-  /** Called with the kind of the error, the target and the first fault of an invalid heartbeat. */
-  reportInvalidHeartbeat: (outcome: string, inputs: Record<string, string>) => void;
   renderMetrics: () => Promise<string>;
+  names: RequestHeaderNames;
+  clock: Clock;
+  /** Shares the time for reading among the connections of the process. */
+  turns?: ReadTurns;
+  /** Maximum number of connections of each listener. Default: `DEFAULT_MAX_CONNECTIONS`. */
+  maxConnections?: number;
+  /** Maximum number of bytes that the connections of one listener hold together. Default: `DEFAULT_MAX_BYTES`. */
+  maxHeldBytes?: number;
+  /** Called with the connections that were closed for the sake of others, at most once a second per listener and reason. */
+  reportEvictions?: (listener: ControlListener, evictions: Evictions) => void;
 }
 
+export type ControlListener = 'control' | 'ready' | 'metrics';
+
 export interface ControlServers {
-  stop(): Promise<void>;
+  /** What the connections of each listener occupy. */
+  readonly budgets: ReadonlyMap<ControlListener, EvictionCounts>;
+  /** Stops listening and closes all connections. */
+  stop(): void;
 }
 
+const DEFAULT_MAX_CONNECTIONS = 256;
+/** 100 whole heads with a heartbeat of some KiB each. */
+const DEFAULT_MAX_BYTES = 2 * 1024 * 1024;
+/**
+ * A connection without an open request gives way to a new one at once: targets, probes and scrapers come again soon, and their
+ * responses are small.
+ */
+const MIN_IDLE_MS = 0;
+/** Scrapes within this time get the same text, whose rendering takes far longer than the rest of a scrape (ms). */
+const RENDERED_FOR_MS = 200;
+const limits: RequestLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 64 * 1024,
+  headerTimeoutMs: 5000,
+  // Longer than the usual interval between scrapes, which is up to a minute.
+  idleTimeoutMs: 72_000,
+};
+
 /**
- * Starts the listeners for the target's heartbeats, for readiness and for metrics.
+ * Starts the listeners for the target's heartbeats, for readiness and for metrics. They are of the same kind as the listener
+ * for requests, each with bounds of its own, so that clients outside the limits at one do not keep the others from answering.
  *
  * @throws FailureError `listenFailed`.
  */
 export async function startControlServers(options: ControlServerOptions): Promise<ControlServers> {
-  const servers: FastifyInstance[] = [];
-  const openServer = async (address: string, addRoutes: (server: FastifyInstance) => void): Promise<void> => {
-    const server = Fastify({ bodyLimit: MAX_HEARTBEAT_BYTES, forceCloseConnections: true });
-    addRoutes(server);
-    servers.push(server);
-    try {
-      await server.listen(parseAddress(address));
-    } catch (error) {
-      throw new FailureError({ kind: 'listenFailed', message: `cannot listen: ${String(error)}`, address });
-    }
+  const { maxConnections = DEFAULT_MAX_CONNECTIONS, maxHeldBytes = DEFAULT_MAX_BYTES, names, clock, turns } = options;
+  const openServer = async (
+    listener: ControlListener,
+    listen: string,
+    accept: AcceptRequest,
+  ): Promise<[ControlListener, RequestServer]> => {
+    const server = await startRequestServer({
+      listen,
+      names,
+      clock,
+      ...(turns === undefined ? {} : { turns }),
+      maxConnections,
+      maxHeldBytes,
+      minIdleMs: MIN_IDLE_MS,
+      reportEvictions: (evictions) => options.reportEvictions?.(listener, evictions),
+      readLimits: () => limits,
+      isPipeliningAllowed: false,
+      isIdempotent: () => false,
+      accept,
+    });
+    return [listener, server];
   };
-  await Promise.all([
-    openServer(options.targetListen, (server) => {
-      addTargetRoutes(server, options);
-    }),
-    openServer(options.readyListen, (server) => {
-      server.get('/v1/ready', (_request, reply) => reply.code(options.isReady() ? 200 : 503).send());
-    }),
-    openServer(options.metricsListen, (server) => {
-      server.get('/metrics', async (_request, reply) => {
-        const text = await options.renderMetrics();
-        return reply.type('text/plain').send(text);
-      });
-    }),
+  const readReadiness = () => Promise.resolve({ status: options.isReady() ? 200 : 503, type: 'text/plain', text: '' });
+  const renderMetrics = createSharedRendering(options);
+  const readMetrics = async () => ({ status: 200, type: 'text/plain', text: await renderMetrics() });
+  const servers = await Promise.all([
+    openServer('control', options.targetListen, createTargetRoutes(options)),
+    openServer('ready', options.readyListen, createReadRoute('/v1/ready', readReadiness)),
+    openServer('metrics', options.metricsListen, createReadRoute('/metrics', readMetrics)),
   ]);
   return {
-    stop: async () => {
-      await Promise.all(servers.map((server) => server.close()));
+    budgets: new Map(servers.map(([listener, { budget }]) => [listener, budget])),
+    stop: () => {
+      for (const [, server] of servers) server.closeAll();
     },
   };
 }
 
-function addTargetRoutes(server: FastifyInstance, options: ControlServerOptions): void {
-  server.removeAllContentTypeParsers();
-  server.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
-    done(null, body);
-  });
-  server.post<{ Params: { id: string } }>('/v1/targets/:id/heartbeat', (request, reply) => {
-    const { id } = request.params;
-    const value = options.decodeHeartbeat(parseBody(request.body));
-    if (heartbeatValidator.isValid(value)) {
-      options.receiveHeartbeat(id, value, createAcknowledgement(reply));
-      return reply;
-    }
-    const fault = heartbeatValidator.listFaults(value).map(formatFault)[0] ?? 'not JSON';
-    options.reportInvalidHeartbeat('malformed heartbeat', { target: id, fault });
-    return reply.code(400).send({ fault });
-  });
-  server.post<{ Params: { id: string } }>('/v1/targets/:id/leave', (request, reply) => {
-    options.receiveLeave(request.params.id, createAcknowledgement(reply));
-    return reply;
-  });
-}
-
-/** Returns the function that acknowledges a message; without a call to it in time, the message is refused. */
-function createAcknowledgement(reply: FastifyReply): () => void {
-  const timer = setTimeout(() => {
-    void reply.code(503).send({ fault: `not acknowledged within ${MAX_ACKNOWLEDGE_MS} ms` });
-  }, MAX_ACKNOWLEDGE_MS);
+function createSharedRendering({ clock, renderMetrics }: ControlServerOptions): () => Promise<string> {
+  let rendered: Promise<string> | undefined;
+  let renderedAtMs = 0;
   return () => {
-    if (reply.sent) return;
-    clearTimeout(timer);
-    void reply.send({});
+    if (rendered === undefined || clock.now() - renderedAtMs > RENDERED_FOR_MS) {
+      rendered = renderMetrics();
+      renderedAtMs = clock.now();
+    }
+    return rendered;
   };
 }
-
-function parseBody(body: unknown): unknown {
-  try {
-    return typeof body === 'string' ? JSON.parse(body) : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/http/requestMetrics.ts
+++ b/src/http/requestMetrics.ts
@@ -5,7 +5,8 @@
 import { readRunLimit } from '../control/requests/localLoad.js';
 import type { RequestBoard } from '../control/requests/sections.js';
 import { addGauge } from './addGauge.js';
-import type { ClientBudget } from '../control/requests/clientBudget.js';
+import type { EvictionCounts } from '../control/requests/clientBudget.js';
+import { createListenerMetrics } from './listenerMetrics.js';
 import { addQuotaMetrics } from './quotaMetrics.js';
 
 export interface DurationMetrics {
@@ -15,6 +16,8 @@
 }
 
 export interface RequestMetrics {
+  /** Adds what the connections of a listener occupy, under its name. */
+  addListener(listener: string, counts: EvictionCounts): void;
   /** Renders all metrics in the Prometheus text format. */
   renderText(): Promise<string>;
 }
@@ -57,9 +60,11 @@
 export function createRequestMetrics(
   board: RequestBoard,
   durations: DurationMetrics,
-  clients?: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>,
+  clients?: EvictionCounts,
 ): RequestMetrics {
   const registry = new Registry();
+  const listeners = createListenerMetrics();
+  listeners.register(registry);
   if (clients !== undefined) addClientMetrics(registry, clients);
   durations.register(registry);
   const addResultGauge = (name: string, help: string, read: () => ReadonlyMap<string, number>): void => {
@@ -141,6 +146,7 @@
   addGauge(registry, 'hemlock_log_lines_dropped', 'Log lines that were dropped', () => board.read('decisions').dropped);
   let hasQuotas = false;
   return {
+    addListener: listeners.add,
     renderText: () => {
       if (!hasQuotas && board.read('quotas').isActive) {
         hasQuotas = true;
@@ -151,10 +157,7 @@
   };
 }
 
-function addClientMetrics(
-  registry: Registry,
-  clients: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>,
-): void {
+function addClientMetrics(registry: Registry, clients: EvictionCounts): void {
   addGauge(registry, 'hemlock_client_connections', 'Open connections of clients', () => clients.connections.size);
   addGauge(registry, 'hemlock_client_bytes', 'Bytes that all clients together hold', () => clients.heldBytes);
   new Gauge({
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -5,13 +5,16 @@
 import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
 import { FailureError } from '../schema/failure.js';
+import type { Refusal } from '../schema/refusal.js';
 import { parseAddress } from '../schema/requestSettings.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createClientBudget } from '../control/requests/clientBudget.js';
-import type { ClientBudget, EvictionReason } from '../control/requests/clientBudget.js';
+import type { EvictionCounts, EvictionReason } from '../control/requests/clientBudget.js';
 import { createClientConnection } from './clientConnection.js';
 import type { ClientConnection } from './clientConnection.js';
 import { createReadTurns } from './readTurns.js';
+import type { ReadTurns } from './readTurns.js';
+import type { RequestHead } from './requestHead.js';
 import { createHeadReader } from './requestHead.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 
@@ -39,6 +42,17 @@
   maxConnections: number;
   /** Maximum number of bytes that all connections hold together. */
   maxHeldBytes: number;
+  /** Time after which an idle connection may give way to a new one (ms). Default: that of `createClientBudget`. */
+  minIdleMs?: number;
+  /** Shares the time for reading with other listeners of the process. Default: the connections of this listener only. */
+  turns?: ReadTurns;
+  /**
+   * False to close a connection with the response to a request behind which the client has sent more. What was received with
+   * a request is known once its handler has returned, so responses are sent later. Default: true.
+   */
+  isPipeliningAllowed?: boolean;
+  /** Returns the refusal of a request whose head lacks what this listener needs. Default: none. */
+  checkHead?: (head: RequestHead) => Refusal | undefined;
   /** Called with the connections that were closed for the sake of others, at most once a second per reason. */
   reportEvictions: (evictions: Evictions) => void;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
@@ -59,13 +73,15 @@
 
 export interface RequestServer {
   /** What the connections occupy. */
-  readonly budget: Pick<ClientBudget, 'connections' | 'heldBytes' | 'closedCounts'>;
+  readonly budget: EvictionCounts;
   /** The bound address as `IP:PORT`. */
   readonly address: string;
   /** Makes each connection close with the response to the last request that was passed on. */
   announceStop(): void;
   /** Stops listening; open connections are not closed. */
   stop(): void;
+  /** Stops listening and closes all connections. */
+  closeAll(): void;
 }
 
 /**
@@ -74,15 +90,16 @@
  * @throws FailureError `listenFailed`.
  */
 export async function startRequestServer(options: RequestServerOptions): Promise<RequestServer> {
-  const { clock, readLimits } = options;
+  const { clock, readLimits, minIdleMs, isPipeliningAllowed = true } = options;
+  const { checkHead = () => undefined, turns = createReadTurns(clock.now) } = options;
   const connections = new Set<ClientConnection>();
   const readHead = createHeadReader(options.names);
   const budget = createClientBudget({
     now: clock.now,
     maxHeldBytes: options.maxHeldBytes,
     maxConnections: Math.ceil(options.maxConnections * DISPLACEMENT_SHARE),
+    ...(minIdleMs === undefined ? {} : { minIdleMs }),
   });
-  const turns = createReadTurns(clock.now);
   const runAhead = { requests: 0 };
   const reportEvictions = createEvictionReporter(budget, options.reportEvictions);
   let isStopping = false;
@@ -95,8 +112,9 @@
       turns,
       runAhead,
       readHead,
+      checkHead,
       readLimits,
-      isStopping: () => isStopping,
+      isStopping: (hasMoreInput) => isStopping || (hasMoreInput && !isPipeliningAllowed),
       accept: options.accept,
       isIdempotent: options.isIdempotent,
       handleClose: () => {
@@ -113,15 +131,20 @@
   const { host, port } = parseAddress(options.listen);
   await openServer(server, host, port);
   const bound = server.address();
+  const stop = (): void => {
+    stopSweeps();
+    server.close();
+  };
   return {
     address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
     budget,
     announceStop: () => {
       isStopping = true;
     },
-    stop: () => {
-      stopSweeps();
-      server.close();
+    stop,
+    closeAll: () => {
+      stop();
+      for (const connection of connections) connection.destroy();
     },
   };
 }
@@ -137,7 +160,7 @@
 }
 
 /** Returns a function that reports what the budget closed since the last call. */
-function createEvictionReporter(budget: ClientBudget, report: RequestServerOptions['reportEvictions']): () => void {
+function createEvictionReporter(budget: EvictionCounts, report: RequestServerOptions['reportEvictions']): () => void {
   const reportedCounts = new Map<EvictionReason, number>();
   return () => {
     for (const [reason, closedCount] of budget.closedCounts) {
--- a/src/policy/clientEviction.ts
+++ b/src/policy/clientEviction.ts
@@ -21,7 +21,7 @@
 /** The eviction goes on to this share of the bound, so that it does not run again with the next byte. */
 const TARGET_SHARE = 0.875;
 /** An idle connection is closed for a new one only after this time, as its client may just send a request (ms). */
-const MIN_IDLE_MS = 1000;
+const DEFAULT_MIN_IDLE_MS = 1000;
 const displacementOrder: Readonly<Record<ClientStanding, number>> = { closing: 0, unproven: 1, idle: 2, serving: 3 };
 
 /**
@@ -54,13 +54,17 @@
  * Addresses clients that open connections and send no request, or stay idle while others find no room.
  *
  * @example
- * chooseDisplaced(connections, clock.now())?.destroy();
+ * chooseDisplaced(connections, { nowMs: clock.now() })?.destroy();
  */
-export function chooseDisplaced<C extends ClientUse>(connections: Iterable<C>, nowMs: number): C | undefined {
+export function chooseDisplaced<C extends ClientUse>(
+  connections: Iterable<C>,
+  options: { nowMs: number; minIdleMs?: number | undefined },
+): C | undefined {
+  const { nowMs, minIdleMs = DEFAULT_MIN_IDLE_MS } = options;
   let chosen: C | undefined;
   for (const connection of connections) {
     const { standing, movedAtMs } = connection;
-    if (standing === 'serving' || (standing === 'idle' && nowMs - movedAtMs < MIN_IDLE_MS)) continue;
+    if (standing === 'serving' || (standing === 'idle' && nowMs - movedAtMs < minIdleMs)) continue;
     if (chosen === undefined || isLessUseful(connection, chosen)) chosen = connection;
   }
   return chosen;
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -55,6 +55,11 @@
    * responses that clients have not read. Default: computed from the memory of the process.
    */
   maxClientBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
+  /**
+   * Maximum number of bytes that all connections of one of the listeners for heartbeats, readiness and metrics hold together.
+   * Default: 2 MiB.
+   */
+  maxListenerBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
   /** Interval at which the target sends heartbeats. */
   heartbeatMs: Type.Number({ exclusiveMinimum: 0, description: 'ms' }),
   bounds: requestBoundsSchema,
--- a/tests/requests/clientEviction.test.ts
+++ b/tests/requests/clientEviction.test.ts
@@ -32,15 +32,17 @@
     const older = buildUse({ name: 'older', standing: 'unproven', movedAtMs: NOW_MS - 20 });
     const idle = buildUse({ name: 'idle', standing: 'idle', movedAtMs: 0 });
     const closing = buildUse({ name: 'closing', standing: 'closing' });
-    expect(chooseDisplaced([unproven, older, idle, closing], NOW_MS)?.name).toEqual('closing');
-    expect(chooseDisplaced([unproven, idle, older], NOW_MS)?.name).toEqual('older');
-    expect(chooseDisplaced([idle, buildUse({ name: 'serving', movedAtMs: 0 })], NOW_MS)?.name).toEqual('idle');
+    expect(chooseDisplaced([unproven, older, idle, closing], { nowMs: NOW_MS })?.name).toEqual('closing');
+    expect(chooseDisplaced([unproven, idle, older], { nowMs: NOW_MS })?.name).toEqual('older');
+    expect(chooseDisplaced([idle, buildUse({ name: 'serving', movedAtMs: 0 })], { nowMs: NOW_MS })?.name).toEqual(
+      'idle',
+    );
   });
 
   // Guards against a request that is cut off, or lost with its connection, because a new connection arrives.
   it('should displace neither a connection with a running request nor one that has just become idle', () => {
     const recent = buildUse({ standing: 'idle', movedAtMs: NOW_MS - 500 });
-    expect(chooseDisplaced([recent, buildUse({ movedAtMs: 0 })], NOW_MS)).toEqual(undefined);
+    expect(chooseDisplaced([recent, buildUse({ movedAtMs: 0 })], { nowMs: NOW_MS })).toEqual(undefined);
   });
 
   it('should derive the default bound from the lowest memory limit', () => {
--- a/tests/requests/controlServers.test.ts
+++ b/tests/requests/controlServers.test.ts
@@ -1,13 +1,20 @@
-import { describe, it } from 'node:test';
+import { afterEach, beforeEach, describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createSystemClock } from '../../src/core/clock.js';
 import { startControlServers } from '../../src/http/controlServers.js';
-import { findFreeAddress } from '../fixtures/requests.js';
+import type { ControlServers } from '../../src/http/controlServers.js';
+import { openTestClient } from '../fixtures/frontEnd.js';
+import { findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
+import { waitUntil } from '../fixtures/sampleFleet.js';
 
 describe('the listener for messages of the target', () => {
-  // Guards against a target that waits without an answer for the acknowledgement of a leave that is not durable.
-  it('should refuse a leave that is not acknowledged in time', async () => {
-    const targetListen = await findFreeAddress();
-    const servers = await startControlServers({
+  let targetListen: string;
+  let servers: ControlServers;
+  beforeEach(async () => {
+    targetListen = await findFreeAddress();
+    servers = await startControlServers({
+      names: testHeaderNames,
+      clock: createSystemClock(),
       targetListen,
       readyListen: await findFreeAddress(),
       metricsListen: await findFreeAddress(),
@@ -15,21 +22,40 @@
       decodeHeartbeat: (body) => body,
       receiveHeartbeat: () => undefined,
       receiveLeave: (id, acknowledge) => {
-        if (id === 'durable') acknowledge();
+        if (id !== 'lost') acknowledge();
       },
       reportInvalidHeartbeat: () => undefined,
       renderMetrics: () => Promise.resolve(''),
     });
-    try {
-      const statuses = await Promise.all(
-        ['durable', 'lost'].map(async (id) => {
-          const response = await fetch(`http://${targetListen}/v1/targets/${id}/leave`, { method: 'POST' });
-          return response.status;
-        }),
-      );
-      expect(statuses).toEqual([200, 503]);
-    } finally {
-      await servers.stop();
+  });
+  afterEach(() => {
+    servers.stop();
+  });
+
+  // Guards against a target that waits without an answer for the acknowledgement of a leave that is not durable.
+  it('should refuse a leave that is not acknowledged in time', async () => {
+    const statuses = await Promise.all(
+      ['durable', 'lost', 'a%20b', '%', 'a/b'].map(async (id) => {
+        const response = await fetch(`http://${targetListen}/v1/targets/${id}/leave`, { method: 'POST' });
+        return response.status;
+      }),
+    );
+    expect(statuses).toEqual([200, 503, 200, 404, 404]);
+  });
+
+  // Guards against a target that has to connect anew for each heartbeat, and against clients that occupy the node with many.
+  it('should keep a connection for one message after another, and close one with several at once', async () => {
+    const request = 'POST /v1/targets/durable/leave HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n';
+    const countResponses = (text: string): number => text.split('HTTP/1.1 200').length - 1;
+    const [ordinary, pipelining] = [openTestClient(targetListen), openTestClient(targetListen)];
+    for (const count of [1, 2]) {
+      ordinary.socket.write(request);
+      await waitUntil('the response', () => countResponses(ordinary.readText()) === count);
     }
+    pipelining.socket.write(request.repeat(30));
+    await waitUntil('the end', () => pipelining.isClosed());
+    expect([countResponses(pipelining.readText()), ordinary.isClosed()]).toEqual([1, false]);
+    expect(pipelining.readText()).toEqual(expect.includes('Connection: close'));
+    ordinary.socket.destroy();
   });
 });
--- a/tests/requests/metrics.test.ts
+++ b/tests/requests/metrics.test.ts
@@ -1,10 +1,11 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createSystemClock } from '../../src/core/clock.js';
 import { startControlServers } from '../../src/http/controlServers.js';
 import { createDurationMetrics, createRequestMetrics } from '../../src/http/requestMetrics.js';
 import type { RequestNode } from '../../src/node/createRequestNode.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet } from '../fixtures/requestFleet.js';
-import { findFreeAddress } from '../fixtures/requests.js';
+import { findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
 
 const hosts = [{ host: 'a1', dataCenter: 'd1', service: 'stock' }];
 
@@ -36,6 +37,8 @@
     const node = fleet.nodes.get('a1') as RequestNode;
     const metricsListen = await findFreeAddress();
     const servers = await startControlServers({
+      names: testHeaderNames,
+      clock: createSystemClock(),
       targetListen: await findFreeAddress(),
       readyListen: await findFreeAddress(),
       metricsListen,
@@ -48,7 +51,7 @@
     });
     const response = await fetch(`http://${metricsListen}/metrics`);
     const text = await response.text();
-    await servers.stop();
+    servers.stop();
     expect(response.status).toEqual(200);
     expect(text).toEqual(expect.includes('hemlock_configuration_version 4'));
     expect(text).toEqual(expect.includes('hemlock_store_era 0'));
--- a/tests/requests/requestServer.test.ts
+++ b/tests/requests/requestServer.test.ts
@@ -4,6 +4,7 @@
 import type { RunHandle } from '../../src/control/requests/runPort.js';
 import { createSystemClock } from '../../src/core/clock.js';
 import { createFakeClock } from '../../src/core/fakeClock.js';
+import { checkRoutedHead } from '../../src/http/checkRequestHead.js';
 import { startRequestServer } from '../../src/http/requestServer.js';
 import type { RequestServer } from '../../src/http/requestServer.js';
 import type { RequestLimits } from '../../src/schema/routeConfiguration.js';
@@ -39,6 +40,7 @@
   ): Promise<{ server: RequestServer; accepted: Accepted[] }> {
     const accepted: Accepted[] = [];
     const server = await startRequestServer({
+      checkHead: checkRoutedHead,
       listen: '127.0.0.1:0',
       names: testHeaderNames,
       clock: createSystemClock(),
@@ -287,6 +289,7 @@
   it('should close idle connections and refuse requests whose head does not arrive in time', async () => {
     const clock = createFakeClock();
     const server = await startRequestServer({
+      checkHead: checkRoutedHead,
       listen: '127.0.0.1:0',
       names: testHeaderNames,
       clock,
