Bound the values of a frame, and collect its parts in linear time

Cause: the size of a frame was bounded, not what it takes once decoded, some 64 bytes for a value of one byte; and each chunk of an unfinished frame was concatenated to all before it.

Change: a frame of more than 250,000 values is refused before it is decoded. Frames up to 250,000 bytes cannot have as many and are not looked at. Unfinished frames are collected as request bodies are; the collector moved to src/core.

--- a/src/http/bodyCollector.ts
+++ b/src/core/bodyCollector.ts
@@ -1,4 +1,4 @@
-/** Collects the parts of a body in one buffer, so that many small parts cost no more than their bytes. */
+/** Collects the parts of a body or a message in one buffer, so that many small parts cost no more than their bytes. */
 export interface BodyCollector {
   readonly length: number;
   /** Memory in use. */
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -1,9 +1,11 @@
 import type { Socket } from 'node:net';
 import { Packr } from 'msgpackr';
+import { createBodyCollector } from '../core/bodyCollector.js';
 import { FailureError } from '../schema/failure.js';
 import { linkFrameSchema, MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import type { LinkFrame } from '../schema/linkFrame.js';
 import { compileSchema } from '../schema/validate.js';
+import { hasTooManyValues, MAX_FRAME_VALUES } from './frameValues.js';
 
 const LENGTH_PREFIX_BYTES = 4;
 const validator = compileSchema(linkFrameSchema);
@@ -32,7 +34,10 @@
 export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
   const encoder = new Packr({ sequential: true });
   const decoder = new Packr({ sequential: true });
-  let received: Buffer = Buffer.alloc(0);
+  /** The start of a frame whose rest has not arrived. */
+  const unfinished = createBodyCollector();
+  /** Length from which on `unfinished` can be read further. */
+  let neededBytes = 0;
   let isCorked = false;
   let isClosed = false;
 
@@ -47,8 +52,16 @@
     socket.uncork();
   };
   const receiveBytes = (chunk: Buffer): void => {
-    received = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
+    if (unfinished.length === 0) {
+      readFrames(chunk);
+      return;
+    }
+    unfinished.add(chunk);
+    if (unfinished.length >= neededBytes) readFrames(unfinished.take());
+  };
+  const readFrames = (received: Buffer): void => {
     let start = 0;
+    neededBytes = LENGTH_PREFIX_BYTES;
     while (!isClosed && received.length - start >= LENGTH_PREFIX_BYTES) {
       const length = received.readUInt32BE(start);
       if (length > MAX_LINK_FRAME_BYTES) {
@@ -56,13 +69,20 @@
         return;
       }
       const frameStart = start + LENGTH_PREFIX_BYTES;
-      if (received.length < frameStart + length) break;
+      if (received.length < frameStart + length) {
+        neededBytes = LENGTH_PREFIX_BYTES + length;
+        break;
+      }
       start = frameStart + length;
       receiveFrame(received.subarray(frameStart, start));
     }
-    received = received.subarray(start);
+    if (start < received.length && !isClosed) unfinished.add(received.subarray(start));
   };
   const receiveFrame = (bytes: Buffer): void => {
+    if (hasTooManyValues(bytes)) {
+      disconnect(`received a frame with more than ${MAX_FRAME_VALUES} values`);
+      return;
+    }
     let value: unknown;
     try {
       value = decoder.unpack(bytes);
