Bound what links opened by other nodes hold, and wait for their hello only for a time

Cause: nothing bounded the links that a node accepts, nor the time until their hello. Links that their peer had replaced also stayed in the set of open connections.

Ruled out: links in use as the holders; with one peer a node held 31 to 33 descriptors in all.

Change: linkBudget.ts keeps two accounts with the budget that clients have: one for connections without an accepted hello, closed after 5 s, one for the others. Strangers give way to one another and never take the place of a link in use. Until the hello is accepted, frames are at most 256 KiB. The first frame has to be a hello. The log counts the closed connections that belong to no peer, in one line a second at most, where each had a line.

--- a/src/control/requests/clientBudget.ts
+++ b/src/control/requests/clientBudget.ts
@@ -29,6 +29,15 @@
   readonly closedCounts: ReadonlyMap<EvictionReason, number>;
 }
 
+/** Connections that were closed for the sake of others since the last report, and what the others occupy. */
+export interface Evictions {
+  reason: EvictionReason;
+  count: number;
+  connections: number;
+  heldBytes: number;
+  maxHeldBytes: number;
+}
+
 /** Bounds what the connections of a listener occupy. */
 export interface ClientBudget extends EvictionCounts {
   /** Adds a new connection; if there are too many, closes the least useful one. */
@@ -79,3 +88,16 @@
     remove,
   };
 }
+
+/** Returns a function that reports what the budget closed since the last call. */
+export function createEvictionReporter(budget: EvictionCounts, report: (evictions: Evictions) => void): () => void {
+  const reportedCounts = new Map<EvictionReason, number>();
+  return () => {
+    for (const [reason, closedCount] of budget.closedCounts) {
+      const count = closedCount - (reportedCounts.get(reason) ?? 0);
+      reportedCounts.set(reason, closedCount);
+      const { connections, heldBytes, maxHeldBytes } = budget;
+      if (count > 0) report({ reason, count, connections: connections.size, heldBytes, maxHeldBytes });
+    }
+  };
+}
--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -22,6 +22,14 @@
   closed(reason: string): void;
 }
 
+/** Events of a connection that another node opened. */
+export interface AcceptedLinkEvents extends Pick<LinkEvents, 'receive' | 'closed'> {
+  /** Called when the bytes change that the connection holds. */
+  changeHeldBytes(bytes: number): void;
+  /** True once the other node said who it is, and was accepted. */
+  isAccepted(): boolean;
+}
+
 /** Connects to another node; the returned function cancels the attempt or closes the connection. */
 export type DialLink = (address: string, events: LinkEvents) => () => void;
 
--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -1,9 +1,10 @@
 import type { HelloFrame, LinkFrame, LinkLane, Profile, StatusFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
-import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
+import type { AcceptedLinkEvents, LinkConnection, RequestContext } from './context.js';
 import { sendHistory } from './hostHistory.js';
 import { createIncomingRuns } from './incomingRuns.js';
 import type { IncomingRuns } from './incomingRuns.js';
+import type { LinkBudget } from './linkBudget.js';
 import type { PeerUpdates } from './peerUpdates.js';
 import type { RunAttempt } from './runPort.js';
 import { hasDemandChanged } from '../../policy/fleetDemand.js';
@@ -50,9 +51,11 @@
 
 /** The connections opened by other nodes, over which they send requests. */
 export interface IncomingLinks {
-  accept(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
+  accept(connection: LinkConnection): AcceptedLinkEvents;
   /** Sends the status of this node to all peers, or only to those for which it is due. */
   broadcastStatus(options?: { onlyIfDue: boolean }): void;
+  /** Reports closed connections that belong to no peer, and those that were closed for the sake of others. */
+  reportClosed(): void;
   stop(): void;
 }
 
@@ -61,6 +64,7 @@
   context: RequestContext,
   options: {
     updates: PeerUpdates;
+    budget: LinkBudget;
     /** Returns how long this process has just been paused (ms), or 0. */
     readPause: () => number;
   },
@@ -68,6 +72,8 @@
   const { board, clock } = context;
   const incoming = new Map<string, IncomingLane>();
   const connections = new Set<LinkConnection>();
+  /** Closed connections without a lane since the last report, which may be many, and why the last one was closed. */
+  let unnamed = { count: 0, detail: '' };
 
   const buildStatus = (): StatusFrame => {
     const { era } = board.read('store');
@@ -200,15 +206,53 @@
     sendHello(connection, hello);
   };
   return {
-    accept: (connection) => {
-      connections.add(connection);
+    accept: (opened) => {
       let lane: IncomingLane | undefined;
+      let hasHello = false;
+      const release = (): void => {
+        link.remove();
+        connections.delete(connection);
+      };
+      // A link also ends by `close` when its peer opens another one.
+      const connection: LinkConnection = {
+        send: opened.send,
+        get bufferedBytes() {
+          return opened.bufferedBytes;
+        },
+        close: () => {
+          opened.close();
+          release();
+        },
+      };
+      const close = (reason: string): void => {
+        opened.close();
+        handleClosed(reason);
+      };
+      const handleClosed = (reason: string): void => {
+        release();
+        lane?.runs.detach(connection);
+        if (lane === undefined) {
+          unnamed = { count: unnamed.count + 1, detail: reason };
+          return;
+        }
+        const inputs = { peer: lane.host, open: lane.runs.openCount, detail: reason };
+        board.post('decisions', { kind: 'linkChanged', outcome: 'accepted connection closed', inputs });
+      };
+      const link = options.budget.add({ isInUse: () => lane?.runs.isCurrent(connection) === true, close });
+      connections.add(connection);
       return {
+        changeHeldBytes: link.changeHeldBytes,
+        isAccepted: () => lane !== undefined,
         receive: (frame) => {
+          link.observeFrame();
           if (frame.type === 'hello') {
-            if (frame.to === board.read('members').self.host) lane = acceptHello(connection, frame);
-            else refuseHello(connection, frame);
-          } else if (lane?.runs.isCurrent(connection) === true) {
+            hasHello = true;
+            if (frame.to === board.read('members').self.host) {
+              link.acceptHello();
+              lane = acceptHello(connection, frame);
+            } else refuseHello(connection, frame);
+          } else if (!hasHello) close(`received a ${frame.type} frame before the hello`);
+          else if (lane?.runs.isCurrent(connection) === true) {
             // All nodes ask the allocator some times a second, which needs no status and profile of it at that rate.
             if (frame.type !== 'quotaAsk') lane.usedAtMs = clock.now();
             lane.runs.receive(frame);
@@ -220,12 +264,7 @@
             acknowledgeRecord(lane, frame);
           }
         },
-        closed: (reason) => {
-          connections.delete(connection);
-          lane?.runs.detach(connection);
-          const inputs = { peer: lane?.host, open: lane?.runs.openCount, detail: reason };
-          board.post('decisions', { kind: 'linkChanged', outcome: 'accepted connection closed', inputs });
-        },
+        closed: handleClosed,
       };
     },
     broadcastStatus: ({ onlyIfDue } = { onlyIfDue: false }) => {
@@ -239,6 +278,16 @@
         if (lane.lane === 'routine') sendProfile(lane, nowMs, isActive);
       }
     },
+    reportClosed: () => {
+      options.budget.reportEvictions();
+      if (unnamed.count === 0) return;
+      board.post('decisions', {
+        kind: 'linkChanged',
+        outcome: 'accepted connections without a peer closed',
+        inputs: unnamed,
+      });
+      unnamed = { count: 0, detail: '' };
+    },
     stop: () => {
       for (const connection of connections) connection.close();
     },
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -2,8 +2,11 @@
 import { createPauseDetector } from '../../core/pauseDetector.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { Controller } from '../context.js';
-import type { LinkConnection, LinkEvents, RequestContext } from './context.js';
+import type { EvictionCounts } from './clientBudget.js';
+import type { AcceptedLinkEvents, LinkConnection, RequestContext } from './context.js';
 import { createIncomingLinks } from './incomingLinks.js';
+import { createLinkBudget } from './linkBudget.js';
+import type { LinkLimits, LinkListener } from './linkBudget.js';
 import { createPeerUpdates } from './peerUpdates.js';
 import { createOutgoingLinks } from './outgoingLinks.js';
 
@@ -11,23 +14,34 @@
 const TICK_INTERVAL_MS = 125;
 /** Time without a tick after which received requests count as old (ms): their senders replace a silent link after 750 ms. */
 const MIN_PAUSE_MS = 1000;
+const REPORT_INTERVAL_MS = 1000;
 
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
-  acceptLink(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
+  acceptLink(connection: LinkConnection): AcceptedLinkEvents;
+  /** What the connections opened by other nodes occupy. */
+  readonly linkCounts: ReadonlyMap<LinkListener, EvictionCounts>;
 }
 
 /** Writes the state of the links to other nodes; exchanges requests, status and updates over them. */
-export function createLinkController(context: RequestContext): LinkController {
+export function createLinkController(context: RequestContext, limits: Partial<LinkLimits> = {}): LinkController {
   const { board, clock } = context;
   const links = board.claim('links', 'linkController');
   const updates = createPeerUpdates(context);
   const outgoing = createOutgoingLinks(context, links.section, { updates, publishChange: links.publishChange });
   const pauses = createPauseDetector(clock, { minPauseMs: MIN_PAUSE_MS });
-  const incoming = createIncomingLinks(context, { updates, readPause: pauses.readPause });
+  const budget = createLinkBudget({
+    clock,
+    limits,
+    reportEvictions: (listener, { reason, ...inputs }) => {
+      board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs: { listener, ...inputs } });
+    },
+  });
+  const incoming = createIncomingLinks(context, { updates, budget, readPause: pauses.readPause });
   let broadcastRevision = -1;
   let lastTickMs = clock.now();
   let stopTicks = (): void => undefined;
+  let stopReports = (): void => undefined;
 
   const handleMembersChange = (): void => {
     const { self } = board.read('members');
@@ -67,6 +81,7 @@
   });
   return {
     acceptLink: incoming.accept,
+    linkCounts: budget.counts,
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
@@ -77,9 +92,11 @@
       board.subscribe('target', broadcastStatus);
       board.subscribe('node', broadcastStatus);
       stopTicks = scheduleRepeated(clock, TICK_INTERVAL_MS, runTick);
+      stopReports = scheduleRepeated(clock, REPORT_INTERVAL_MS, incoming.reportClosed);
     },
     stop: () => {
       stopTicks();
+      stopReports();
       outgoing.stop();
       incoming.stop();
     },
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto';
 import { totalmem } from 'node:os';
 import { getHeapStatistics } from 'node:v8';
+import type { Evictions } from '../control/requests/clientBudget.js';
 import type { KeyedTopic, RequestIo } from '../control/requests/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -12,7 +13,6 @@
 import { createReadTurns } from '../http/readTurns.js';
 import { createDurationMetrics, createRequestMetrics } from '../http/requestMetrics.js';
 import { startRequestServer } from '../http/requestServer.js';
-import type { Evictions } from '../http/requestServer.js';
 import { createTargetConnectionPool } from '../http/targetConnectionPool.js';
 import { createTargetSender } from '../http/targetSender.js';
 import { createRequestNode } from '../node/createRequestNode.js';
@@ -45,6 +45,11 @@
 /** Share of the file descriptors for the connections of each of the listeners for heartbeats, readiness and metrics. */
 const CONTROL_DESCRIPTOR_SHARE = 0.06;
 const MIN_CONTROL_CONNECTIONS = 8;
+/**
+ * Share of the file descriptors for connections of nodes that have not said who they are; it must hold all nodes when they
+ * connect at the same time.
+ */
+const LINK_DESCRIPTOR_SHARE = 0.32;
 const STDOUT_DESCRIPTOR = 1;
 const FLUSH_DELAY_MS = 100;
 
@@ -57,6 +62,7 @@
 export async function startRequestDaemon(options: RequestDaemonOptions): Promise<RequestDaemon> {
   const { settings, headerNames } = options;
   const clock = createSystemClock();
+  const defaultHeldBytes = computeClientBytes(listMemoryLimits());
   const pool = createTargetConnectionPool(clock);
   const durations = createDurationMetrics();
   const node = createRequestNode({
@@ -68,6 +74,10 @@
       probeAddress(`http://${address}`, done);
     },
     dialLink,
+    linkLimits: {
+      maxConnections: Math.floor(settings.maxDescriptors * LINK_DESCRIPTOR_SHARE),
+      maxHeldBytes: settings.maxLinkBytes ?? defaultHeldBytes,
+    },
     configurationTopic: options.configurationTopic,
     memberTopic: options.memberTopic,
     writeMember: options.writeMember,
@@ -86,7 +96,7 @@
     names: headerNames,
     clock,
     maxConnections: Math.floor(settings.maxDescriptors * CLIENT_DESCRIPTOR_SHARE),
-    maxHeldBytes: settings.maxClientBytes ?? computeClientBytes(listMemoryLimits()),
+    maxHeldBytes: settings.maxClientBytes ?? defaultHeldBytes,
     turns,
     checkHead: checkRoutedHead,
     reportEvictions: (evictions) => {
@@ -115,7 +125,8 @@
     },
     renderMetrics: metrics.renderText,
   });
-  for (const [listener, budget] of controlServers.budgets) metrics.addListener(listener, budget);
+  for (const [listener, budget] of [...controlServers.budgets, ...node.linkCounts])
+    metrics.addListener(listener, budget);
   node.start();
   return {
     reload: (changed) => {
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -1,4 +1,4 @@
-import type { EvictionCounts } from '../control/requests/clientBudget.js';
+import type { EvictionCounts, Evictions } from '../control/requests/clientBudget.js';
 import type { Clock } from '../core/clock.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createReadRoute, createTargetRoutes } from './controlRoutes.js';
@@ -6,7 +6,7 @@
 import type { ReadTurns } from './readTurns.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 import { startRequestServer } from './requestServer.js';
-import type { Evictions, RequestServer } from './requestServer.js';
+import type { RequestServer } from './requestServer.js';
 
 export interface ControlServerOptions extends TargetRouteOptions {
   targetListen: string;
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -8,8 +8,8 @@
 import type { Refusal } from '../schema/refusal.js';
 import { parseAddress } from '../schema/requestSettings.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
-import { createClientBudget } from '../control/requests/clientBudget.js';
-import type { EvictionCounts, EvictionReason } from '../control/requests/clientBudget.js';
+import { createClientBudget, createEvictionReporter } from '../control/requests/clientBudget.js';
+import type { EvictionCounts, Evictions } from '../control/requests/clientBudget.js';
 import { createClientConnection } from './clientConnection.js';
 import type { ClientConnection } from './clientConnection.js';
 import { createReadTurns } from './readTurns.js';
@@ -62,15 +62,6 @@
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
 }
 
-/** Connections that were closed for the sake of others since the last report, and what the others occupy. */
-export interface Evictions {
-  reason: EvictionReason;
-  count: number;
-  connections: number;
-  heldBytes: number;
-  maxHeldBytes: number;
-}
-
 export interface RequestServer {
   /** What the connections occupy. */
   readonly budget: EvictionCounts;
@@ -159,19 +150,6 @@
   else if (phase === 'closing' && elapsedMs > CLOSE_TIMEOUT_MS) connection.destroy();
 }
 
-/** Returns a function that reports what the budget closed since the last call. */
-function createEvictionReporter(budget: EvictionCounts, report: RequestServerOptions['reportEvictions']): () => void {
-  const reportedCounts = new Map<EvictionReason, number>();
-  return () => {
-    for (const [reason, closedCount] of budget.closedCounts) {
-      const count = closedCount - (reportedCounts.get(reason) ?? 0);
-      reportedCounts.set(reason, closedCount);
-      const { connections, heldBytes, maxHeldBytes } = budget;
-      if (count > 0) report({ reason, count, connections: connections.size, heldBytes, maxHeldBytes });
-    }
-  };
-}
-
 function openServer(server: Server, host: string, port: number): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', (error) => {
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -19,6 +19,7 @@
 import { createSpeedController } from '../control/requests/speedController.js';
 import { createSettingsController } from '../control/requests/settingsController.js';
 import { createTargetController } from '../control/requests/targetController.js';
+import type { LinkLimits } from '../control/requests/linkBudget.js';
 import type { Controller } from '../control/context.js';
 import { createBoard } from '../core/blackboard.js';
 import type { Clock } from '../core/clock.js';
@@ -33,11 +34,13 @@
   settings: RequestSettings;
   clock: Clock;
   random: Random;
+  /** Limits of the links that other nodes open. */
+  linkLimits?: Partial<LinkLimits>;
 }
 
 /** The control logic of a node that serves routed requests, without any I/O of its own. */
 export interface RequestNode
-  extends Pick<EntryController, 'acceptRequest' | 'isIdempotent'>, Pick<LinkController, 'acceptLink'> {
+  extends Pick<EntryController, 'acceptRequest' | 'isIdempotent'>, Pick<LinkController, 'acceptLink' | 'linkCounts'> {
   readonly board: RequestBoard;
   receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void): void;
   receiveLeave(id: string, acknowledge: () => void): void;
@@ -64,7 +67,7 @@
   const sections = createRequestSections({ settings, self: createOwnMember(options), nowMs: clock.now() });
   const board = createBoard<RequestSections, RequestPosts>(sections);
   const context: RequestContext = { board, clock, random, deadlines: createDeadlineTimer(clock), io: options };
-  const links = createLinkController(context);
+  const links = createLinkController(context, options.linkLimits);
   const entries = createEntryController(context);
   const controllers: Controller[] = [
     createDecisionController(context),
@@ -103,6 +106,7 @@
     acceptRequest: entries.acceptRequest,
     isIdempotent: entries.isIdempotent,
     acceptLink: links.acceptLink,
+    linkCounts: links.linkCounts,
     receiveHeartbeat: (id, heartbeat, acknowledge) => {
       board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge });
     },
--- a/src/schema/requestSettings.ts
+++ b/src/schema/requestSettings.ts
@@ -60,6 +60,11 @@
    * Default: 2 MiB.
    */
   maxListenerBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
+  /**
+   * Maximum number of bytes that all links opened by other nodes hold together: unfinished frames, and what peers have not
+   * read. Default: as for `maxClientBytes`.
+   */
+  maxLinkBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
   /** Interval at which the target sends heartbeats. */
   heartbeatMs: Type.Number({ exclusiveMinimum: 0, description: 'ms' }),
   bounds: requestBoundsSchema,
--- a/src/transport/linkServer.ts
+++ b/src/transport/linkServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:net';
 import type { Server } from 'node:net';
 import { FailureError } from '../schema/failure.js';
+import { MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import { parseAddress } from '../schema/requestSettings.js';
 import { createLinkStream } from './linkStream.js';
 import type { LinkStream, LinkStreamEvents } from './linkStream.js';
@@ -11,6 +12,13 @@
   stop(): void;
 }
 
+export interface AcceptedStreamEvents extends LinkStreamEvents {
+  /** True once the peer said who it is, and was accepted. Default: always. */
+  isAccepted?(): boolean;
+}
+
+/** Maximum size of a frame from a peer that is not accepted: a hello with the ids of 50,000 open requests. */
+const MAX_HELLO_FRAME_BYTES = 256 * 1024;
 /** Length of the accept queue; it must hold the connections of all peers when they connect at the same time. */
 const BACKLOG = 1024;
 
@@ -21,17 +29,22 @@
  */
 export async function startLinkServer(
   listen: string,
-  accept: (stream: LinkStream) => LinkStreamEvents,
+  accept: (stream: LinkStream) => AcceptedStreamEvents,
 ): Promise<LinkServer> {
   const server = createServer((socket) => {
-    const stream = createLinkStream(socket, {
-      receive: (frame) => {
-        events.receive(frame);
+    const stream = createLinkStream(
+      socket,
+      {
+        receive: (frame) => {
+          events.receive(frame);
+        },
+        closed: (reason) => {
+          events.closed(reason);
+        },
+        changeHeldBytes: (bytes) => events.changeHeldBytes?.(bytes),
       },
-      closed: (reason) => {
-        events.closed(reason);
-      },
-    });
+      { readMaxFrameBytes: () => (events.isAccepted?.() === false ? MAX_HELLO_FRAME_BYTES : MAX_LINK_FRAME_BYTES) },
+    );
     const events = accept(stream);
   });
   const { host, port } = parseAddress(listen);
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -22,6 +22,8 @@
   receive(frame: LinkFrame): void;
   /** Called when the connection ends, except by `close`. */
   closed(reason: string): void;
+  /** Called when the bytes change that the connection holds: an unfinished frame, and what a slow peer has not read. */
+  changeHeldBytes?(bytes: number): void;
 }
 
 /**
@@ -31,13 +33,19 @@
  * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
  * stream.send({ type: 'cancel', id: 7 });
  */
-export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
+export function createLinkStream(
+  socket: Socket,
+  events: LinkStreamEvents,
+  options: { readMaxFrameBytes?: () => number } = {},
+): LinkStream {
   const encoder = new Packr({ sequential: true });
   const decoder = new Packr({ sequential: true });
   /** The start of a frame whose rest has not arrived. */
   const unfinished = createBodyCollector();
   /** Length from which on `unfinished` can be read further. */
   let neededBytes = 0;
+  const { readMaxFrameBytes = () => MAX_LINK_FRAME_BYTES } = options;
+  let heldBytes = 0;
   let isCorked = false;
   let isClosed = false;
 
@@ -47,6 +55,12 @@
     socket.destroy();
     events.closed(reason);
   };
+  const settleHeldBytes = (): void => {
+    const bytes = unfinished.heldBytes + (socket.writableNeedDrain ? socket.writableLength : 0);
+    const change = bytes - heldBytes;
+    heldBytes = bytes;
+    if (change !== 0 && !isClosed) events.changeHeldBytes?.(change);
+  };
   const flushWrites = (): void => {
     isCorked = false;
     socket.uncork();
@@ -64,7 +78,7 @@
     neededBytes = LENGTH_PREFIX_BYTES;
     while (!isClosed && received.length - start >= LENGTH_PREFIX_BYTES) {
       const length = received.readUInt32BE(start);
-      if (length > MAX_LINK_FRAME_BYTES) {
+      if (length > readMaxFrameBytes()) {
         disconnect(`received a frame of ${length} bytes, which is above the limit`);
         return;
       }
@@ -94,7 +108,11 @@
     else disconnect(`received an invalid frame: ${validator.listFaults(value)[0]?.path ?? ''}`);
   };
   socket.setNoDelay(true);
-  socket.on('data', receiveBytes);
+  socket.on('data', (chunk) => {
+    receiveBytes(chunk);
+    settleHeldBytes();
+  });
+  socket.on('drain', settleHeldBytes);
   socket.on('error', (error) => {
     disconnect(error.message);
   });
@@ -116,7 +134,7 @@
       const bytes = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + payload.length);
       bytes.writeUInt32BE(payload.length);
       payload.copy(bytes, LENGTH_PREFIX_BYTES);
-      socket.write(bytes);
+      if (!socket.write(bytes)) settleHeldBytes();
     },
     get bufferedBytes() {
       return socket.writableLength;
--- a/tests/requests/links.test.ts
+++ b/tests/requests/links.test.ts
@@ -1,5 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import type { AcceptedLinkEvents } from '../../src/control/requests/context.js';
+import type { RequestNode } from '../../src/node/createRequestNode.js';
+import type { NodeMember } from '../../src/schema/nodeMember.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
 import type { FleetHost, RequestFleet, SentRequest } from '../fixtures/requestFleet.js';
 
@@ -14,6 +17,37 @@
 }
 
 describe('links between nodes', () => {
+  // Guards against links that are gone and still count, or that stay open though their peer has another one or was never named.
+  it('should count only the links that are in use', () => {
+    const fleet = createRequestFleet({ hosts, configuration });
+    fleet.clock.advance(1000);
+    const node = fleet.nodes.get('a2') as RequestNode;
+    const { self } = (fleet.nodes.get('a1') as RequestNode).board.read('members');
+    const listCounts = () => [...node.linkCounts.values()].map(({ connections }) => connections.size);
+    const [, before = 0] = listCounts();
+    const member = { ...(self as NodeMember), host: 'b1' };
+    const closed: string[] = [];
+    const openLink = (name: string): AcceptedLinkEvents =>
+      node.acceptLink({ send: () => undefined, bufferedBytes: 0, close: () => closed.push(name) });
+    const hello = { type: 'hello' as const, member, lane: 'routine' as const, pending: [] };
+    openLink('replaced').receive({ ...hello, to: 'a2' });
+    openLink('current').receive({ ...hello, to: 'a2' });
+    openLink('misdirected').receive({ ...hello, to: 'a3' });
+    openLink('unnamed').receive({ type: 'pull', what: 'members' });
+    openLink('silent');
+    expect([closed, listCounts()]).toEqual([
+      ['replaced', 'unnamed'],
+      [2, before + 1],
+    ]);
+    fleet.clock.advance(6000);
+    expect([closed.slice(2), listCounts()[0]]).toEqual([['misdirected', 'silent'], 0]);
+    const lines = fleet.lines.filter(({ outcome }) => outcome === 'accepted connections without a peer closed');
+    expect(lines.slice(-2).map(({ inputs }) => [inputs?.['count'], inputs?.['detail']])).toEqual([
+      [1, 'received a pull frame before the hello'],
+      [2, 'no accepted hello within 5000 ms'],
+    ]);
+  });
+
   it('should deliver the answer of a request whose connection is reset while it runs', () => {
     const fleet = createRequestFleet({ hosts, configuration });
     const sent = fleet.send('a1');
