--- a/src/control/requests/clientBudget.ts
+++ b/src/control/requests/clientBudget.ts
@@ -17,15 +17,30 @@
   maxHeldBytes: number;
   /** Number of connections from which on a new one takes the place of another. */
   maxConnections: number;
+  /** An idle connection gives way to a new one only after this time (ms). Default: that of `chooseDisplaced`. */
+  minIdleMs?: number;
 }
 
-/** What all clients of a process occupy, and the connections that were closed to bound it. */
-export interface ClientBudget {
+/** What the connections of a listener occupy, and how many were closed to bound it. */
+export interface EvictionCounts {
   readonly heldBytes: number;
   readonly maxHeldBytes: number;
   readonly connections: ReadonlySet<BudgetedClient>;
   /** Number of closed connections by reason. */
   readonly closedCounts: ReadonlyMap<EvictionReason, number>;
+}
+
+/** Connections that were closed for the sake of others since the last report, and what the others occupy. */
+export interface Evictions {
+  reason: EvictionReason;
+  count: number;
+  connections: number;
+  heldBytes: number;
+  maxHeldBytes: number;
+}
+
+/** Bounds what the connections of a listener occupy. */
+export interface ClientBudget extends EvictionCounts {
   /** Adds a new connection; if there are too many, closes the least useful one. */
   add(client: BudgetedClient): void;
   /** Takes a change of a connection's `heldBytes` into account; if all hold too many, closes the heaviest ones. */
@@ -34,9 +49,9 @@
   remove(client: BudgetedClient): void;
 }
 
-/** Creates the common budget of all client connections of a process. */
+/** Creates the common budget of all connections of a listener. */
 export function createClientBudget(options: ClientBudgetOptions): ClientBudget {
-  const { now, maxHeldBytes, maxConnections } = options;
+  const { now, maxHeldBytes, maxConnections, minIdleMs } = options;
   const connections = new Set<BudgetedClient>();
   const closedCounts = new Map<EvictionReason, number>();
   let heldBytes = 0;
@@ -58,7 +73,8 @@
     connections,
     closedCounts,
     add: (client) => {
-      const displaced = connections.size < maxConnections ? undefined : chooseDisplaced(connections, now());
+      const isFull = connections.size >= maxConnections;
+      const displaced = isFull ? chooseDisplaced(connections, { nowMs: now(), minIdleMs }) : undefined;
       if (displaced !== undefined) evict(displaced, 'connections');
       connections.add(client);
       heldBytes += client.heldBytes;
@@ -73,3 +89,16 @@
     remove,
   };
 }
+
+/** Returns a function that reports what the budget closed since the last call. */
+export function createEvictionReporter(budget: EvictionCounts, report: (evictions: Evictions) => void): () => void {
+  const reportedCounts = new Map<EvictionReason, number>();
+  return () => {
+    for (const [reason, closedCount] of budget.closedCounts) {
+      const count = closedCount - (reportedCounts.get(reason) ?? 0);
+      reportedCounts.set(reason, closedCount);
+      const { connections, heldBytes, maxHeldBytes } = budget;
+      if (count > 0) report({ reason, count, connections: connections.size, heldBytes, maxHeldBytes });
+    }
+  };
+}
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -3,9 +3,12 @@
 import type { LinkFrame } from '../../schema/linkFrame.js';
 import type { NodeMember } from '../../schema/nodeMember.js';
 import type { Controller } from '../context.js';
+import type { EvictionCounts } from './clientBudget.js';
 import { reportInternalError } from './containment.js';
-import type { DialLink, LinkConnection, LinkEvents, RequestContext } from './context.js';
+import type { AcceptedLinkEvents, DialLink, LinkConnection, RequestContext } from './context.js';
 import { createIncomingLinks } from './incomingLinks.js';
+import { createLinkBudget } from './linkBudget.js';
+import type { LinkLimits, LinkListener } from './linkBudget.js';
 import { createPeerUpdates } from './peerUpdates.js';
 import { createOutgoingLinks } from './outgoingLinks.js';
 
@@ -15,15 +18,18 @@
 const MIN_PAUSE_MS = 1000;
 /** Reason of a connection that was closed after an error in the handling of a frame. */
 const INTERNAL_ERROR = 'internal error';
+const REPORT_INTERVAL_MS = 1000;
 
 /** Accepts the connections of other nodes. */
 export interface LinkController extends Controller {
   /** Accepts a connection opened by another node. */
-  acceptLink(connection: LinkConnection): Pick<LinkEvents, 'receive' | 'closed'>;
+  acceptLink(connection: LinkConnection): AcceptedLinkEvents;
+  /** What the connections opened by other nodes occupy. */
+  readonly linkCounts: ReadonlyMap<LinkListener, EvictionCounts>;
 }
 
 /** Writes the state of the links to other nodes; exchanges requests, status and updates over them. */
-export function createLinkController(context: RequestContext): LinkController {
+export function createLinkController(context: RequestContext, limits: Partial<LinkLimits> = {}): LinkController {
   const { board, clock } = context;
   const links = board.claim('links', 'linkController');
   const updates = createPeerUpdates(context);
@@ -42,7 +48,14 @@
   const outgoingContext = { ...context, io: { ...context.io, dialLink } };
   const outgoing = createOutgoingLinks(outgoingContext, links.section, { updates, publishChange: links.publishChange });
   const pauses = createPauseDetector(clock, { minPauseMs: MIN_PAUSE_MS });
-  const incoming = createIncomingLinks(context, { updates, readPause: pauses.readPause });
+  const budget = createLinkBudget({
+    clock,
+    limits,
+    reportEvictions: (listener, { reason, ...inputs }) => {
+      board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs: { listener, ...inputs } });
+    },
+  });
+  const incoming = createIncomingLinks(context, { updates, budget, readPause: pauses.readPause });
   /** Handles a frame; an error in it ends the connection that carried it, as if the peer had closed it. */
   const receiveContained = (frame: LinkFrame, receive: (frame: LinkFrame) => void, close: () => void): void => {
     try {
@@ -55,18 +68,19 @@
   const acceptLink: LinkController['acceptLink'] = (connection) => {
     const events = incoming.accept(connection);
     return {
+      ...events,
       receive: (frame) => {
         receiveContained(frame, events.receive, () => {
           connection.close();
           events.closed(INTERNAL_ERROR);
         });
       },
-      closed: events.closed,
     };
   };
   let broadcastRevision = -1;
   let lastTickMs = clock.now();
   let stopTicks = (): void => undefined;
+  let stopReports = (): void => undefined;
 
   const handleMembersChange = (): void => {
     const { self } = board.read('members');
@@ -106,6 +120,7 @@
   });
   return {
     acceptLink,
+    linkCounts: budget.counts,
     start: () => {
       board.subscribe('members', handleMembersChange);
       board.subscribe('routes', outgoing.updatePeers);
@@ -116,9 +131,11 @@
       board.subscribe('target', broadcastStatus);
       board.subscribe('node', broadcastStatus);
       stopTicks = scheduleRepeated(clock, TICK_INTERVAL_MS, runTick);
+      stopReports = scheduleRepeated(clock, REPORT_INTERVAL_MS, incoming.reportClosed);
     },
     stop: () => {
       stopTicks();
+      stopReports();
       outgoing.stop();
       incoming.stop();
     },
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -1,6 +1,7 @@
 import { randomInt } from 'node:crypto';
 import { totalmem } from 'node:os';
 import { getHeapStatistics } from 'node:v8';
+import type { Evictions } from '../control/requests/clientBudget.js';
 import type { KeyedTopic, RequestIo } from '../control/requests/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
@@ -8,6 +9,8 @@
 import { startControlServers } from '../http/controlServers.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
 import { probeAddress } from '../http/probeAddress.js';
+import { checkRoutedHead } from '../http/checkRequestHead.js';
+import { createReadTurns } from '../http/readTurns.js';
 import { createDurationMetrics, createRequestMetrics } from '../http/requestMetrics.js';
 import { startRequestServer } from '../http/requestServer.js';
 import { createTargetConnectionPool } from '../http/targetConnectionPool.js';
@@ -40,6 +43,14 @@
 const MAX_SEED = 2 ** 31;
 /** Share of the file descriptors for client connections; the rest is for files, links and the target. */
 const CLIENT_DESCRIPTOR_SHARE = 0.5;
+/** Share of the file descriptors for the connections of each of the listeners for heartbeats, readiness and metrics. */
+const CONTROL_DESCRIPTOR_SHARE = 0.06;
+const MIN_CONTROL_CONNECTIONS = 8;
+/**
+ * Share of the file descriptors for connections of nodes that have not said who they are; it must hold all nodes when they
+ * connect at the same time.
+ */
+const LINK_DESCRIPTOR_SHARE = 0.32;
 const STDOUT_DESCRIPTOR = 1;
 const FLUSH_DELAY_MS = 100;
 
@@ -52,6 +63,7 @@
 export async function startRequestDaemon(options: RequestDaemonOptions): Promise<RequestDaemon> {
   const { settings, headerNames } = options;
   const clock = createSystemClock();
+  const defaultHeldBytes = computeClientBytes(listMemoryLimits());
   const pool = createTargetConnectionPool(clock);
   const durations = createDurationMetrics();
   const node = createRequestNode({
@@ -63,6 +75,10 @@
       probeAddress(`http://${address}`, done);
     },
     dialLink,
+    linkLimits: {
+      maxConnections: Math.floor(settings.maxDescriptors * LINK_DESCRIPTOR_SHARE),
+      maxHeldBytes: settings.maxLinkBytes ?? defaultHeldBytes,
+    },
     configurationTopic: options.configurationTopic,
     memberTopic: options.memberTopic,
     writeMember: options.writeMember,
@@ -72,22 +88,36 @@
   });
   const { board } = node;
   reportUncaughtErrors({ board, writeNow: createImmediateWriter(STDOUT_DESCRIPTOR) });
+  const turns = createReadTurns(clock.now);
+  const reportEvictions = (listener: string, { reason, ...inputs }: Evictions): void => {
+    board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs: { listener, ...inputs } });
+  };
   const linkServer = await startLinkServer(settings.linkListen, node.acceptLink);
   const requestServer = await startRequestServer({
     listen: settings.requestListen,
     names: headerNames,
     clock,
     maxConnections: Math.floor(settings.maxDescriptors * CLIENT_DESCRIPTOR_SHARE),
-    maxHeldBytes: settings.maxClientBytes ?? computeClientBytes(listMemoryLimits()),
-    reportEvictions: ({ reason, ...inputs }) => {
-      board.post('decisions', { kind: 'clientsClosed', outcome: reason, inputs });
+    maxHeldBytes: settings.maxClientBytes ?? defaultHeldBytes,
+    turns,
+    checkHead: checkRoutedHead,
+    reportEvictions: (evictions) => {
+      reportEvictions('requests', evictions);
     },
     readLimits: () => board.read('routes').table?.configuration.limits,
     accept: node.acceptRequest,
     isIdempotent: node.isIdempotent,
   });
+  const metrics = createRequestMetrics(board, durations, requestServer.budget);
+  const { maxListenerBytes } = settings;
   const controlServers = await startControlServers({
     ...settings,
+    names: headerNames,
+    clock,
+    turns,
+    maxConnections: Math.max(MIN_CONTROL_CONNECTIONS, Math.floor(settings.maxDescriptors * CONTROL_DESCRIPTOR_SHARE)),
+    ...(maxListenerBytes === undefined ? {} : { maxHeldBytes: maxListenerBytes }),
+    reportEvictions,
     isReady: () => board.read('node').phase === 'ready',
     decodeHeartbeat: options.decodeHeartbeat,
     receiveHeartbeat: node.receiveHeartbeat,
@@ -95,8 +125,10 @@
     reportInvalidHeartbeat: (outcome, inputs) => {
       board.post('decisions', { kind: 'faultFound', outcome, inputs });
     },
-    renderMetrics: createRequestMetrics(board, durations, requestServer.budget).renderText,
+    renderMetrics: metrics.renderText,
   });
+  for (const [listener, budget] of [...controlServers.budgets, ...node.linkCounts])
+    metrics.addListener(listener, budget);
   node.start();
   return {
     reload: (changed) => {
@@ -113,7 +145,7 @@
       await new Promise((resolve) => setTimeout(resolve, FLUSH_DELAY_MS));
       linkServer.stop();
       pool.stop();
-      await controlServers.stop();
+      controlServers.stop();
     },
   };
 }
--- a/src/transport/linkStream.ts
+++ b/src/transport/linkStream.ts
@@ -1,9 +1,11 @@
 import type { Socket } from 'node:net';
 import { Packr } from 'msgpackr';
+import { createBodyCollector } from '../core/bodyCollector.js';
 import { FailureError } from '../schema/failure.js';
 import { linkFrameSchema, MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import type { LinkFrame } from '../schema/linkFrame.js';
 import { compileSchema } from '../schema/validate.js';
+import { hasTooManyValues, MAX_FRAME_VALUES } from './frameValues.js';
 
 const LENGTH_PREFIX_BYTES = 4;
 const validator = compileSchema(linkFrameSchema);
@@ -20,6 +22,8 @@
   receive(frame: LinkFrame): void;
   /** Called when the connection ends, except by `close`. */
   closed(reason: string): void;
+  /** Called when the bytes change that the connection holds: an unfinished frame, and what a slow peer has not read. */
+  changeHeldBytes?(bytes: number): void;
 }
 
 /**
@@ -29,10 +33,19 @@
  * const stream = createLinkStream(socket, { receive: handleFrame, closed: redial });
  * stream.send({ type: 'cancel', id: 7 });
  */
-export function createLinkStream(socket: Socket, events: LinkStreamEvents): LinkStream {
+export function createLinkStream(
+  socket: Socket,
+  events: LinkStreamEvents,
+  options: { readMaxFrameBytes?: () => number } = {},
+): LinkStream {
   const encoder = new Packr({ sequential: true });
   const decoder = new Packr({ sequential: true });
-  let received: Buffer = Buffer.alloc(0);
+  /** The start of a frame whose rest has not arrived. */
+  const unfinished = createBodyCollector();
+  /** Length from which on `unfinished` can be read further. */
+  let neededBytes = 0;
+  const { readMaxFrameBytes = () => MAX_LINK_FRAME_BYTES } = options;
+  let heldBytes = 0;
   let isCorked = false;
   let isClosed = false;
 
@@ -42,27 +55,48 @@
     socket.destroy();
     events.closed(reason);
   };
+  const settleHeldBytes = (): void => {
+    const bytes = unfinished.heldBytes + (socket.writableNeedDrain ? socket.writableLength : 0);
+    const change = bytes - heldBytes;
+    heldBytes = bytes;
+    if (change !== 0 && !isClosed) events.changeHeldBytes?.(change);
+  };
   const flushWrites = (): void => {
     isCorked = false;
     socket.uncork();
   };
   const receiveBytes = (chunk: Buffer): void => {
-    received = received.length === 0 ? chunk : Buffer.concat([received, chunk]);
+    if (unfinished.length === 0) {
+      readFrames(chunk);
+      return;
+    }
+    unfinished.add(chunk);
+    if (unfinished.length >= neededBytes) readFrames(unfinished.take());
+  };
+  const readFrames = (received: Buffer): void => {
     let start = 0;
+    neededBytes = LENGTH_PREFIX_BYTES;
     while (!isClosed && received.length - start >= LENGTH_PREFIX_BYTES) {
       const length = received.readUInt32BE(start);
-      if (length > MAX_LINK_FRAME_BYTES) {
+      if (length > readMaxFrameBytes()) {
         disconnect(`received a frame of ${length} bytes, which is above the limit`);
         return;
       }
       const frameStart = start + LENGTH_PREFIX_BYTES;
-      if (received.length < frameStart + length) break;
+      if (received.length < frameStart + length) {
+        neededBytes = LENGTH_PREFIX_BYTES + length;
+        break;
+      }
       start = frameStart + length;
       receiveFrame(received.subarray(frameStart, start));
     }
-    received = received.subarray(start);
+    if (start < received.length && !isClosed) unfinished.add(received.subarray(start));
   };
   const receiveFrame = (bytes: Buffer): void => {
+    if (hasTooManyValues(bytes)) {
+      disconnect(`received a frame with more than ${MAX_FRAME_VALUES} values`);
+      return;
+    }
     let value: unknown;
     try {
       value = decoder.unpack(bytes);
@@ -74,7 +108,11 @@
     else disconnect(`received an invalid frame: ${validator.listFaults(value)[0]?.path ?? ''}`);
   };
   socket.setNoDelay(true);
-  socket.on('data', receiveBytes);
+  socket.on('data', (chunk) => {
+    receiveBytes(chunk);
+    settleHeldBytes();
+  });
+  socket.on('drain', settleHeldBytes);
   socket.on('error', (error) => {
     disconnect(error.message);
   });
@@ -96,7 +134,7 @@
       const bytes = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + payload.length);
       bytes.writeUInt32BE(payload.length);
       payload.copy(bytes, LENGTH_PREFIX_BYTES);
-      socket.write(bytes);
+      if (!socket.write(bytes)) settleHeldBytes();
     },
     get bufferedBytes() {
       return socket.writableLength;
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -26,6 +26,8 @@
   async function startServers(): Promise<string> {
     const targetListen = await findFreeAddress();
     const servers = await startControlServers({
+      names: testHeaderNames,
+      clock: createSystemClock(),
       targetListen,
       readyListen: await findFreeAddress(),
       metricsListen: await findFreeAddress(),
