Fail only the message whose handling throws at the control listeners

Callers would have seen: a process that ends on an error in the handling of one heartbeat, leave or probe. Change: the handlers are wrapped, an error is logged and gets 500.

--- a/src/http/controlRoutes.ts
+++ b/src/http/controlRoutes.ts
@@ -15,7 +15,7 @@
   receiveHeartbeat: (id: string, heartbeat: Heartbeat, acknowledge: () => void) => void;
   /** Handles the announcement that the local target leaves; calls `acknowledge` once to send the response. */
   receiveLeave: (id: string, acknowledge: () => void) => void;
-  /** Called with the kind of the error, the target and the first fault of an invalid heartbeat. */
+  /** Called with the kind of the error, the target and the first fault of an invalid heartbeat, or with an internal error. */
   reportInvalidHeartbeat: (outcome: string, inputs: Record<string, string>) => void;
 }
 
@@ -85,6 +85,24 @@
   };
 }
 
+/**
+ * Wraps a handler so that an error in it fails only its request, with 500.
+ *
+ * @example
+ * const accept = wrapErrors(createTargetRoutes(options), reportError);
+ */
+export function wrapErrors(accept: AcceptRequest, report: (error: unknown) => void): AcceptRequest {
+  return (request, reply) => {
+    try {
+      return accept(request, reply);
+    } catch (error) {
+      report(error);
+      sendJson(reply, 500, { fault: 'internal error' });
+      return handleWithoutBody;
+    }
+  };
+}
+
 /** Creates the function that acknowledges a message; without a call to it in time, the message is refused. */
 function createAcknowledgement(reply: ClientReply): { acknowledge: () => void; handle: RunHandle } {
   let isSent = false;
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -1,7 +1,7 @@
 import type { EvictionCounts, Evictions } from '../control/requests/clientBudget.js';
 import type { Clock } from '../core/clock.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
-import { createReadRoute, createTargetRoutes } from './controlRoutes.js';
+import { createReadRoute, createTargetRoutes, wrapErrors } from './controlRoutes.js';
 import type { AcceptRequest, TargetRouteOptions } from './controlRoutes.js';
 import type { ReadTurns } from './readTurns.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
@@ -78,7 +78,9 @@
       readLimits: () => limits,
       isPipeliningAllowed: false,
       isIdempotent: () => false,
-      accept,
+      accept: wrapErrors(accept, (error) => {
+        options.reportInvalidHeartbeat('internal error', { listener, fault: String(error) });
+      }),
     });
     return [listener, server];
   };
--- a/tests/requests/controlServers.test.ts
+++ b/tests/requests/controlServers.test.ts
@@ -3,6 +3,7 @@
 import { createSystemClock } from '../../src/core/clock.js';
 import { startControlServers } from '../../src/http/controlServers.js';
 import type { ControlServers } from '../../src/http/controlServers.js';
+import { FailureError } from '../../src/schema/failure.js';
 import { openTestClient } from '../fixtures/frontEnd.js';
 import { findFreeAddress, testHeaderNames } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
@@ -22,6 +23,7 @@
       decodeHeartbeat: (body) => body,
       receiveHeartbeat: () => undefined,
       receiveLeave: (id, acknowledge) => {
+        if (id === 'broken') throw new FailureError({ kind: 'fileUnreadable', message: 'broken', path: '' });
         if (id !== 'lost') acknowledge();
       },
       reportInvalidHeartbeat: () => undefined,
@@ -43,6 +45,12 @@
     expect(statuses).toEqual([200, 503, 200, 404, 404]);
   });
 
+  // Guards against a process that ends because of an error in the handling of one message.
+  it('should fail only the message whose handling fails', async () => {
+    const send = (id: string) => fetch(`http://${targetListen}/v1/targets/${id}/leave`, { method: 'POST' });
+    expect([(await send('broken')).status, (await send('durable')).status]).toEqual([500, 200]);
+  });
+
   // Guards against a target that has to connect anew for each heartbeat, and against clients that occupy the node with many.
   it('should keep a connection for one message after another, and close one with several at once', async () => {
     const request = 'POST /v1/targets/durable/leave HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n';
