Let the real target replace a later start that is silent

A message with the host's service and address that names another id or a later start still took the place of the real target. If it drained or left, no request was sent that 421 could refute, and the host's target got none until it started anew. A late leave of an earlier target that reached a restarted node first did the same without any odd sender.

A sender whose heartbeats go on in order, three of them over one and a half periods, while the known start is silent, now counts as the target of the host: only one can have its address. Late heartbeats of a target that has ended arrive together, or while the real one sends. A drain of the known start is obeyed in whatever order it arrives, and one that is not obeyed is not acknowledged.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -1,5 +1,7 @@
 import type { Controller } from '../context.js';
 import { compareHeartbeats, isSameStart } from '../../policy/heartbeatOrder.js';
+import { isSenderAlive, updateSeries } from '../../policy/heartbeatSeries.js';
+import type { HeartbeatSeries } from '../../policy/heartbeatSeries.js';
 import { findPublishedTargetFault, findTargetFault, isTargetId } from '../../policy/ownTarget.js';
 import { isFurtherLeaving } from '../../policy/targetHistory.js';
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
@@ -33,6 +35,8 @@
   /** True once the target answered since this process knows it. */
   let hasAnswered = false;
   const starts = createTargetStarts(section);
+  /** Heartbeats that were ignored as older than the last accepted one. */
+  let ignored: HeartbeatSeries | undefined;
   /** The last heartbeat that may be stale, since the history is not known yet; the next one in order confirms it. */
   let unconfirmed: { id: string; heartbeat: Heartbeat } | undefined;
 
@@ -98,12 +102,36 @@
     board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'not the target of this host', inputs });
     refuse(fault);
   };
+  /** True if the real target goes on sending while a message of another sender has taken its place. */
+  const isFromLivingSender = (id: string, heartbeat: Heartbeat): boolean => {
+    // Of a target that was known by its leave only, all heartbeats were sent before the leave.
+    if (id === section.id && section.address === '') return false;
+    const nowMs = clock.now();
+    const { heartbeatMs } = board.read('settings').current;
+    ignored = updateSeries(ignored, { id, heartbeat, nowMs });
+    return isSenderAlive(ignored, { nowMs, heartbeatMs, lastAcceptedMs: section.lastHeartbeatMs });
+  };
+  /** Handles a heartbeat that was sent before the last accepted one, by the times that their senders name. */
+  const handleOlder = (id: string, heartbeat: Heartbeat, acknowledge: () => void): void => {
+    const { phase } = section;
+    if (heartbeat.state === 'draining' && isSameStart(section, id, heartbeat.startedAtMs)) {
+      // A start that drains never stops doing so, whatever the order in which its heartbeats arrive.
+      if (phase === 'ready') {
+        enterPhase('draining', 'older heartbeat');
+        publish();
+      }
+      acknowledgeLeaving(acknowledge);
+      return;
+    }
+    const inputs = { target: id, sequence: heartbeat.sequence, known: section.id, knownSequence: section.sequence };
+    board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'older than the last accepted heartbeat', inputs });
+    // While requests are sent, a drain that is not obeyed is not acknowledged either: the sender may be the real target.
+    if (heartbeat.state === 'ready' || phase !== 'ready') acknowledge();
+  };
   const receiveHeartbeat = (id: string, heartbeat: Heartbeat, acknowledge: () => void): void => {
     const isKnown = isSameStart(section, id, heartbeat.startedAtMs);
-    if (section.id !== '' && !starts.isNext(id, heartbeat)) {
-      const inputs = { target: id, sequence: heartbeat.sequence, known: section.id, knownSequence: section.sequence };
-      board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'older than the last accepted heartbeat', inputs });
-      acknowledge();
+    if (section.id !== '' && !starts.isNext(id, heartbeat) && !isFromLivingSender(id, heartbeat)) {
+      handleOlder(id, heartbeat, acknowledge);
       return;
     }
     if (!isKnown && heartbeat.state === 'ready' && !hasLeft(id, heartbeat.startedAtMs)) {
--- a/tests/requests/foreignTargets.test.ts
+++ b/tests/requests/foreignTargets.test.ts
@@ -14,6 +14,20 @@
 /** Later than the start of the fleet's targets. */
 const LATER_START_MS = 1_700_000_000_000;
 
+function buildHeartbeat(change: Partial<Heartbeat>): Heartbeat {
+  return {
+    service: 'stock',
+    address: '127.0.0.1:9000',
+    dataCenter: 'd1',
+    slots: 4,
+    state: 'ready',
+    sequence: 1,
+    coldLeftMs: 0,
+    startedAtMs: LATER_START_MS,
+    ...change,
+  };
+}
+
 /** Messages of other senders, or of an earlier target that arrive late, with the service and the address of the host. */
 describe('a message that is not from the target of the host', () => {
   let fleet: RequestFleet;
@@ -72,6 +86,20 @@
     });
   }
 
+  // Guards against an earlier target that comes back by its late heartbeats.
+  for (const isTargetSilent of [false, true]) {
+    const when = isTargetSilent ? 'that arrive together' : 'while the real target sends its own';
+    it(`should not take the place of the real target by older heartbeats ${when}`, () => {
+      if (isTargetSilent) fleet.targets.delete('a1');
+      for (const sequence of [1, 2, 3, 4, 5]) {
+        const heartbeat = buildHeartbeat({ startedAtMs: 1_500_000_000_000, sequence });
+        fleet.nodes.get('a1')?.receiveHeartbeat('i-earlier', heartbeat, () => undefined);
+        if (!isTargetSilent) fleet.clock.advance(1000);
+      }
+      expect(fleet.nodes.get('a1')?.board.read('target').id).toEqual('i-a1');
+    });
+  }
+
   // Guards against a leave without an id that publishes a record which no other node accepts.
   it('should have no effect if it is a leave with an id that no target can have', () => {
     fleet.killNode('a1');
