Show that a leave acknowledged beside a foreign target is forgotten

While a foreign heartbeat has the place of the real target, the leave of the real one is acknowledged as that of another target and not remembered; after a 421 a late heartbeat makes it ready, and requests reach it (rule DRAIN).

--- a/tests/requests/foreignTargets.test.ts
+++ b/tests/requests/foreignTargets.test.ts
@@ -100,6 +100,19 @@
     });
   }
 
+  // Guards against an acknowledged leave of the real target that is forgotten, since another one had its place then.
+  it('should not let a late heartbeat bring back the real target after its leave', () => {
+    fleet.sendHeartbeat('a1', { id: 'i-foreign', startedAtMs: LATER_START_MS });
+    let isAcknowledged = false;
+    fleet.nodes.get('a1')?.receiveLeave('i-a1', () => {
+      isAcknowledged = true;
+    });
+    fleet.send('a1');
+    fleet.clock.advance(200);
+    fleet.sendHeartbeat('a1');
+    expect([isAcknowledged, fleet.nodes.get('a1')?.board.read('target').phase]).not.toEqual([true, 'ready']);
+  });
+
   // Guards against a leave without an id that publishes a record which no other node accepts.
   it('should have no effect if it is a leave with an id that no target can have', () => {
     fleet.killNode('a1');
