Acknowledge the leave of another id only once the known target has answered

Beside a foreign target, the leave of the real one was acknowledged and not remembered, so a late heartbeat brought it back after a 421 had refuted the foreign one (rule DRAIN). Until the known target has answered a request, such a leave now stays without an acknowledgement, and its sender repeats it.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -169,7 +169,8 @@
       // Records the start time, since heartbeats that an unknown target sent before its leave must be ignored later.
       if (section.id !== '') {
         report('leave of another target', { target: id, known: section.id });
-        acknowledge();
+        // Until the known target has answered, it may be the other one that is at this host.
+        if (hasAnswered || section.phase !== 'ready') acknowledge();
         return;
       }
       section.id = id;
