--- a/tests/requests/foreignTargets.test.ts
+++ b/tests/requests/foreignTargets.test.ts
@@ -14,6 +14,20 @@
 /** Later than the start of the fleet's targets. */
 const LATER_START_MS = 1_700_000_000_000;
 
+function buildHeartbeat(change: Partial<Heartbeat>): Heartbeat {
+  return {
+    service: 'stock',
+    address: '127.0.0.1:9000',
+    dataCenter: 'd1',
+    slots: 4,
+    state: 'ready',
+    sequence: 1,
+    coldLeftMs: 0,
+    startedAtMs: LATER_START_MS,
+    ...change,
+  };
+}
+
 /** Messages of other senders, or of an earlier target that arrive late, with the service and the address of the host. */
 describe('a message that is not from the target of the host', () => {
   let fleet: RequestFleet;
@@ -72,6 +86,33 @@
     });
   }
 
+  // Guards against an earlier target that comes back by its late heartbeats.
+  for (const isTargetSilent of [false, true]) {
+    const when = isTargetSilent ? 'that arrive together' : 'while the real target sends its own';
+    it(`should not take the place of the real target by older heartbeats ${when}`, () => {
+      if (isTargetSilent) fleet.targets.delete('a1');
+      for (const sequence of [1, 2, 3, 4, 5]) {
+        const heartbeat = buildHeartbeat({ startedAtMs: 1_500_000_000_000, sequence });
+        fleet.nodes.get('a1')?.receiveHeartbeat('i-earlier', heartbeat, () => undefined);
+        if (!isTargetSilent) fleet.clock.advance(1000);
+      }
+      expect(fleet.nodes.get('a1')?.board.read('target').id).toEqual('i-a1');
+    });
+  }
+
+  // Guards against an acknowledged leave of the real target that is forgotten, since another one had its place then.
+  it('should not let a late heartbeat bring back the real target after its leave', () => {
+    fleet.sendHeartbeat('a1', { id: 'i-foreign', startedAtMs: LATER_START_MS });
+    let isAcknowledged = false;
+    fleet.nodes.get('a1')?.receiveLeave('i-a1', () => {
+      isAcknowledged = true;
+    });
+    fleet.send('a1');
+    fleet.clock.advance(200);
+    fleet.sendHeartbeat('a1');
+    expect([isAcknowledged, fleet.nodes.get('a1')?.board.read('target').phase]).not.toEqual([true, 'ready']);
+  });
+
   // Guards against a leave without an id that publishes a record which no other node accepts.
   it('should have no effect if it is a leave with an id that no target can have', () => {
     fleet.killNode('a1');
