Admit requests of clients that wait for responses before those of clients that do not

Cause: admission divides the room of a route by request. A client that sends the next request before the previous one is answered gets room in proportion to what it sends, in the entry's admission and in the target's queue. Unread responses are taken by the kernel's buffers, so the bound on unread bytes of a connection is met late. Ruled out: going round connections by their rate, as among organisations. It would shift room between ordinary clients that keep connections and those that open new ones. Change: a request that its client sent before the previous one on its connection was answered is an excess request. It has an effective priority half a step below its own (src/policy/excessRequests.ts): a demand of its own in admission, fleet-wide by the new optional field `excess` of the profile, and a rank of its own in the target's queue by the new optional field `isExcess` of a run. Nodes of another version ignore both. Without such clients all priorities are as before.

--- a/src/control/requests/demandController.ts
+++ b/src/control/requests/demandController.ts
@@ -2,6 +2,7 @@
 import { addCallSample, estimateCalls } from '../../policy/callGraph.js';
 import { addMatchSample, estimateMatchedCalls, mergeCallEstimates } from '../../policy/callMatches.js';
 import type { MatchCount, MatchCounts } from '../../policy/callMatches.js';
+import { splitEffectivePriority } from '../../policy/excessRequests.js';
 import { collectCallers } from '../../policy/parentRun.js';
 import { countRecentSamples } from '../../policy/durationEstimate.js';
 import { collectServiceRates, computeLowMedian } from '../../policy/fleetDemand.js';
@@ -66,7 +67,7 @@
     }
     return increments;
   };
-  /** Updates the rates of the requests whose organisation replaced the priority of the route. */
+  /** Updates the rates of the requests whose effective priority is not that of the route. */
   const updatePriorityRates = (arrived: ReadView<ReadonlyMap<string, ReadonlyMap<number, number>>>): void => {
     for (const [route, counts] of arrived) {
       for (const [priority, count] of counts) {
@@ -79,10 +80,12 @@
       }
     }
   };
-  const listPriorityRates = (): NonNullable<Profile['priorities']> =>
-    [...priorityRates.values()].flatMap(({ route, priority, perSecond: rate }) =>
-      rate < MIN_RATE_PER_SECOND ? [] : [{ route, priority, perSecond: limitDecimals(rate) }],
-    );
+  const listPriorityRates = (options: { isExcess: boolean }): NonNullable<Profile['priorities']> =>
+    [...priorityRates.values()].flatMap(({ route, priority: effective, perSecond: rate }) => {
+      const { priority, isExcess } = splitEffectivePriority(effective);
+      if (rate < MIN_RATE_PER_SECOND || isExcess !== options.isExcess) return [];
+      return [{ route, priority, perSecond: limitDecimals(rate) }];
+    });
   const updateRates = (rates: Map<string, number>, counts: ReadonlyMap<string, number>): void => {
     for (const [route, count] of counts) {
       const rate = (count * 1000) / SAMPLE_INTERVAL_MS;
@@ -102,12 +105,14 @@
   };
   const buildProfile = (): Profile => {
     const { durationByRoute } = board.read('runs');
-    const priorities = listPriorityRates();
+    const priorities = listPriorityRates({ isExcess: false });
+    const excess = listPriorityRates({ isExcess: true });
     return {
       demand: [...perSecond].flatMap(([route, rate]) =>
         rate < MIN_RATE_PER_SECOND ? [] : [{ route, perSecond: limitDecimals(rate) }],
       ),
       ...(priorities.length === 0 ? {} : { priorities }),
+      ...(excess.length === 0 ? {} : { excess }),
       calls,
       durations: [...durationByRoute].map(([route, estimate]) => ({
         route,
--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -1,3 +1,4 @@
+import { computeEffectivePriority, splitEffectivePriority } from '../../policy/excessRequests.js';
 import type { ReadView } from '../../core/blackboard.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
@@ -22,6 +23,8 @@
   /** The complete body; undefined if there is none or if it follows in parts. */
   body: Uint8Array | undefined;
   isStreamed: boolean;
+  /** True if the client sent the request before the previous one on its connection was answered. */
+  isExcess: boolean;
 }
 
 /** Callbacks to the front end. The last call is a complete answer, a last part, a refusal or an abort. */
@@ -43,7 +46,7 @@
   readonly service: string;
   /** The organisation that sent the request; undefined if none did. */
   readonly organisation: ReadView<Organisation> | undefined;
-  /** 0 is the most urgent. */
+  /** 0 is the most urgent; see `computeEffectivePriority`. */
   readonly priority: number;
   /** True for a call of a running request, whose priority it has taken over. */
   readonly isStarted: boolean;
@@ -92,7 +95,7 @@
     route,
     service,
     organisation,
-    priority: parentPriority ?? ownPriority,
+    priority: parentPriority ?? computeEffectivePriority(ownPriority, request.isExcess),
     isStarted: parentPriority !== undefined,
     // Links have an urgent lane only to services that the configuration shows to get urgent requests.
     isUrgent: ownPriority === 0 && !route.isBulk,
@@ -114,13 +117,15 @@
 
 /** Builds the request that is sent to the target's node. */
 export function buildRun(entry: Entry, callerService: string, nowMs: number): RunRequest {
-  const { request, route, service, priority, isStarted, organisation, arrivedAtMs, deadlineAtMs } = entry;
+  const { request, route, service, isStarted, organisation, arrivedAtMs, deadlineAtMs } = entry;
+  const { priority, isExcess } = splitEffectivePriority(entry.priority);
   return {
     requestId: request.requestId,
     service,
     route: route.name,
     priority,
     ...(isStarted ? { isStarted } : {}),
+    ...(isExcess ? { isExcess } : {}),
     isIdempotent: route.isIdempotent,
     method: request.method,
     path: request.path,
--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -50,7 +50,7 @@
       ({ host }) => !triedHosts.has(host),
     );
     // Targets are tried with idempotent requests that are not urgent.
-    const canProbe = route.isIdempotent && priority > 0;
+    const canProbe = route.isIdempotent && priority >= 1;
     const trial = canProbe ? chooseTrial(candidates, random) : undefined;
     if (trial !== undefined) return trial;
     const speeds = board.read('speeds').byService.get(service) ?? defaultSpeeds;
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -148,7 +148,7 @@
     const { route, organisation } = entry;
     const { arrivedByRoute, arrivedByPriority } = section;
     arrivedByRoute.set(route.name, (arrivedByRoute.get(route.name) ?? 0) + 1);
-    const priority = organisation?.priority ?? route.priority;
+    const priority = entry.isStarted ? (organisation?.priority ?? route.priority) : entry.priority;
     if (board.read('routes').table?.organisationByKey !== undefined) countOrganisation(entry);
     if (priority === route.priority) return;
     let byPriority = arrivedByPriority.get(route.name);
--- a/src/control/requests/run.ts
+++ b/src/control/requests/run.ts
@@ -1,3 +1,4 @@
+import { computeEffectivePriority } from '../../policy/excessRequests.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { RunEvents, RunHandle } from './runPort.js';
 
@@ -7,6 +8,7 @@
 export interface Run {
   readonly request: RunRequest;
   readonly route: string;
+  /** 0 is the most urgent; see `computeEffectivePriority`. */
   readonly priority: number;
   /** True for a call of a running request. */
   readonly isStarted: boolean;
@@ -44,7 +46,7 @@
   return {
     request,
     route: request.route,
-    priority: request.priority,
+    priority: computeEffectivePriority(request.priority, request.isExcess === true),
     isStarted: request.isStarted === true,
     flow: request.organisation ?? '',
     costMs,
--- a/src/control/requests/sections.ts
+++ b/src/control/requests/sections.ts
@@ -137,7 +137,7 @@
     latencyByRoute: Map<string, DurationEstimate>;
     /** Number of requests that entered at this node so far, by route. */
     arrivedByRoute: Map<string, number>;
-    /** The part of it whose organisation replaced the priority of the route, by route and priority. */
+    /** The part of it whose effective priority is not that of the route, by route and effective priority. */
     arrivedByPriority: Map<string, Map<number, number>>;
     /** Number of requests so far, by kind and organisation; empty where there are no organisations. */
     arrivedByOrganisation: Map<string, Map<string, number>>;
--- a/src/http/checkRequestHead.ts
+++ b/src/http/checkRequestHead.ts
@@ -1,8 +1,11 @@
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
-import type { MessageHead } from './messageParser.js';
+import type { MessageHead, ParseError } from './messageParser.js';
 import type { RequestHead } from './requestHead.js';
 
+/** Error code of Node's parser, and of the reader, for a head beyond the limit. */
+export const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
+
 /** Returns the refusal of a request whose head is invalid or beyond the limits. */
 export function checkRequestHead(
   request: { head: RequestHead; message: MessageHead; readBytes: number },
@@ -20,3 +23,13 @@
     return { kind: 'headersTooLarge', detail: `${headBytes} bytes` };
   return bodyBytes > limits.maxBodyBytes ? { kind: 'bodyTooLarge', detail: `${bodyBytes} bytes` } : undefined;
 }
+
+/**
+ * Builds the refusal of a request that cannot be parsed.
+ *
+ * @example
+ * exchange.refuse(buildFaultRefusal(fault));
+ */
+export function buildFaultRefusal({ code, message }: ParseError): Refusal {
+  return { kind: code === HEAD_OVERFLOW_CODE ? 'headersTooLarge' : 'malformed', detail: message };
+}
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -4,9 +4,10 @@
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import type { BudgetedClient, ClientBudget } from '../control/requests/clientBudget.js';
-import { checkRequestHead } from './checkRequestHead.js';
+import { buildFaultRefusal, checkRequestHead } from './checkRequestHead.js';
 import { createClientExchange } from './clientExchange.js';
 import type { ClientExchange } from './clientExchange.js';
+import type { ConnectionPhase, TimedConnection } from './connectionTimeouts.js';
 import { createDeferredEvents } from './deferredEvents.js';
 import type { RequestEventKind } from './deferredEvents.js';
 import { createExchangeQueue } from './exchangeQueue.js';
@@ -18,21 +19,8 @@
 import { createRequestReader, HEADER_OVERHEAD_BYTES, SLICE_BYTES } from './requestReader.js';
 import { formatRefusal } from './responseWriter.js';
 
-/**
- * - `idle`: no request has begun;
- * - `head`: the head of a request, or empty lines in front of one, are being read;
- * - `request`: a request is being read or answered;
- * - `closing`: the connection is half-closed, and what the client still sends is discarded.
- */
-export type ConnectionPhase = 'idle' | 'head' | 'request' | 'closing';
-
-export interface ClientConnection extends BudgetedClient {
-  readonly phase: ConnectionPhase;
-  /** Monotonic time (ms) at which the phase began. */
-  readonly phaseStartedAtMs: number;
-  /** Refuses the request whose head did not arrive in time, then closes the connection. */
-  expire(): void;
-}
+/** A connection as its timeouts and the budget see it. */
+export type ClientConnection = BudgetedClient & TimedConnection;
 
 export interface ClientConnectionOptions {
   socket: Socket;
@@ -62,9 +50,6 @@
 /** A body counts as moving with each such number of bytes, so that single bytes do not keep a connection. */
 const PROGRESS_BYTES = 4096;
 const EMPTY = Buffer.alloc(0);
-const refusalKindByErrorCode: ReadonlyMap<string, Refusal['kind']> = new Map([
-  ['HPE_HEADER_OVERFLOW', 'headersTooLarge'],
-]);
 
 /** Serves the requests of one client connection side by side, and answers them in their order. */
 export function createClientConnection(options: ClientConnectionOptions): ClientConnection {
@@ -80,6 +65,8 @@
   /** Received bytes that were not parsed. */
   let unparsed: Buffer = EMPTY;
   let isAdvancing = false;
+  /** True once all that was received is answered. */
+  let isCaughtUp = true;
 
   const enterPhase = (next: ConnectionPhase): void => {
     phase = next;
@@ -92,6 +79,7 @@
   /** Brings phase, held bytes and reading in line with what was just done. */
   const settle = (): void => {
     if (phase !== 'closing' && findPhase() !== phase) enterPhase(findPhase());
+    if (phase === 'idle' && unparsed.length === 0 && deferred.length === 0) isCaughtUp = true;
     const bytes =
       exchanges.heldBytes + deferred.heldBytes + reader.heldBytes + unparsed.buffer.byteLength + socket.writableLength;
     const change = bytes - heldBytes;
@@ -187,12 +175,14 @@
       isIdempotent,
       isFirst: exchanges.isFirst,
       formatConnectionHeaders: exchanges.formatConnectionHeaders,
+      isExcess: !isCaughtUp,
       handleProgress: () => {
         movedAtMs = now();
         advanceReading();
       },
       handleEnd: finishExchange,
     });
+    isCaughtUp = false;
     exchanges.add(exchange);
     reading = exchange;
     const refusal = checkRequestHead({ message, head, readBytes }, readLimits());
@@ -215,14 +205,15 @@
     hasSentRequest = true;
     exchange.endRequest();
   };
-  const handleFault = ({ code, message }: ParseError): void => {
-    const refusal: Refusal = { kind: refusalKindByErrorCode.get(code) ?? 'malformed', detail: message };
+  const refuseAndClose = (refusal: Refusal): void => {
+    const { head, body } = formatRefusal(refusal);
+    socket.write(`${head}Connection: close\r\n\r\n${body}`);
+    close();
+  };
+  const handleFault = (fault: ParseError): void => {
+    const refusal = buildFaultRefusal(fault);
     if (reading !== undefined) reading.refuse(refusal);
-    else if (socket.writable) {
-      const { head, body } = formatRefusal(refusal);
-      socket.write(`${head}Connection: close\r\n\r\n${body}`);
-      close();
-    }
+    else if (socket.writable) refuseAndClose(refusal);
   };
   const flow = createReadFlow({ socket, turns, advance: advanceReading });
   const reader = createRequestReader({
@@ -272,9 +263,7 @@
       return movedAtMs;
     },
     expire: () => {
-      const { head, body } = formatRefusal({ kind: 'readTimeout', detail: 'the request head did not arrive in time' });
-      socket.write(`${head}Connection: close\r\n\r\n${body}`);
-      close();
+      refuseAndClose({ kind: 'readTimeout', detail: 'the request head did not arrive in time' });
       settle();
     },
     destroy: () => {
--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -51,6 +51,8 @@
   /** True if all requests before this one are answered. */
   isFirst: (exchange: ClientExchange) => boolean;
   formatConnectionHeaders: (exchange: ClientExchange, mustClose: boolean) => string;
+  /** True if the client sent the request before the previous one was answered. */
+  isExcess: boolean;
   /** Called when the sender of the body may send more, and when held memory was released. */
   handleProgress: () => void;
   /** Called once the whole response was written. */
@@ -139,6 +141,7 @@
       timeLeftMs: countTimeLeft(),
       body: whole,
       isStreamed,
+      isExcess: options.isExcess,
     };
     handle = options.accept(request, reply);
   };
--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -1,4 +1,5 @@
 import type { RequestLimits } from '../schema/routeConfiguration.js';
+import { HEAD_OVERFLOW_CODE } from './checkRequestHead.js';
 import { findHeader } from './requestHeaders.js';
 import { createMessageParser } from './messageParser.js';
 import type { MessageHead, ParseError } from './messageParser.js';
@@ -59,7 +60,7 @@
  */
 const MAX_FRAMING_RATIO = 8;
 const MIN_FRAMING_BYTES = 64 * 1024;
-const headOverflow: ParseError = { code: 'HPE_HEADER_OVERFLOW', message: 'the request head is too large' };
+const headOverflow: ParseError = { code: HEAD_OVERFLOW_CODE, message: 'the request head is too large' };
 const framingOverflow: ParseError = { code: '', message: 'chunk headers and trailers are too large for the body' };
 
 /** Creates the reader of one connection. */
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -11,19 +11,11 @@
 import type { ClientBudget, EvictionReason } from '../control/requests/clientBudget.js';
 import { createClientConnection } from './clientConnection.js';
 import type { ClientConnection } from './clientConnection.js';
+import { checkTimeouts } from './connectionTimeouts.js';
 import { createReadTurns } from './readTurns.js';
 import { createHeadReader } from './requestHead.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 
-const DEFAULT_IDLE_TIMEOUT_MS = 15_000;
-const DEFAULT_HEADER_TIMEOUT_MS = 5000;
-/**
- * Added to the idle timeout that clients receive in the `Keep-Alive` header, so that no request arrives on a connection
- * that is being closed (ms).
- */
-const IDLE_GRACE_MS = 1500;
-/** Time for a client to read the last response and close its side of the connection (ms). */
-const CLOSE_TIMEOUT_MS = 2000;
 const SWEEP_INTERVAL_MS = 1000;
 const LISTEN_BACKLOG = 1024;
 /**
@@ -126,16 +118,6 @@
   };
 }
 
-/** Closes a connection that exceeded the timeout of its phase: idle, receiving a head or closing. */
-function checkTimeouts(connection: ClientConnection, nowMs: number, limits: RequestLimits | undefined): void {
-  const { phase, phaseStartedAtMs } = connection;
-  const elapsedMs = nowMs - phaseStartedAtMs;
-  if (phase === 'idle' && elapsedMs > (limits?.idleTimeoutMs ?? DEFAULT_IDLE_TIMEOUT_MS) + IDLE_GRACE_MS)
-    connection.destroy();
-  else if (phase === 'head' && elapsedMs > (limits?.headerTimeoutMs ?? DEFAULT_HEADER_TIMEOUT_MS)) connection.expire();
-  else if (phase === 'closing' && elapsedMs > CLOSE_TIMEOUT_MS) connection.destroy();
-}
-
 /** Returns a function that reports what the budget closed since the last call. */
 function createEvictionReporter(budget: ClientBudget, report: RequestServerOptions['reportEvictions']): () => void {
   const reportedCounts = new Map<EvictionReason, number>();
--- a/src/policy/fleetDemand.ts
+++ b/src/policy/fleetDemand.ts
@@ -1,5 +1,6 @@
 import type { LoadReport, Profile } from '../schema/linkFrame.js';
 import type { ServiceCapacity } from './admission.js';
+import { computeEffectivePriority } from './excessRequests.js';
 import { formatKind } from './requestKind.js';
 import { createWorkEstimator } from './routeWork.js';
 import type { ServiceChance } from './servedShare.js';
@@ -88,8 +89,8 @@
 
 /**
  * Computes the client demand for each route, with the run time that one request takes at the route's services and at
- * their downstream services, and the chance that it finishes. Requests whose organisation replaced the priority of the route
- * are a demand of their own. Routes that mostly get internal calls are left out.
+ * their downstream services, and the chance that it finishes. Requests whose organisation replaced the priority of the route,
+ * and excess requests, are a demand of their own. Routes that mostly get internal calls are left out.
  *
  * @param findRoute Returns the route with a name; undefined when it is no longer configured.
  * @param chances By service.
@@ -174,11 +175,13 @@
   return rates;
 }
 
-/** Collects the rates of requests whose priority differs from that of their route, by route and priority. */
+/** Collects the rates of requests whose effective priority is not that of their route, by route and effective priority. */
 function collectPriorityRates(views: readonly NodeView[]): Map<string, Map<number, number>> {
   const rates = new Map<string, Map<number, number>>();
   for (const { profile, weight } of views) {
-    for (const { route, priority, perSecond } of profile.priorities ?? []) {
+    const { priorities = [], excess = [] } = profile;
+    const effective = excess.map((rate) => ({ ...rate, priority: computeEffectivePriority(rate.priority, true) }));
+    for (const { route, priority, perSecond } of [...priorities, ...effective]) {
       const byPriority = rates.get(route) ?? new Map<number, number>();
       rates.set(route, byPriority.set(priority, (byPriority.get(priority) ?? 0) + weight * perSecond));
     }
--- a/src/policy/runQueue.ts
+++ b/src/policy/runQueue.ts
@@ -3,7 +3,7 @@
 
 /** A request that waits for the local target. Times are monotonic (ms). */
 export interface QueuedRun {
-  /** 0 is the most urgent. */
+  /** 0 is the most urgent; see `computeEffectivePriority`. */
   readonly priority: number;
   /** True for a call of a running request. */
   readonly isStarted: boolean;
@@ -121,8 +121,9 @@
   };
 }
 
+/** Effective priorities are half a step apart, and each has a rank for calls and one for new requests. */
 function computeRank({ priority, isStarted }: Pick<QueuedRun, 'priority' | 'isStarted'>): number {
-  return 2 * priority + (isStarted ? 0 : 1);
+  return 4 * priority + (isStarted ? 0 : 1);
 }
 
 function createTurns<Run extends QueuedRun>(): FairQueue<Run> {
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -28,6 +28,8 @@
   priority: Type.Integer(),
   /** True for a call of a running request; absent for new requests. */
   isStarted: Type.Optional(Type.Boolean()),
+  /** True if the request goes behind others of its priority, as its client did not wait for earlier responses. */
+  isExcess: Type.Optional(Type.Boolean()),
   isIdempotent: Type.Boolean(),
   method: Type.String(),
   path: Type.String(),
@@ -114,6 +116,10 @@
   priorities: Type.Optional(
     Type.Array(Type.Object({ route: Type.String(), priority: Type.Integer(), perSecond: Type.Number() })),
   ),
+  /** The part of the demand that consists of excess requests; absent where there are none. Not contained in `priorities`. */
+  excess: Type.Optional(
+    Type.Array(Type.Object({ route: Type.String(), priority: Type.Integer(), perSecond: Type.Number() })),
+  ),
   /** Mean number of downstream calls to the route `called` per run of the local target for the route `ran`. */
   calls: Type.Array(Type.Object({ ran: Type.String(), called: Type.String(), perRun: Type.Number() })),
   /** Durations of the local target's runs. */
