Let connections be accepted before many others are read

What callers saw: with 1,500 connections opened at once a request on a new connection got nothing for 2 to 4 s (several crowds played by hand, load average 16 to 27). Cause: libuv 1.46 accepts one connection per turn of the event loop (measured: 300 of 300 turns of 5 ms with one each). Reading takes 4 ms and more of each turn, so that some 200 connections a second were accepted, and the kernel's queue of 1,024 overflowed. Ruled out: a blocked event loop (CPU profile: turns of 4 ms, one accept each) and the request's own reading. Change: after an accepted connection up to 16 turns pass without reading, except for single requests.

--- a/src/http/readTurns.ts
+++ b/src/http/readTurns.ts
@@ -3,8 +3,12 @@
 
 /** Lets connections with more to read take turns, so that none of them keeps the event loop from the others. */
 export interface ReadTurns {
-  /** True if connections have used up the time for reading at once in this turn of the event loop. */
+  /**
+   * True if connections have used up the time for reading at once in this turn of the event loop, or others wait to be accepted.
+   */
   readonly isUsedUp: boolean;
+  /** Lets further connections be accepted before others are read. */
+  notifyAccepted(): void;
   /** Runs a function at once and counts its time. */
   run(run: () => void): void;
   /** Runs a function in a later turn of the event loop, after those that were added before. */
@@ -15,6 +19,11 @@
 const MAX_TURN_MS = 4;
 /** Counts also runs that are shorter than the clock shows (ms). */
 const MIN_RUN_MS = 0.001;
+/**
+ * Turns in a row without work while connections arrive. libuv accepts one connection per turn of the event loop, so that many of
+ * them would wait for as many whole turns.
+ */
+const MAX_EMPTY_TURNS = 16;
 /** Bounds the turns whose work is done only afterwards, by the reads that they resume. */
 const MAX_RUNS_PER_TURN = 16;
 
@@ -23,23 +32,35 @@
   const waiting = createFifo<() => void>();
   let isScheduled = false;
   let usedMs = 0;
+  let hasAccepted = false;
+  let emptyTurns = 0;
   const resetUsed = (): void => {
     usedMs = 0;
   };
   const schedule = (): void => {
-    if (isScheduled || waiting.length === 0) return;
+    if (isScheduled || (waiting.length === 0 && !hasAccepted)) return;
     isScheduled = true;
     setImmediate(runTurn);
   };
   const runTurn = (): void => {
     isScheduled = false;
+    const isEmpty = hasAccepted && emptyTurns < MAX_EMPTY_TURNS;
+    hasAccepted = false;
+    emptyTurns = isEmpty ? emptyTurns + 1 : 0;
+    if (!isEmpty) runWaiting();
+    schedule();
+  };
+  const runWaiting = (): void => {
     const endMs = now() + MAX_TURN_MS;
     for (let count = 0; count < MAX_RUNS_PER_TURN && now() < endMs; count++) waiting.takeFirst()?.();
-    schedule();
   };
   return {
     get isUsedUp() {
-      return usedMs > MAX_TURN_MS;
+      return usedMs > MAX_TURN_MS || hasAccepted || emptyTurns > 0;
+    },
+    notifyAccepted: () => {
+      hasAccepted = true;
+      schedule();
     },
     run: (run) => {
       if (usedMs === 0) setImmediate(resetUsed);
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -80,6 +80,7 @@
   let isStopping = false;
   // Without a high-water mark a suspended socket reads nothing more, and `drain` follows each write that was flushed.
   const server = createServer({ highWaterMark: 0 }, (socket) => {
+    turns.notifyAccepted();
     const connection = createClientConnection({
       socket,
       now: clock.now,
--- a/tests/requests/readTurns.test.ts
+++ b/tests/requests/readTurns.test.ts
@@ -30,4 +30,17 @@
     const before = passed.findIndex(({ request }) => request.path === '/ordinary');
     expect(before < (CROWD_SIZE * REQUESTS_PER_CLIENT) / 20).toEqual(true);
   });
+
+  // Guards against connections that wait to be accepted while others are read: one is accepted per turn of the event loop.
+  it('should accept a connection before most of what the connections before it sent is read', async () => {
+    frontEnd = await startFrontEnd({ respond: sendAnswer, isIdempotent: () => true, maxConnections: 4 * CROWD_SIZE });
+    const { passed, openClient } = frontEnd;
+    const crowd = Array.from({ length: 2 * CROWD_SIZE }, () => openClient());
+    for (const { socket } of crowd) socket.write(formatGet('/crowd').repeat(REQUESTS_PER_CLIENT));
+    const ordinary = openClient();
+    ordinary.socket.write(formatGet('/ordinary'));
+    await waitUntil('the last request was answered', () => ordinary.readText().endsWith('/ordinary'));
+    const before = passed.findIndex(({ request }) => request.path === '/ordinary');
+    expect(before < (2 * CROWD_SIZE * REQUESTS_PER_CLIENT) / 4).toEqual(true);
+  });
 });
