Count what connections that wait for their turn have received

What callers saw: 1,500 connections that pipeline and read one byte at a time, or send chunked bodies to a slow target, took the process to 276 and 257 MB of 250 (played by hand with the heap of the deploy file). Cause: a read that is left for a later turn was not counted in the bytes that clients hold before that turn, up to 64 KiB of each connection. Ruled out: the heap (live 40 MB, 96 MB with free space), the size of the young generation (255 MB with 2 MB), a lower bound (260 MB with 16 MB) and fragmentation of large blocks (257 MB with them mapped singly): none explains it alone; array buffers reached 111 MB. Change: such a read is counted at once. Measured: by hand 276 to 189 MB and 257 to 208 MB. tests/requests/clientLimits.test.ts, "should count what connections that wait for their turn have received", fails 3 of 3 without the change, passes 3 of 3 with it.

--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -243,8 +243,10 @@
     unparsed = unparsed.length === 0 ? chunk : Buffer.concat([unparsed, chunk]);
     // A client that waits for each response is read at once, as its request is all that it sends.
     const isWaiting = turns.isUsedUp && !(isCaughtUp && chunk.length <= SLICE_BYTES);
-    if (isWaiting || chunk.length >= LARGE_READ_BYTES) flow.addTurn();
-    else turns.run(advanceReading);
+    if (isWaiting || chunk.length >= LARGE_READ_BYTES) {
+      flow.addTurn();
+      settle();
+    } else turns.run(advanceReading);
   };
   const connection: ClientConnection = {
     get phase() {
--- a/tests/requests/clientLimits.test.ts
+++ b/tests/requests/clientLimits.test.ts
@@ -128,4 +128,21 @@
     await waitUntil('another request was passed on', () => passed.length === 2);
     expect([busy.isClosed(), server.budget.connections.size <= 10]).toEqual([false, true]);
   });
+
+  // Guards against received bytes that no bound counts until the connection has its turn to be read.
+  it('should count what connections that wait for their turn have received', async () => {
+    let openAtFirst: number | undefined;
+    const { openClient, server } = await start({
+      maxHeldBytes: 500_000,
+      respond: (passed) => {
+        openAtFirst ??= server.budget.connections.size;
+        sendAnswer(passed);
+      },
+    });
+    const clients = Array.from({ length: 40 }, () => openClient());
+    await waitUntil('all are connected', () => server.budget.connections.size === clients.length);
+    for (const { socket } of clients) socket.write(`${START}\r\n`.repeat(2000));
+    await waitUntil('a request was passed on', () => openAtFirst !== undefined);
+    expect((openAtFirst ?? 0) <= 20).toEqual(true);
+  });
 });
