--- a/src/control/requests/run.ts
+++ b/src/control/requests/run.ts
@@ -1,3 +1,4 @@
+import { computeEffectivePriority } from '../../policy/excessRequests.js';
 import type { RunUnderWay } from '../../policy/parentRun.js';
 import type { QueuedRun } from '../../policy/runQueue.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
@@ -36,7 +37,7 @@
   return {
     request,
     route: request.route,
-    priority: request.priority,
+    priority: computeEffectivePriority(request.priority, request.isExcess === true),
     isStarted: request.isStarted === true,
     flow: request.organisation ?? '',
     costMs,
--- a/tests/requests/containment.test.ts
+++ b/tests/requests/containment.test.ts
@@ -28,6 +28,7 @@
     identityHeaders: [],
     key: undefined,
     timeLeftMs: 1000,
+    isExcess: false,
     body: undefined,
     isStreamed: false,
     host: 'shop.example',
