Split the named limit from the controller of the target, and share foreign heartbeats of tests

Two test files sent the same heartbeats, and two built the same one. Behaviour and assertions are unchanged.

--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -7,6 +7,7 @@
 import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
+import { createTargetRate } from './targetRate.js';
 import { createTargetStarts } from './targetStarts.js';
 import type { HeartbeatPost, LeavePost } from './requestPosts.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
@@ -18,8 +19,6 @@
 const EJECTION_MS = 400;
 /** Minimum time between two probes of a target (ms). */
 const MIN_PROBE_INTERVAL_MS = 200;
-/** Change of a named limit, as a share of it, below which nobody but this node has to know. */
-const NOTABLE_RATE_CHANGE = 0.1;
 
 /** Writes the state of the local target, from heartbeats, leaves and the state that an earlier process published. */
 export function createTargetController(context: RequestContext): Controller {
@@ -27,11 +26,8 @@
   const target = board.claim('target', 'targetController');
   const { section } = target;
   let probedAtMs = -Infinity;
-  let unreadableLimit: string | undefined;
   /** Id of the last published target that was not restored. */
   let foreignTarget: string | undefined;
-  /** The limit that other nodes know. */
-  let publishedRate: number | undefined;
   /** True once the target answered since this process knows it. */
   let hasAnswered = false;
   const starts = createTargetStarts(section);
@@ -45,8 +41,8 @@
   };
   const describeTarget = (): PublishedTarget => {
     const { id, startedAtMs: targetStartedAtMs, sequence, phase, service, address, slots, ratePerSecond } = section;
-    const rate = ratePerSecond === undefined ? {} : { ratePerSecond };
-    const state = { sequence: Math.max(0, sequence), phase, service, address, slots, ...rate };
+    const named = ratePerSecond === undefined ? {} : { ratePerSecond };
+    const state = { sequence: Math.max(0, sequence), phase, service, address, slots, ...named };
     return { id, startedAtMs: targetStartedAtMs, ...state };
   };
   const publish = (): void => {
@@ -54,6 +50,7 @@
     board.post('members', { type: 'publishTarget', target: describeTarget() });
     target.publishChange();
   };
+  const rate = createTargetRate(context, { section, publish });
   const enterPhase = (phase: TargetPhase, reason: string): void => {
     section.phase = phase;
     const { id, sequence, service, address } = section;
@@ -66,8 +63,7 @@
   const adopt = (id: string, heartbeat: Heartbeat): void => {
     if (!isSameStart(section, id, heartbeat.startedAtMs)) {
       starts.recordReplaced();
-      section.ratePerSecond = undefined;
-      publishedRate = undefined;
+      rate.reset();
       hasAnswered = false;
     }
     section.id = id;
@@ -194,7 +190,7 @@
     section.service = previous.service;
     section.address = previous.address;
     section.slots = previous.slots;
-    restoreRate(previous);
+    rate.restore(previous);
     section.lastHeartbeatMs = clock.now();
     enterPhase(previous.phase, 'published by an earlier process');
     publish();
@@ -219,48 +215,14 @@
       publish();
     }
     if (hasAnswered || section.ratePerSecond === previousTarget.ratePerSecond) return;
-    restoreRate(previousTarget);
+    rate.restore(previousTarget);
     target.publishChange();
   };
-  /** Takes over the limit that the target named to an earlier process of this node. */
-  const restoreRate = ({ ratePerSecond }: PublishedTarget): void => {
-    section.ratePerSecond = ratePerSecond;
-    section.rateNamedAtMs = clock.now();
-    publishedRate = ratePerSecond;
-  };
-  const reportUnreadableLimit = (limit: string | undefined): void => {
-    if (limit !== undefined && limit !== unreadableLimit)
-      board.post('decisions', {
-        kind: 'faultFound',
-        outcome: 'unreadable limit',
-        inputs: { target: section.id, limit },
-      });
-    unreadableLimit = limit;
-  };
-  /**
-   * Takes over the limit that an answer names. Only an answer to a request that was sent after the limit was named lifts it:
-   * one that the target gave earlier may arrive late.
-   */
-  const updateRate = (ratePerSecond: number | undefined, sentAtMs: number): void => {
-    const previous = section.ratePerSecond;
-    if (ratePerSecond !== undefined) section.rateNamedAtMs = clock.now();
-    else if (sentAtMs <= section.rateNamedAtMs) return;
-    section.ratePerSecond = ratePerSecond;
-    if (!isNotableChange(publishedRate, ratePerSecond)) return;
-    publishedRate = ratePerSecond;
-    const outcome = ratePerSecond === undefined ? 'limit lifted' : 'limit named';
-    report(outcome, { target: section.id, ratePerSecond, previous });
-    publish();
-  };
-  const receiveNotice = (
-    { isLeaving, ratePerSecond, unreadableLimit: unreadable }: TargetNotice,
-    sentAtMs: number,
-  ): void => {
+  const receiveNotice = (notice: TargetNotice, sentAtMs: number): void => {
     hasAnswered = true;
     starts.recordAnswer();
-    reportUnreadableLimit(unreadable);
-    if (ratePerSecond !== undefined || unreadable === undefined) updateRate(ratePerSecond, sentAtMs);
-    if (!isLeaving || section.phase !== 'ready') return;
+    rate.observe(notice, sentAtMs);
+    if (!notice.isLeaving || section.phase !== 'ready') return;
     enterPhase('draining', 'named in an answer');
     publish();
   };
@@ -326,9 +288,3 @@
     stop: () => undefined,
   };
 }
-
-/** True when the limit of a target was named, lifted or changed by much. */
-function isNotableChange(previous: number | undefined, next: number | undefined): boolean {
-  if (previous === undefined || next === undefined) return previous !== next;
-  return Math.abs(next - previous) > NOTABLE_RATE_CHANGE * previous;
-}
--- a/tests/requests/addresses.test.ts
+++ b/tests/requests/addresses.test.ts
@@ -8,7 +8,7 @@
 import { parseRequestSettings } from '../../src/schema/requestSettings.js';
 import { compileSchema } from '../../src/schema/validate.js';
 import { dialLink } from '../../src/transport/linkClient.js';
-import { buildRequestSettings } from '../fixtures/requests.js';
+import { buildHeartbeat, buildRequestSettings } from '../fixtures/requests.js';
 
 const usable = ['127.0.0.1:1', '10.128.0.9:8080', '255.255.255.255:65535', '0.0.0.0:9'];
 const unusable = [
@@ -30,21 +30,10 @@
 
 describe('addresses', () => {
   const validator = compileSchema(heartbeatSchema);
-  const buildHeartbeat = (address: string): unknown => ({
-    service: 'stock',
-    address,
-    dataCenter: 'd1',
-    slots: 4,
-    state: 'ready',
-    sequence: 1,
-    coldLeftMs: 0,
-    startedAtMs: 1,
-  });
-
   // Guards against an address that passes the schema although no connection can be opened to it.
   it('should be valid in a heartbeat only if a connection can be opened to them', () => {
-    expect(usable.filter((address) => !validator.isValid(buildHeartbeat(address)))).toEqual([]);
-    expect(unusable.filter((address) => validator.isValid(buildHeartbeat(address)))).toEqual([]);
+    expect(usable.filter((address) => !validator.isValid(buildHeartbeat({ address })))).toEqual([]);
+    expect(unusable.filter((address) => validator.isValid(buildHeartbeat({ address })))).toEqual([]);
     expect(unusable.filter(isAddress)).toEqual([]);
   });
 
--- a/tests/requests/foreignTargets.test.ts
+++ b/tests/requests/foreignTargets.test.ts
@@ -3,6 +3,7 @@
 import type { Heartbeat } from '../../src/schema/nodeMember.js';
 import { buildRoute, buildRouteConfiguration, createRequestFleet, getTarget } from '../fixtures/requestFleet.js';
 import type { RequestFleet } from '../fixtures/requestFleet.js';
+import { buildHeartbeat } from '../fixtures/requests.js';
 
 const hosts = [
   { host: 'a1', dataCenter: 'd1', service: 'stock' },
@@ -14,20 +15,6 @@
 /** Later than the start of the fleet's targets. */
 const LATER_START_MS = 1_700_000_000_000;
 
-function buildHeartbeat(change: Partial<Heartbeat>): Heartbeat {
-  return {
-    service: 'stock',
-    address: '127.0.0.1:9000',
-    dataCenter: 'd1',
-    slots: 4,
-    state: 'ready',
-    sequence: 1,
-    coldLeftMs: 0,
-    startedAtMs: LATER_START_MS,
-    ...change,
-  };
-}
-
 /** Messages of other senders, or of an earlier target that arrive late, with the service and the address of the host. */
 describe('a message that is not from the target of the host', () => {
   let fleet: RequestFleet;
