--- a/src/schema/address.ts
+++ b/src/schema/address.ts
@@ -5,6 +5,8 @@
 const IP_ADDRESS = `${OCTET}(\\.${OCTET}){3}`;
 /** 1 to 65535. */
 const PORT = '([1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])';
+/** 0, which stands for a port that the system chooses, to 65535. */
+export const LISTEN_PORT_PATTERN = `(0|${PORT})`;
 const HOST_NAME = '[a-zA-Z0-9]([a-zA-Z0-9.-]{0,251}[a-zA-Z0-9])?';
 
 const addressPattern = `^${IP_ADDRESS}:${PORT}$`;
@@ -16,7 +18,7 @@
 
 /** An address to listen on; port 0 lets the system choose one. */
 export const createListenSchema = (purpose: string) =>
-  Type.String({ pattern: `^${IP_ADDRESS}:(0|${PORT})$`, description: `${purpose} as IP:PORT` });
+  Type.String({ pattern: `^${IP_ADDRESS}:${LISTEN_PORT_PATTERN}$`, description: `${purpose} as IP:PORT` });
 
 /** An address to which operators may also give a host name. */
 export const createServerSchema = (purpose: string) =>
--- a/src/schema/member.ts
+++ b/src/schema/member.ts
@@ -1,11 +1,9 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
+import { LISTEN_PORT_PATTERN } from './address.js';
 import type { Fault } from './failure.js';
 import { compileSchema } from './validate.js';
 
-/** A port number from 0, which a node has until it listens, to 65535. */
-const PORT_PATTERN = '(0|[1-9][0-9]{0,3}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])';
-
 export const targetStateSchema = Type.Union([
   Type.Literal('none'),
   Type.Literal('starting'),
@@ -27,7 +25,7 @@
   version: Type.Integer({ minimum: 0 }),
   region: Type.String({ maxLength: 64 }),
   dataCenter: Type.String({ maxLength: 64 }),
-  peerAddress: Type.String({ maxLength: 255, pattern: `^\\S+:${PORT_PATTERN}$` }),
+  peerAddress: Type.String({ maxLength: 255, pattern: `^\\S+:${LISTEN_PORT_PATTERN}$` }),
   callerAddress: Type.String({ maxLength: 255 }),
   operatorAddress: Type.String({ maxLength: 255 }),
   service: Type.Optional(Type.String({ maxLength: 64 })),
