Validate each member record of the store once

Each read of the store checked a record against its schema two or three times: to select the valid ones, to report the others, and for the own key. One pass now sorts them; deletions and malformed records are handled before the valid ones are applied, as before.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -177,13 +177,23 @@
     ownRecord.write();
     return changed;
   };
-  const reportMalformed = (records: readonly KeyedRecord[]): void => {
-    for (const { key, value, offset } of records) {
-      if (value === undefined || validator.isValid(value)) continue;
-      const [fault] = validator.listFaults(value);
-      const inputs = { host: key, offset, path: fault?.path, found: fault?.found };
-      board.post('decisions', { kind: 'faultFound', outcome: 'malformed member record', inputs });
+  /** Reports a malformed record. A node whose own record was replaced by one writes it again. */
+  const handleMalformed = ({ key, value, offset }: KeyedRecord): void => {
+    const [fault] = validator.listFaults(value);
+    const inputs = { host: key, offset, path: fault?.path, found: fault?.found };
+    board.post('decisions', { kind: 'faultFound', outcome: 'malformed member record', inputs });
+    if (key === section.self.host) ownRecord.markLost();
+  };
+  /** Handles deletions and malformed records; returns the valid ones. */
+  const selectValid = (records: readonly KeyedRecord[]): NodeMember[] => {
+    const valid: NodeMember[] = [];
+    for (const record of records) {
+      const { key, value } = record;
+      if (value === undefined) removeDeleted(key);
+      else if (validator.isValid(value)) valid.push(value);
+      else handleMalformed(record);
     }
+    return valid;
   };
   /** Passes what was new in the store to peers that do not read it. */
   const forwardChanges = (changed: readonly NodeMember[]): void => {
@@ -215,13 +225,7 @@
         getPauseMs: () => (isStoreReadByFew(section.byHost) ? LARGE_FLEET_READ_PAUSE_MS : READ_PAUSE_MS),
         getWaitMs: () => (readReaderPlace(board, clock.now()) === undefined ? undefined : READ_WAIT_MS),
         apply: (records, isComplete) => {
-          for (const { key, value } of records) {
-            if (value === undefined) removeDeleted(key);
-            else if (key === section.self.host && !validator.isValid(value)) ownRecord.markLost();
-          }
-          const values = records.map(({ value }) => value).filter((value) => validator.isValid(value));
-          reportMalformed(records);
-          const changed = applyRecords(values, STORE_SOURCE, isComplete);
+          const changed = applyRecords(selectValid(records), STORE_SOURCE, isComplete);
           if (!isComplete) forwardChanges(changed);
         },
         reportRead: updateStoreState,
