Bound what clients of hemlockd occupy at its listeners for HTTP

What callers saw: beside clients that send chunks of one byte, or that do not read their responses, hemlockd ended, out of memory. Beside empty lines without end, unfinished bodies or idle connections up to the limit, an ordinary call got nothing within 30 s. The same held at the listeners for the local target and for operators.

Cause: the HTTP server of Node.js behind fastify reads a connection as long as it sends, and bounds single heads and bodies only. Nothing summed up what all connections hold, and a full listener refused new connections instead of idle ones.

Ruled out: node:http with bounds around it, since what its parser, its streams and unread responses hold cannot be counted from outside.

Change: the three listeners are request servers, as those of the platform's hosts are, with their reader, turns and budget. Whole requests are injected into fastify, so the controllers stay as they are. A request server now takes the format of its refusals and the size of whole bodies as options, and can be drained.

--- a/src/control/requests/entry.ts
+++ b/src/control/requests/entry.ts
@@ -3,7 +3,7 @@
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
 import type { Organisation, Route } from '../../schema/routeConfiguration.js';
-import type { RunAnswer, RunAttempt } from './runPort.js';
+import type { RunAnswer, RunAttempt, RunHandle } from './runPort.js';
 
 /** A request as received by the HTTP front end. */
 export interface ClientRequest {
@@ -38,6 +38,15 @@
   grantBody(bytes: number): void;
 }
 
+/** Where a request came from. */
+export interface ClientOrigin {
+  /** IP address of the client; undefined once its connection is closed. */
+  readonly remoteAddress?: string | undefined;
+}
+
+/** Takes a request that the HTTP front end has read; the response is sent with the reply. */
+export type AcceptRequest = (request: ClientRequest, reply: ClientReply, origin: ClientOrigin) => RunHandle;
+
 /** One request at its entry node. Times are monotonic (ms). */
 export interface Entry {
   readonly request: ClientRequest;
--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -2,12 +2,14 @@
 import { createHmac, randomBytes, randomInt } from 'node:crypto';
 import type { AppendLog, ReadLog } from '../control/context.js';
 import { createSystemClock } from '../core/clock.js';
+import type { Clock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
 import { CallerController } from '../http/callerController.js';
 import { startHttpServer } from '../http/httpServer.js';
-import type { HttpServer } from '../http/httpServer.js';
+import type { HttpServer, HttpServerOptions } from '../http/httpServer.js';
 import { LocalController } from '../http/localController.js';
 import { createMetrics } from '../http/metrics.js';
+import { createReadTurns } from '../http/readTurns.js';
 import { OperatorController } from '../http/operatorController.js';
 import { createTargetClient } from '../http/targetClient.js';
 import { createNode } from '../node/createNode.js';
@@ -21,7 +23,9 @@
 import type { PeerServer } from '../transport/peerServer.js';
 import { createTrafficCounters } from '../transport/trafficCounters.js';
 import type { TrafficCounters } from '../transport/trafficCounters.js';
+import { computeDefaultHeldBytes } from './defaultHeldBytes.js';
 import { createLogger } from './logger.js';
+import type { StructuredLogger } from './logger.js';
 import { createTokenSource } from './tokenSource.js';
 
 export interface DaemonAddresses {
@@ -95,7 +99,7 @@
     probeTarget: targetClient.probeTarget,
     ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
-  const servers = await startServers(settings, node, counters);
+  const servers = await startServers({ settings, node, counters, clock, logger });
   const peerServer = await startPeerServer({
     listen: settings.peerListen,
     credentials: credentials.server,
@@ -137,24 +141,54 @@
   operator: HttpServer;
 }
 
-async function startServers(settings: Settings, node: Node, counters: TrafficCounters): Promise<Servers> {
-  const caller = await startHttpServer({
+interface ServerContext {
+  settings: Settings;
+  node: Node;
+  counters: TrafficCounters;
+  clock: Clock;
+  logger: StructuredLogger;
+}
+
+/** Starts the listeners for HTTP, each with bounds of its own; they share the time for reading. */
+async function startServers({ settings, node, counters, clock, logger }: ServerContext): Promise<Servers> {
+  const turns = createReadTurns(clock.now);
+  const maxHeldBytes = settings.maxListenerBytes ?? computeDefaultHeldBytes();
+  const startServer = async (
+    listener: string,
+    options: Pick<HttpServerOptions, 'listen' | 'controllers' | 'controllerContext' | 'maxConnections'>,
+  ): Promise<HttpServer> =>
+    startHttpServer({
+      ...options,
+      clock,
+      turns,
+      maxHeldBytes,
+      reportEvictions: (evictions) => {
+        logger.warn('connections closed for the sake of others', { listener, ...evictions });
+      },
+      reportFault: (error) => {
+        logger.error('connection closed after an error', { listener, error: String(error) });
+      },
+    });
+  const caller = await startServer('caller', {
     listen: settings.callerListen,
     controllers: [CallerController],
     controllerContext: node,
     maxConnections: settings.maxCallerConnections,
   });
-  const local = await startHttpServer({
+  const local = await startServer('local', {
     listen: settings.localListen,
     controllers: [LocalController],
     controllerContext: node,
   });
-  const operator = await startHttpServer({
+  const metrics = createMetrics(node, { traffic: counters });
+  const operator = await startServer('operator', {
     listen: settings.operatorListen,
     controllers: [OperatorController],
-    controllerContext: { node, metrics: createMetrics(node, { traffic: counters }) },
+    controllerContext: { node, metrics },
   });
-  return { caller, local, operator };
+  const servers: Servers = { caller, local, operator };
+  for (const [listener, { budget }] of Object.entries(servers)) metrics.addListener(listener, budget);
+  return servers;
 }
 
 /** Uses a random key that never leaves the process, so a restarted node rejects tickets issued before the restart. */
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -1,11 +1,8 @@
 import { randomInt } from 'node:crypto';
-import { totalmem } from 'node:os';
-import { getHeapStatistics } from 'node:v8';
 import type { Evictions } from '../control/requests/clientBudget.js';
 import type { KeyedTopic, RequestIo } from '../control/requests/context.js';
 import { createSystemClock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
-import { computeClientBytes } from '../policy/clientBytes.js';
 import { startControlServers } from '../http/controlServers.js';
 import type { RequestHeaderNames } from '../http/requestHeaders.js';
 import { probeAddress } from '../http/probeAddress.js';
@@ -19,6 +16,7 @@
 import type { RequestSettings } from '../schema/requestSettings.js';
 import { dialLink } from '../transport/linkClient.js';
 import { startLinkServer } from '../transport/linkServer.js';
+import { computeDefaultHeldBytes } from './defaultHeldBytes.js';
 import { createLineWriter } from './lineWriter.js';
 import { createImmediateWriter, reportUncaughtErrors } from './uncaughtErrors.js';
 
@@ -63,7 +61,7 @@
 export async function startRequestDaemon(options: RequestDaemonOptions): Promise<RequestDaemon> {
   const { settings, headerNames } = options;
   const clock = createSystemClock();
-  const defaultHeldBytes = computeClientBytes(listMemoryLimits());
+  const defaultHeldBytes = computeDefaultHeldBytes();
   const pool = createTargetConnectionPool(clock);
   const durations = createDurationMetrics();
   const node = createRequestNode({
@@ -149,8 +147,3 @@
     },
   };
 }
-
-/** Lists what bounds the memory of this process: the heap, the machine, and a limit of its control group if there is one. */
-function listMemoryLimits(): number[] {
-  return [getHeapStatistics().heap_size_limit, totalmem(), process.constrainedMemory()].filter((bytes) => bytes > 0);
-}
--- a/src/http/callReply.ts
+++ b/src/http/callReply.ts
@@ -2,6 +2,10 @@
 import type { CallResult } from '../schema/call.js';
 import { callFailureTraits } from '../schema/failure.js';
 import type { CallFailure } from '../schema/failure.js';
+import type { Refusal } from '../schema/refusal.js';
+import { describeRefusal } from './httpErrors.js';
+import { formatHead } from './responseWriter.js';
+import type { RefusalFormat } from './responseWriter.js';
 
 /** Sends the result of a call as the HTTP response; a failure is sent as its HTTP status with a JSON body. */
 export function sendResult(reply: FastifyReply, result: CallResult): void {
@@ -24,10 +28,30 @@
 
 /** Sends a call failure as the HTTP response. */
 export function sendFailure(reply: FastifyReply, failure: CallFailure): void {
-  void reply
-    .code(callFailureTraits[failure.kind].status)
-    .header('content-type', 'application/json')
-    .header('hemlock-ran', failure.ran)
-    .header('hemlock-retry', failure.retry)
-    .send(JSON.stringify({ failure }));
+  const { status, headers, body } = formatFailure(failure);
+  void reply.code(status).headers(Object.fromEntries(headers)).send(body);
+}
+
+/** Formats a refusal by the request server as the call failure that it amounts to. */
+export function formatCallRefusal(refusal: Refusal): ReturnType<RefusalFormat> {
+  const { status, headers, body } = formatFailure(describeRefusal(refusal));
+  return { head: formatHead(status, [...headers, ['content-length', String(Buffer.byteLength(body))]].flat()), body };
+}
+
+interface FailureResponse {
+  status: number;
+  headers: [name: string, value: string][];
+  body: string;
+}
+
+function formatFailure(failure: CallFailure): FailureResponse {
+  return {
+    status: callFailureTraits[failure.kind].status,
+    headers: [
+      ['content-type', 'application/json'],
+      ['hemlock-ran', failure.ran],
+      ['hemlock-retry', failure.retry],
+    ],
+    body: JSON.stringify({ failure }),
+  };
 }
--- a/src/http/checkRequestHead.ts
+++ b/src/http/checkRequestHead.ts
@@ -6,10 +6,16 @@
 /** Error code of Node's parser, and of the reader, for a head beyond the limit. */
 export const HEAD_OVERFLOW_CODE = 'HPE_HEADER_OVERFLOW';
 
+/** Returns the refusal of a request that does not name the host it is for. */
+export function checkHost({ host }: RequestHead): Refusal | undefined {
+  return host === '' ? { kind: 'malformed', detail: 'the Host header is missing' } : undefined;
+}
+
 /** Returns the refusal of a request without what a node needs to route it and to name its response. */
-export function checkRoutedHead({ host, requestId }: RequestHead): Refusal | undefined {
-  if (host === '') return { kind: 'malformed', detail: 'the Host header is missing' };
-  return requestId === '' ? { kind: 'malformed', detail: 'the header with the request id is missing' } : undefined;
+export function checkRoutedHead(head: RequestHead): Refusal | undefined {
+  const refusal = checkHost(head);
+  if (refusal !== undefined) return refusal;
+  return head.requestId === '' ? { kind: 'malformed', detail: 'the header with the request id is missing' } : undefined;
 }
 
 /** Returns the refusal of a request whose head is invalid or beyond the limits. */
--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -1,6 +1,5 @@
 import type { Socket } from 'node:net';
-import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
-import type { RunHandle } from '../control/requests/runPort.js';
+import type { AcceptRequest, ClientRequest } from '../control/requests/entry.js';
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import type { BudgetedClient, ClientBudget } from '../control/requests/clientBudget.js';
@@ -17,7 +16,7 @@
 import type { ReadTurns } from './readTurns.js';
 import type { RequestHead } from './requestHead.js';
 import { createRequestReader, HEADER_OVERHEAD_BYTES, SLICE_BYTES } from './requestReader.js';
-import { formatRefusal } from './responseWriter.js';
+import type { RefusalFormat } from './responseWriter.js';
 
 /** A connection as its timeouts and the budget see it. */
 export type ClientConnection = BudgetedClient & TimedConnection;
@@ -38,7 +37,10 @@
   readLimits: () => RequestLimits | undefined;
   /** True once the connection has to be closed after the current response; `hasMoreInput` if the client sent more behind it. */
   isStopping: (hasMoreInput: boolean) => boolean;
-  accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
+  /** Maximum size of a body that is passed on as a whole. */
+  maxWholeBodyBytes: number;
+  formatRefusal: RefusalFormat;
+  accept: AcceptRequest;
   /** True if a request may run before the requests in front of it are answered. */
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
   /** Called once when the connection was closed. */
@@ -168,13 +170,15 @@
   };
   const startExchange = (message: MessageHead, readBytes: number): void => {
     const head = options.readHead({ rawHeaders: message.rawHeaders, url: message.url });
-    const { readLimits, accept, isIdempotent } = options;
+    const { readLimits, maxWholeBodyBytes, formatRefusal, accept, isIdempotent } = options;
     const exchange = createClientExchange({
       message,
       head,
       socket,
       now,
       readLimits,
+      maxWholeBodyBytes,
+      formatRefusal,
       accept,
       isIdempotent,
       isFirst: exchanges.isFirst,
@@ -210,7 +214,7 @@
     exchange.endRequest();
   };
   const refuseAndClose = (refusal: Refusal): void => {
-    const { head, body } = formatRefusal(refusal);
+    const { head, body } = options.formatRefusal(refusal);
     socket.write(`${head}Connection: close\r\n\r\n${body}`);
     close();
   };
--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net';
-import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
+import type { AcceptRequest, ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
-import { MAX_UNSTREAMED_BODY_BYTES, STREAM_WINDOW_BYTES } from '../schema/linkFrame.js';
+import { STREAM_WINDOW_BYTES } from '../schema/linkFrame.js';
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createBodyCollector } from '../core/bodyCollector.js';
@@ -10,6 +10,7 @@
 import type { RequestHead } from './requestHead.js';
 import { HEADER_OVERHEAD_BYTES } from './requestReader.js';
 import { createResponseWriter } from './responseWriter.js';
+import type { RefusalFormat } from './responseWriter.js';
 
 /** One request on a connection and its response. */
 export interface ClientExchange {
@@ -45,7 +46,10 @@
   socket: Socket;
   now: () => number;
   readLimits: () => RequestLimits | undefined;
-  accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
+  /** Maximum size of a body that is passed on as a whole; larger ones are streamed. */
+  maxWholeBodyBytes: number;
+  formatRefusal: RefusalFormat;
+  accept: AcceptRequest;
   /** True if a request may run before the requests in front of it are answered. */
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
   /** True if all requests before this one are answered. */
@@ -143,7 +147,7 @@
       isStreamed,
       isExcess: options.isExcess,
     };
-    handle = options.accept(request, reply);
+    handle = options.accept(request, reply, socket);
   };
   const sendStreamed = (): void => {
     if (!isStreamed || handle === undefined || isRefused) return;
@@ -196,7 +200,7 @@
         return;
       }
       (body ??= createBodyCollector()).add(part);
-      if (handle !== undefined || isStreamed || bodyBytes <= MAX_UNSTREAMED_BODY_BYTES) return;
+      if (handle !== undefined || isStreamed || bodyBytes <= options.maxWholeBodyBytes) return;
       isStreamed = true;
       forward(undefined);
     },
@@ -234,6 +238,7 @@
     method: message.method,
     minorVersion: message.minorVersion,
     formatConnectionHeaders: (mustClose) => options.formatConnectionHeaders(exchange, mustClose || exchange.isLast()),
+    formatRefusal: options.formatRefusal,
     grantBytes: (bytes) => handle?.grantAnswer(bytes),
     handleEnd: () => {
       endBodyRead();
--- a/src/http/controlRoutes.ts
+++ b/src/http/controlRoutes.ts
@@ -1,4 +1,4 @@
-import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
+import type { AcceptRequest, ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
 import { targetIdSchema } from '../schema/headText.js';
 import { heartbeatSchema } from '../schema/nodeMember.js';
@@ -6,9 +6,6 @@
 import { compileSchema, formatFault } from '../schema/validate.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
-/** Takes a request of a listener; the response is sent with the reply. */
-export type AcceptRequest = (request: ClientRequest, reply: ClientReply) => RunHandle;
-
 export interface TargetRouteOptions {
   /** Maps the JSON body that the target sent to the fields of a heartbeat; the result is validated afterwards. */
   decodeHeartbeat: (body: unknown) => unknown;
@@ -31,7 +28,8 @@
 const MAX_ACKNOWLEDGE_MS = 900;
 /** Path of a message of a target with this id, which may be percent-encoded. */
 const TARGET_PATH = /^\/v1\/targets\/([^/]{0,300})\/(heartbeat|leave)$/;
-const handleWithoutBody: RunHandle = {
+/** Handle of a request that has its whole body and cannot be cancelled. */
+export const handleWithoutBody: RunHandle = {
   cancel: () => undefined,
   grantAnswer: () => undefined,
   sendBody: () => undefined,
@@ -105,9 +103,9 @@
  * const accept = wrapErrors(createTargetRoutes(options), reportError);
  */
 export function wrapErrors(accept: AcceptRequest, report: (error: unknown) => void): AcceptRequest {
-  return (request, reply) => {
+  return (request, reply, origin) => {
     try {
-      return accept(request, reply);
+      return accept(request, reply, origin);
     } catch (error) {
       report(error);
       sendJson(reply, 500, { fault: 'internal error' });
--- a/src/http/controlServers.ts
+++ b/src/http/controlServers.ts
@@ -1,8 +1,9 @@
 import type { EvictionCounts, Evictions } from '../control/requests/clientBudget.js';
+import type { AcceptRequest } from '../control/requests/entry.js';
 import type { Clock } from '../core/clock.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createReadRoute, createTargetRoutes, wrapErrors } from './controlRoutes.js';
-import type { AcceptRequest, TargetRouteOptions } from './controlRoutes.js';
+import type { TargetRouteOptions } from './controlRoutes.js';
 import type { ReadTurns } from './readTurns.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 import { startRequestServer } from './requestServer.js';
--- a/src/http/httpErrors.ts
+++ b/src/http/httpErrors.ts
@@ -1,11 +1,17 @@
-import { STATUS_CODES } from 'node:http';
-import type { Duplex } from 'node:stream';
-import { callFailureTraits, createCallFailure } from '../schema/failure.js';
-import type { CallFailure } from '../schema/failure.js';
+import { createCallFailure } from '../schema/failure.js';
+import type { CallFailure, CallFailureKind } from '../schema/failure.js';
+import type { Refusal, RefusalKind } from '../schema/refusal.js';
 
 const NOT_FOUND = 404;
 const PAYLOAD_TOO_LARGE = 413;
 const INTERNAL_SERVER_ERROR = 500;
+/** Call failures of the refusals of requests that were not read completely. */
+const failureKinds: Partial<Record<RefusalKind, CallFailureKind>> = {
+  malformed: 'requestMalformed',
+  headersTooLarge: 'headersTooLarge',
+  bodyTooLarge: 'requestTooLarge',
+  readTimeout: 'requestTimeout',
+};
 
 /** Maps an error of the HTTP framework to a call failure. Such a request was never sent to a target. */
 export function describeHttpError(error: unknown): CallFailure {
@@ -23,30 +29,7 @@
   return 'statusCode' in error && typeof error.statusCode === 'number' ? error.statusCode : INTERNAL_SERVER_ERROR;
 }
 
-/** Responds to bytes that Node's HTTP parser rejected; such requests do not reach the HTTP framework. */
-export function sendParserFailure(error: Error & { code?: string }, socket: Duplex): void {
-  if (error.code === 'ECONNRESET' || !socket.writable) {
-    socket.destroy();
-    return;
-  }
-  const failure = describeParserError(error);
-  const { status } = callFailureTraits[failure.kind];
-  const body = JSON.stringify({ failure });
-  const head = [
-    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
-    'content-type: application/json',
-    `content-length: ${Buffer.byteLength(body)}`,
-    `hemlock-ran: ${failure.ran}`,
-    `hemlock-retry: ${failure.retry}`,
-    'connection: close',
-  ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
-}
-
-function describeParserError(error: Error & { code?: string }): CallFailure {
-  if (error.code === 'HPE_HEADER_OVERFLOW')
-    return createCallFailure('headersTooLarge', 'the headers are larger than 16 KiB');
-  if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT')
-    return createCallFailure('requestTimeout', 'the request did not arrive in time');
-  return createCallFailure('requestMalformed', `not an HTTP request: ${error.message}`);
+/** Maps a refusal by the request server, which reads the requests, to a call failure. */
+export function describeRefusal({ kind, detail }: Refusal): CallFailure {
+  return createCallFailure(failureKinds[kind] ?? 'internalFault', detail);
 }
--- a/src/http/metrics.ts
+++ b/src/http/metrics.ts
@@ -2,7 +2,9 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Counter, Gauge, Registry } from 'prom-client';
 import type { Node } from '../node/createNode.js';
+import type { EvictionCounts } from '../control/requests/clientBudget.js';
 import { addGauge } from './addGauge.js';
+import { createListenerMetrics } from './listenerMetrics.js';
 
 const QUANTILES = [50, 90, 99, 99.9];
 const MAX_DURATION_MS = 600_000;
@@ -16,6 +18,8 @@
 }
 
 export interface MetricsRegistry {
+  /** Adds what the connections of a listener occupy, under its name. */
+  addListener(listener: string, counts: EvictionCounts): void;
   /** Renders all metrics in the Prometheus text format. */
   renderText(): Promise<string>;
 }
@@ -68,6 +72,8 @@
   );
 
   createTrafficCounters(registry, options.traffic);
+  const listeners = createListenerMetrics();
+  listeners.register(registry);
 
   const recordSamples = (): void => {
     for (const sample of ring.listFrom(cursor)) {
@@ -93,6 +99,7 @@
   const timer = setInterval(recordSamples, 500);
   timer.unref();
   return {
+    addListener: listeners.add,
     renderText: () => {
       recordSamples();
       for (const { service, priority, role, histogram } of histograms.values()) {
--- a/src/http/requestHead.ts
+++ b/src/http/requestHead.ts
@@ -28,16 +28,18 @@
 
 /**
  * Creates a function that reads a request's head in one pass over its headers. The first value of a repeated header is
- * used for `requestId`, `host`, `timeLeftMs` and `key`.
+ * used for `requestId`, `host`, `timeLeftMs` and `key`. Without `names`, `requestId` and `timeLeftMs` are not read.
  */
 export function createHeadReader(
-  names: RequestHeaderNames,
+  names: RequestHeaderNames | undefined,
 ): (message: { rawHeaders: readonly string[]; url: string }) => RequestHead {
-  const reservedNames = new Set([names.requestId, names.timeLeft, names.callerService, names.targetId]);
-  const identityNames = new Set(['authorization', names.organisation]);
+  const reservedNames = new Set(
+    names === undefined ? [] : [names.requestId, names.timeLeft, names.callerService, names.targetId],
+  );
+  const identityNames = new Set(['authorization', names?.organisation]);
   const applyHeader = (head: RequestHead, name: string, value: string): void => {
-    if (name === names.requestId) head.requestId ||= value;
-    else if (name === names.timeLeft && head.timeLeftMs === Infinity && Number(value) > 0)
+    if (name === names?.requestId) head.requestId ||= value;
+    else if (name === names?.timeLeft && head.timeLeftMs === Infinity && Number(value) > 0)
       head.timeLeftMs = Number(value);
     else if (name === 'host') head.host ||= value;
     else if (name === 'authorization') head.key ??= BEARER_KEY.exec(value)?.[1];
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -2,10 +2,10 @@
 import type { Server } from 'node:net';
 import type { Clock } from '../core/clock.js';
 import { scheduleRepeated } from '../core/clock.js';
-import type { ClientReply, ClientRequest } from '../control/requests/entry.js';
-import type { RunHandle } from '../control/requests/runPort.js';
+import type { AcceptRequest, ClientRequest } from '../control/requests/entry.js';
 import { FailureError } from '../schema/failure.js';
 import { parseAddress } from '../schema/address.js';
+import { MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { Refusal } from '../schema/refusal.js';
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { createClientBudget, createEvictionReporter } from '../control/requests/clientBudget.js';
@@ -18,6 +18,8 @@
 import type { RequestHead } from './requestHead.js';
 import { createHeadReader } from './requestHead.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
+import { formatRefusal } from './responseWriter.js';
+import type { RefusalFormat } from './responseWriter.js';
 
 const SWEEP_INTERVAL_MS = 1000;
 const LISTEN_BACKLOG = 1024;
@@ -29,7 +31,8 @@
 
 export interface RequestServerOptions {
   listen: string;
-  names: RequestHeaderNames;
+  /** Default: no header has a meaning of its own here, and all are passed on. */
+  names?: RequestHeaderNames;
   clock: Clock;
   maxConnections: number;
   /** Maximum number of bytes that all connections hold together. */
@@ -49,7 +52,11 @@
   reportEvictions: (evictions: Evictions) => void;
   /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
-  accept: (request: ClientRequest, reply: ClientReply) => RunHandle;
+  /** Maximum size of a body that is passed on as a whole; larger ones are streamed. Default: `MAX_UNSTREAMED_BODY_BYTES`. */
+  maxWholeBodyBytes?: number;
+  /** Formats the refusals of this server. Default: `formatRefusal`. */
+  formatRefusal?: RefusalFormat;
+  accept: AcceptRequest;
   /** True if a request may run before the requests in front of it on its connection are answered. */
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
 }
@@ -63,6 +70,8 @@
   announceStop(): void;
   /** Stops listening; open connections are not closed. */
   stop(): void;
+  /** Stops listening; resolves once all connections are closed, those that stay open after `maxWaitMs` by this server. */
+  drain(maxWaitMs: number): Promise<void>;
   /** Stops listening and closes all connections. */
   closeAll(): void;
 }
@@ -86,6 +95,7 @@
   const runAhead = { requests: 0 };
   const reportEvictions = createEvictionReporter(budget, options.reportEvictions);
   let isStopping = false;
+  let finishDrain = (): void => undefined;
   // Without a high-water mark a suspended socket reads nothing more, and `drain` follows each write that was flushed.
   const server = createServer({ highWaterMark: 0 }, (socket) => {
     turns.notifyAccepted();
@@ -98,11 +108,14 @@
       readHead,
       checkHead,
       readLimits,
+      maxWholeBodyBytes: options.maxWholeBodyBytes ?? MAX_UNSTREAMED_BODY_BYTES,
+      formatRefusal: options.formatRefusal ?? formatRefusal,
       isStopping: (hasMoreInput) => isStopping || (hasMoreInput && !isPipeliningAllowed),
       accept: options.accept,
       isIdempotent: options.isIdempotent,
       handleClose: () => {
         connections.delete(connection);
+        if (connections.size === 0) finishDrain();
       },
     });
     connections.add(connection);
@@ -119,6 +132,10 @@
     stopSweeps();
     server.close();
   };
+  const closeAll = (): void => {
+    stop();
+    for (const connection of connections) connection.destroy();
+  };
   return {
     address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
     budget,
@@ -126,10 +143,21 @@
       isStopping = true;
     },
     stop,
-    closeAll: () => {
-      stop();
-      for (const connection of connections) connection.destroy();
+    drain: async (maxWaitMs) => {
+      isStopping = true;
+      server.close();
+      if (connections.size > 0) {
+        await new Promise<void>((resolve) => {
+          const timer = setTimeout(resolve, maxWaitMs);
+          finishDrain = () => {
+            clearTimeout(timer);
+            resolve();
+          };
+        });
+      }
+      closeAll();
     },
+    closeAll,
   };
 }
 
--- a/src/http/responseWriter.ts
+++ b/src/http/responseWriter.ts
@@ -32,10 +32,15 @@
   formatConnectionHeaders: (mustClose: boolean) => string;
   /** Called with the number of bytes of a streamed answer that were flushed; the sender may then send as many more. */
   grantBytes: (bytes: number) => void;
+  /** Formats the head and the body of a refusal; see `formatRefusal`. */
+  formatRefusal: RefusalFormat;
   /** Called once the whole response was written. */
   handleEnd: () => void;
 }
 
+/** Formats a refusal by this node. The head lacks the `Connection` header and the blank line at its end. */
+export type RefusalFormat = (refusal: Refusal) => { head: string; body: string };
+
 /** Maximum size of a body that is written in one call with its head. */
 const MAX_COALESCED_BODY_BYTES = 16 * 1024;
 /** Longest time after which clients are asked to retry (ms). */
@@ -100,7 +105,7 @@
     refuse: (refusal: Refusal) => {
       if (writer.hasBegun || !socket.writable) return;
       writer.hasBegun = true;
-      const { head, body } = formatRefusal(refusal);
+      const { head, body } = options.formatRefusal(refusal);
       socket.write(`${head}${options.formatConnectionHeaders(false)}\r\n${method === 'HEAD' ? '' : body}`);
       end();
     },
@@ -108,8 +113,8 @@
   return writer;
 }
 
-/** Formats a refusal by this node. The head lacks the `Connection` header and the blank line at its end. */
-export function formatRefusal({ kind, detail, retryAfterMs }: Refusal): { head: string; body: string } {
+/** Formats a refusal as its status with a JSON body that names its kind; the format of a request server by default. */
+export function formatRefusal({ kind, detail, retryAfterMs }: Refusal): ReturnType<RefusalFormat> {
   const body = JSON.stringify({ failure: kind, detail });
   const headers = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
   if (retryAfterMs !== undefined)
@@ -117,7 +122,8 @@
   return { head: formatHead(refusalStatus[kind], headers), body };
 }
 
-function formatHead(status: number, headers: readonly string[]): string {
+/** Formats the status line and the headers, which alternate names and values. */
+export function formatHead(status: number, headers: readonly string[]): string {
   let text = `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n`;
   for (let index = 0; index + 1 < headers.length; index += 2)
     text += `${headers[index] ?? ''}: ${headers[index + 1] ?? ''}\r\n`;
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -67,6 +67,11 @@
       default: 1024,
       description: 'an integer from 1 to 65535',
     }),
+    /**
+     * Maximum number of bytes that all connections of each listener for HTTP hold together. Default: a share of the memory of
+     * the process.
+     */
+    maxListenerBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
     /** Maximum number of calls that this node has dispatched or forwarded and that have not ended. */
     maxCallsInFlight: Type.Integer({
       minimum: 1,
