Bound what connections of peers occupy at hemlockd

What was seen: 250 connections that send nothing, or an HTTP/2 preface only, stayed open without end; 900 streams on each of them ended the process, out of memory.

Cause: the listener for other nodes was one of grpc-js, which bounds a single frame only: neither the number of connections, nor of streams, nor what all of them hold, nor the time until a peer says who it is. The class is that of the other listeners.

Ruled out: a limit for streams alone. 16 streams of 250 connections are as many as end the process.

Change: a listener of our own accepts the connections, opens an account for each in the budget that links of the platform's nodes have, and injects them into grpc-js. Streams count with 4,096 bytes, frames that are not complete by the counters of the socket, unsent frames by the writer. Warnings about what peers send are limited to 20 a second.

--- a/src/daemon/startDaemon.ts
+++ b/src/daemon/startDaemon.ts
@@ -1,7 +1,9 @@
 import 'reflect-metadata';
 import { createHmac, randomBytes, randomInt } from 'node:crypto';
 import type { AppendLog, ReadLog } from '../control/context.js';
-import { createSystemClock } from '../core/clock.js';
+import type { Evictions } from '../control/requests/clientBudget.js';
+import { createLinkBudget } from '../control/requests/linkBudget.js';
+import { createSystemClock, scheduleRepeated } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
 import { createRandom } from '../core/random.js';
 import { CallerController } from '../http/callerController.js';
@@ -9,6 +11,7 @@
 import type { HttpServer, HttpServerOptions } from '../http/httpServer.js';
 import { LocalController } from '../http/localController.js';
 import { createMetrics } from '../http/metrics.js';
+import type { MetricsRegistry } from '../http/metrics.js';
 import { createReadTurns } from '../http/readTurns.js';
 import { OperatorController } from '../http/operatorController.js';
 import { createTargetClient } from '../http/targetClient.js';
@@ -22,8 +25,8 @@
 import { startPeerServer } from '../transport/peerServer.js';
 import type { PeerServer } from '../transport/peerServer.js';
 import { createTrafficCounters } from '../transport/trafficCounters.js';
-import type { TrafficCounters } from '../transport/trafficCounters.js';
 import { computeDefaultHeldBytes } from './defaultHeldBytes.js';
+import { createLimitedWarnings } from './limitedWarnings.js';
 import { createLogger } from './logger.js';
 import type { StructuredLogger } from './logger.js';
 import { createTokenSource } from './tokenSource.js';
@@ -46,6 +49,8 @@
 /** Exceeds the timeout after which the log poller reads again, so that a late response of a slow log is still used. */
 const LOG_REQUEST_TIMEOUT_MS = 30_000;
 const MAX_SEED = 2 ** 31;
+/** Interval at which closed connections of peers are reported (ms). */
+const REPORT_INTERVAL_MS = 1000;
 
 /**
  * Starts the node, the HTTP servers and the peer connections of one hemlockd process, which serves calls that name a
@@ -99,15 +104,32 @@
     probeTarget: targetClient.probeTarget,
     ...(settings.logUrl === undefined ? {} : createLogFunctions(settings.logUrl)),
   });
-  const servers = await startServers({ settings, node, counters, clock, logger });
+  const reportEvictions = (listener: string, evictions: Evictions): void => {
+    logger.warn('connections closed for the sake of others', { listener, ...evictions });
+  };
+  const linkBudget = createLinkBudget({
+    clock,
+    limits: {
+      maxConnections: settings.maxPeerConnections,
+      maxHeldBytes: settings.maxPeerBytes ?? computeDefaultHeldBytes(),
+    },
+    reportEvictions,
+  });
+  const stopReports = scheduleRepeated(clock, REPORT_INTERVAL_MS, linkBudget.reportEvictions);
+  const metrics = createMetrics(node, { traffic: counters });
+  const servers = await startServers({ settings, node, metrics, clock, logger, reportEvictions });
+  for (const [listener, counts] of linkBudget.counts) metrics.addListener(listener, counts);
+  const warn = createLimitedWarnings({ logger, now: clock.now });
   const peerServer = await startPeerServer({
     listen: settings.peerListen,
+    clock,
+    openAccount: linkBudget.add,
     credentials: credentials.server,
     counters,
     receiveFrame: node.receiveFrame,
     handleStreamEnded: node.handleStreamEnded,
     reportFailure: ({ message, ...fields }) => {
-      logger.warn(message, fields);
+      warn(message, fields);
     },
   });
   acceptedStreams.sendOnAcceptedStream = peerServer.sendOnAcceptedStream;
@@ -128,6 +150,7 @@
       servers.caller.announceStop();
       await stopNode(node, settings.stopGraceMs);
       await Promise.all(Object.values(servers).map((server) => server.stop()));
+      stopReports();
       peerClient.stop();
       await Promise.all([peerServer.stop(), targetClient.stop()]);
       logger.info('stopped');
@@ -144,13 +167,15 @@
 interface ServerContext {
   settings: Settings;
   node: Node;
-  counters: TrafficCounters;
+  metrics: MetricsRegistry;
   clock: Clock;
   logger: StructuredLogger;
+  reportEvictions: (listener: string, evictions: Evictions) => void;
 }
 
 /** Starts the listeners for HTTP, each with bounds of its own; they share the time for reading. */
-async function startServers({ settings, node, counters, clock, logger }: ServerContext): Promise<Servers> {
+async function startServers(context: ServerContext): Promise<Servers> {
+  const { settings, node, metrics, clock, logger } = context;
   const turns = createReadTurns(clock.now);
   const maxHeldBytes = settings.maxListenerBytes ?? computeDefaultHeldBytes();
   const startServer = async (
@@ -163,7 +188,7 @@
       turns,
       maxHeldBytes,
       reportEvictions: (evictions) => {
-        logger.warn('connections closed for the sake of others', { listener, ...evictions });
+        context.reportEvictions(listener, evictions);
       },
       reportFault: (error) => {
         logger.error('connection closed after an error', { listener, error: String(error) });
@@ -180,7 +205,6 @@
     controllers: [LocalController],
     controllerContext: node,
   });
-  const metrics = createMetrics(node, { traffic: counters });
   const operator = await startServer('operator', {
     listen: settings.operatorListen,
     controllers: [OperatorController],
--- a/src/schema/settings.ts
+++ b/src/schema/settings.ts
@@ -72,6 +72,18 @@
      * the process.
      */
     maxListenerBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
+    /**
+     * Number of connections opened by other nodes from which on a new one takes the place of another; apart for those that have
+     * not said who they are.
+     */
+    maxPeerConnections: Type.Integer({
+      minimum: 8,
+      maximum: 65_535,
+      default: 1312,
+      description: 'an integer from 8 to 65535',
+    }),
+    /** Maximum number of bytes that all connections opened by other nodes hold together. Default: as for `maxListenerBytes`. */
+    maxPeerBytes: Type.Optional(Type.Integer({ minimum: 65_536, description: 'an integer from 65536: bytes' })),
     /** Maximum number of calls that this node has dispatched or forwarded and that have not ended. */
     maxCallsInFlight: Type.Integer({
       minimum: 1,
--- a/src/transport/frameWriter.ts
+++ b/src/transport/frameWriter.ts
@@ -12,12 +12,16 @@
 
 /**
  * Creates a writer that limits the bytes buffered in a stream to `MAX_BUFFERED_BYTES`. It calls `closeStalled` when a
- * frame would exceed the limit.
+ * frame would exceed the limit, and `changeBufferedBytes` with each change of the buffered bytes.
  *
  * @example
  * const writeFrame = createFrameWriter(stream, () => stream.cancel());
  */
-export function createFrameWriter(sink: FrameSink, closeStalled: () => void): WriteFrame {
+export function createFrameWriter(
+  sink: FrameSink,
+  closeStalled: () => void,
+  changeBufferedBytes: (bytes: number) => void = () => undefined,
+): WriteFrame {
   let bufferedBytes = 0;
   return (frame) => {
     if (!sink.writable) return false;
@@ -27,8 +31,10 @@
       return false;
     }
     bufferedBytes += bytes;
+    changeBufferedBytes(bytes);
     sink.write(frame, () => {
       bufferedBytes -= bytes;
+      changeBufferedBytes(-bytes);
     });
     return true;
   };
--- a/src/transport/peerServer.ts
+++ b/src/transport/peerServer.ts
@@ -1,5 +1,6 @@
 import { Metadata, Server, status } from '@grpc/grpc-js';
 import type { ServerCredentials, ServerDuplexStream } from '@grpc/grpc-js';
+import type { Clock } from '../core/clock.js';
 import { FailureError } from '../schema/failure.js';
 import type { SystemFailure } from '../schema/failure.js';
 import { laneSchema } from '../schema/frame.js';
@@ -8,6 +9,8 @@
 import { compileSchema } from '../schema/validate.js';
 import { createFrameWriter } from './frameWriter.js';
 import type { WriteFrame } from './frameWriter.js';
+import { startPeerConnections } from './peerConnections.js';
+import type { OpenAccount, PeerConnections } from './peerConnections.js';
 import { createPeerService, HOST_HEADER, LANE_HEADER, MAX_FRAME_BYTES } from './peerService.js';
 import type { FrameReceiver } from './peerService.js';
 import { createTrafficCounters } from './trafficCounters.js';
@@ -16,6 +19,9 @@
 export interface PeerServerOptions {
   listen: ListenSettings;
   credentials: ServerCredentials;
+  clock: Clock;
+  /** Opens the account of a new connection in the budget of all that peers open. */
+  openAccount: OpenAccount;
   receiveFrame: FrameReceiver;
   counters?: TrafficCounters;
   /** Called when a stream has ended; `respond`, the function that was passed with its frames, identifies it. */
@@ -34,6 +40,11 @@
 
 type AcceptedStreams = Map<string, WriteFrame>;
 
+/** Streams that a peer may open on one connection: one per lane, and their successors before they are closed. */
+const MAX_STREAMS = 16;
+/** Memory of one HTTP/2 session beyond which no further stream is accepted (MB). */
+const MAX_SESSION_MEGABYTES = 16;
+
 /** Longer than on the client side: here, keepalive only releases the resources of peers that have disappeared. */
 const SERVER_KEEPALIVE_OPTIONS = { 'grpc.keepalive_time_ms': 10_000, 'grpc.keepalive_timeout_ms': 3000 };
 
@@ -53,6 +64,8 @@
     ...SERVER_KEEPALIVE_OPTIONS,
     'grpc.max_receive_message_length': MAX_FRAME_BYTES,
     'grpc.max_send_message_length': MAX_FRAME_BYTES,
+    'grpc.max_concurrent_streams': MAX_STREAMS,
+    'grpc-node.max_session_memory': MAX_SESSION_MEGABYTES,
   });
   const streams = new Set<ServerDuplexStream<Frame, Frame>>();
   const service = createPeerService(options.counters ?? createTrafficCounters());
@@ -63,16 +76,26 @@
       exchange: (stream: ServerDuplexStream<Frame, Frame>) => {
         streams.add(stream);
         stream.once('close', () => streams.delete(stream));
-        acceptStream(stream, options, accepted);
+        acceptStream(stream, { options, accepted, connections });
       },
     },
   );
-  const { host, port } = options.listen;
-  const boundPort = await openServer(server, `${host}:${port}`, options.credentials);
+  const injector = server.createConnectionInjector(options.credentials);
+  const connections = await startPeerConnections({
+    listen: options.listen,
+    clock: options.clock,
+    openAccount: options.openAccount,
+    serve: (socket) => {
+      injector.injectConnection(socket);
+    },
+  });
   return {
-    address: `${host}:${boundPort}`,
+    address: connections.address,
     sendOnAcceptedStream: (peer, lane, frame) => accepted.get(`${lane} ${peer}`)?.(frame) ?? false,
-    stop: () => stopServer(server, streams),
+    stop: () => {
+      connections.stop();
+      return stopServer(server, streams);
+    },
   };
 }
 
@@ -91,10 +114,15 @@
   };
 }
 
+interface StreamContext {
+  options: PeerServerOptions;
+  accepted: AcceptedStreams;
+  connections: PeerConnections;
+}
+
 function acceptStream(
   stream: ServerDuplexStream<Frame, Frame>,
-  options: PeerServerOptions,
-  accepted: AcceptedStreams,
+  { options, accepted, connections }: StreamContext,
 ): void {
   const host = String(stream.metadata.get(HOST_HEADER)[0] ?? '');
   const lane: unknown = stream.metadata.get(LANE_HEADER)[0];
@@ -106,16 +134,23 @@
   }
   stream.sendMetadata(new Metadata());
   const key = `${lane} ${host}`;
-  const writeFrame = createFrameWriter(stream, () => {
-    stream.emit('error', { code: status.RESOURCE_EXHAUSTED, details: 'the peer reads too slowly' });
-  });
+  const account = connections.find(stream.getPeer())?.addStream();
+  const writeFrame = createFrameWriter(
+    stream,
+    () => {
+      stream.emit('error', { code: status.RESOURCE_EXHAUSTED, details: 'the peer reads too slowly' });
+    },
+    (bytes) => account?.changeHeldBytes(bytes),
+  );
   accepted.set(key, writeFrame);
   const removeAccepted = (): void => {
     if (accepted.get(key) === writeFrame) accepted.delete(key);
   };
   stream.on('cancelled', removeAccepted);
   stream.on('close', removeAccepted);
+  for (const event of ['cancelled', 'close', 'error'] as const) stream.on(event, () => account?.remove());
   stream.on('data', (frame: Frame) => {
+    account?.observeFrame();
     options.receiveFrame(host, lane, frame, writeFrame);
   });
   stream.on('error', (error: Error) => {
@@ -138,18 +173,6 @@
   stream.on('close', notifyEnded);
 }
 
-function openServer(server: Server, address: string, credentials: ServerCredentials): Promise<number> {
-  return new Promise((resolve, reject) => {
-    server.bindAsync(address, credentials, (error, port) => {
-      if (error === null) resolve(port);
-      else
-        reject(
-          new FailureError({ kind: 'listenFailed', message: `cannot listen for peers: ${error.message}`, address }),
-        );
-    });
-  });
-}
-
 /** Ends the streams after the frames already written, so that the last responses reach their nodes. */
 function stopServer(server: Server, streams: ReadonlySet<ServerDuplexStream<Frame, Frame>>): Promise<void> {
   return new Promise((resolve) => {
--- a/tests/cancellation/streamEnd.test.ts
+++ b/tests/cancellation/streamEnd.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { expect } from 'earl';
+import { createLinkBudget } from '../../src/control/requests/linkBudget.js';
 import { createSystemClock } from '../../src/core/clock.js';
 import type { Frame } from '../../src/schema/frame.js';
 import { createPeerClient } from '../../src/transport/peerClient.js';
@@ -14,6 +15,8 @@
     const server = await startPeerServer({
       listen: { host: '127.0.0.1', port: 0 },
       credentials: ServerCredentials.createInsecure(),
+      clock: createSystemClock(),
+      openAccount: createLinkBudget({ clock: createSystemClock(), reportEvictions: () => undefined }).add,
       receiveFrame: (peer, _lane, _frame, respond) => received.push({ peer, respond }),
       handleStreamEnded: (respond) => ended.push(respond),
     });
--- a/tests/transport/peerClient.test.ts
+++ b/tests/transport/peerClient.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { ChannelCredentials, ServerCredentials } from '@grpc/grpc-js';
 import { expect } from 'earl';
+import { createLinkBudget } from '../../src/control/requests/linkBudget.js';
 import { createSystemClock } from '../../src/core/clock.js';
 import type { Frame } from '../../src/schema/frame.js';
 import { createPeerClient } from '../../src/transport/peerClient.js';
@@ -33,6 +34,8 @@
   const server = await startPeerServer({
     listen: { host: '127.0.0.1', port: 0 },
     credentials: ServerCredentials.createInsecure(),
+    clock: createSystemClock(),
+    openAccount: createLinkBudget({ clock: createSystemClock(), reportEvictions: () => undefined }).add,
     receiveFrame: (_host, _lane, frame) => received.push(frame),
   });
   cleanups.push(server.stop);
