--- a/src/http/clientConnection.ts
+++ b/src/http/clientConnection.ts
@@ -1,11 +1,9 @@
 import type { Socket } from 'node:net';
-import type { AcceptRequest, ClientRequest } from '../control/requests/entry.js';
 import type { Refusal } from '../schema/refusal.js';
-import type { RequestLimits } from '../schema/routeConfiguration.js';
 import type { BudgetedClient, ClientBudget } from '../control/requests/clientBudget.js';
 import { buildFaultRefusal, checkRequestHead } from './checkRequestHead.js';
 import { createClientExchange } from './clientExchange.js';
-import type { ClientExchange } from './clientExchange.js';
+import type { ClientExchange, RequestHandling } from './clientExchange.js';
 import type { ConnectionPhase, TimedConnection } from './connectionTimeouts.js';
 import { createDeferredEvents } from './deferredEvents.js';
 import type { RequestEventKind } from './deferredEvents.js';
@@ -16,12 +14,11 @@
 import type { ReadTurns } from './readTurns.js';
 import type { RequestHead } from './requestHead.js';
 import { createRequestReader, HEADER_OVERHEAD_BYTES, SLICE_BYTES } from './requestReader.js';
-import type { RefusalFormat } from './responseWriter.js';
 
 /** A connection as its timeouts and the budget see it. */
 export type ClientConnection = BudgetedClient & TimedConnection;
 
-export interface ClientConnectionOptions {
+export interface ClientConnectionOptions extends RequestHandling {
   socket: Socket;
   now: () => number;
   /** Counts what all connections of the process hold. */
@@ -33,16 +30,8 @@
   readHead: (message: { rawHeaders: string[]; url: string }) => RequestHead;
   /** Returns the refusal of a request whose head lacks what this listener needs. */
   checkHead: (head: RequestHead) => Refusal | undefined;
-  /** Returns the limits of the active configuration; undefined before a configuration was read. */
-  readLimits: () => RequestLimits | undefined;
   /** True once the connection has to be closed after the current response; `hasMoreInput` if the client sent more behind it. */
   isStopping: (hasMoreInput: boolean) => boolean;
-  /** Maximum size of a body that is passed on as a whole. */
-  maxWholeBodyBytes: number;
-  formatRefusal: RefusalFormat;
-  accept: AcceptRequest;
-  /** True if a request may run before the requests in front of it are answered. */
-  isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
   /** Called once when the connection was closed. */
   handleClose: () => void;
 }
--- a/src/http/clientExchange.ts
+++ b/src/http/clientExchange.ts
@@ -40,11 +40,9 @@
   cancel(): void;
 }
 
-export interface ClientExchangeOptions {
-  message: MessageHead;
-  head: RequestHead;
-  socket: Socket;
-  now: () => number;
+/** What a listener does with the requests that it reads. */
+export interface RequestHandling {
+  /** Returns the limits of the active configuration; undefined before a configuration was read. */
   readLimits: () => RequestLimits | undefined;
   /** Maximum size of a body that is passed on as a whole; larger ones are streamed. */
   maxWholeBodyBytes: number;
@@ -52,6 +50,13 @@
   accept: AcceptRequest;
   /** True if a request may run before the requests in front of it are answered. */
   isIdempotent: (request: Pick<ClientRequest, 'host' | 'path'>) => boolean;
+}
+
+export interface ClientExchangeOptions extends RequestHandling {
+  message: MessageHead;
+  head: RequestHead;
+  socket: Socket;
+  now: () => number;
   /** True if all requests before this one are answered. */
   isFirst: (exchange: ClientExchange) => boolean;
   formatConnectionHeaders: (exchange: ClientExchange, mustClose: boolean) => string;
--- a/src/http/requestServer.ts
+++ b/src/http/requestServer.ts
@@ -1,9 +1,8 @@
 import { createServer } from 'node:net';
-import type { Server } from 'node:net';
 import type { Clock } from '../core/clock.js';
 import { scheduleRepeated } from '../core/clock.js';
+import { openListener } from '../core/openListener.js';
 import type { AcceptRequest, ClientRequest } from '../control/requests/entry.js';
-import { FailureError } from '../schema/failure.js';
 import { parseAddress } from '../schema/address.js';
 import { MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { Refusal } from '../schema/refusal.js';
@@ -22,7 +21,6 @@
 import type { RefusalFormat } from './responseWriter.js';
 
 const SWEEP_INTERVAL_MS = 1000;
-const LISTEN_BACKLOG = 1024;
 /**
  * Share of the connections from which on a new one takes the place of another. The rest is for connections that arrive before
  * the displaced ones are closed, in a later turn of the event loop.
@@ -125,9 +123,7 @@
     for (const connection of connections) checkTimeouts(connection, clock.now(), readLimits());
     reportEvictions();
   });
-  const { host, port } = parseAddress(options.listen);
-  await openServer(server, host, port);
-  const bound = server.address();
+  const address = await openListener(server, { ...parseAddress(options.listen), purpose: 'requests' });
   const stop = (): void => {
     stopSweeps();
     server.close();
@@ -137,7 +133,7 @@
     for (const connection of connections) connection.destroy();
   };
   return {
-    address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
+    address,
     budget,
     announceStop: () => {
       isStopping = true;
@@ -160,13 +156,3 @@
     closeAll,
   };
 }
-
-function openServer(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', (error) => {
-      const message = `cannot listen for requests: ${error.message}`;
-      reject(new FailureError({ kind: 'listenFailed', message, address: `${host}:${port}` }));
-    });
-    server.listen({ host, port, backlog: LISTEN_BACKLOG }, resolve);
-  });
-}
--- a/src/transport/linkServer.ts
+++ b/src/transport/linkServer.ts
@@ -1,6 +1,5 @@
 import { createServer } from 'node:net';
-import type { Server } from 'node:net';
-import { FailureError } from '../schema/failure.js';
+import { openListener } from '../core/openListener.js';
 import { parseAddress } from '../schema/address.js';
 import { MAX_LINK_FRAME_BYTES } from '../schema/linkFrame.js';
 import { createLinkStream } from './linkStream.js';
@@ -19,8 +18,6 @@
 
 /** Maximum size of a frame from a peer that is not accepted: a hello with the ids of 50,000 open requests. */
 const MAX_HELLO_FRAME_BYTES = 256 * 1024;
-/** Length of the accept queue; it must hold the connections of all peers when they connect at the same time. */
-const BACKLOG = 1024;
 
 /**
  * Starts to listen for connections from other nodes.
@@ -47,23 +44,11 @@
     );
     const events = accept(stream);
   });
-  const { host, port } = parseAddress(listen);
-  await openListener(server, host, port);
-  const bound = server.address();
+  const address = await openListener(server, { ...parseAddress(listen), purpose: 'connections from other nodes' });
   return {
-    address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
+    address,
     stop: () => {
       server.close();
     },
   };
 }
-
-function openListener(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', (error) => {
-      const message = `cannot listen for connections from other nodes: ${error.message}`;
-      reject(new FailureError({ kind: 'listenFailed', message, address: `${host}:${port}` }));
-    });
-    server.listen({ host, port, backlog: BACKLOG }, resolve);
-  });
-}
--- a/src/transport/peerConnections.ts
+++ b/src/transport/peerConnections.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:net';
-import type { Server, Socket } from 'node:net';
+import type { Socket } from 'node:net';
 import { scheduleRepeated } from '../core/clock.js';
 import type { Clock } from '../core/clock.js';
-import { FailureError } from '../schema/failure.js';
+import { openListener } from '../core/openListener.js';
 import type { ListenSettings } from '../schema/settings.js';
 
 /** What bounds the connections that peers open counts for one of them. */
@@ -59,8 +59,6 @@
 const STREAM_OVERHEAD_BYTES = 4096;
 /** Interval at which the bytes of frames that are not complete are counted (ms). */
 const COUNT_INTERVAL_MS = 100;
-/** Length of the accept queue; it must hold the connections of all peers when they connect at the same time. */
-const BACKLOG = 1024;
 
 interface CountedConnection extends PeerConnection {
   /** Takes into account what was received since the last whole frame. */
@@ -90,11 +88,9 @@
   const stopCounting = scheduleRepeated(clock, COUNT_INTERVAL_MS, () => {
     for (const connection of connections.values()) connection.countUnread();
   });
-  const { host, port } = options.listen;
-  await openListener(server, host, port);
-  const bound = server.address();
+  const address = await openListener(server, { ...options.listen, purpose: 'peers' });
   return {
-    address: `${host}:${typeof bound === 'object' && bound !== null ? bound.port : port}`,
+    address,
     find: (remoteAddress) => connections.get(remoteAddress),
     stop: () => {
       stopCounting();
@@ -150,13 +146,3 @@
   };
   return { addStream, countUnread };
 }
-
-function openListener(server: Server, host: string, port: number): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', (error) => {
-      const message = `cannot listen for peers: ${error.message}`;
-      reject(new FailureError({ kind: 'listenFailed', message, address: `${host}:${port}` }));
-    });
-    server.listen({ host, port, backlog: BACKLOG }, resolve);
-  });
-}
