Show that links over TLS count as those of known nodes

A connection of a peer is found by the address that grpc-js reports for its stream. Over TLS that is the address of the socket below; if it were not, such links would be closed after 5 s like those of strangers.

--- a/tests/trust/mutualTls.test.ts
+++ b/tests/trust/mutualTls.test.ts
@@ -96,6 +96,14 @@
     });
   });
 
+  // Guards against links that are closed after some seconds like those of strangers, since TLS hides whose they are.
+  it('should count a link over TLS as one of a known node', async () => {
+    await waitUntil('a link is counted', async () => {
+      const response = await request(`http://${first.addresses['operator'] ?? ''}/metrics`);
+      return (await response.body.text()).includes('hemlock_listener_connections{listener="links"} 1');
+    });
+  });
+
   it('should reject a peer without a certificate', async () => {
     expect(await sendWith(undefined)).toEqual(expect.subset({ type: 'ended', code: status.UNAVAILABLE }));
   });
