Acknowledge a leave only once the store has it

Cause: copies in memory counted as durable, and any number of processes may end at once. The log line 'acknowledged with copies at peers' shows it. Ruled out: a record that the store lost (the write was refused), and a restart that ignores what it could know (nobody knew).

Change: a leave is obeyed at once and acknowledged when the store has the record. Without an acknowledgement nobody is bound; the target repeats its leave or exits. The field held of the status frames counted copies only and is removed.

--- a/src/control/requests/incomingLinks.ts
+++ b/src/control/requests/incomingLinks.ts
@@ -96,9 +96,7 @@
   const sendStatus = (lane: IncomingLane, status: StatusFrame): void => {
     lane.statusAtMs = clock.now();
     lane.owedRunId = undefined;
-    const record = board.read('members').byHost.get(lane.host);
-    if (record === undefined) lane.runs.send(status);
-    else lane.runs.send({ ...status, held: { incarnation: record.incarnation, revision: record.revision } });
+    lane.runs.send(status);
   };
   /**
    * Shows the sender of a request that the connection works in both directions: now, or at a tick if it was shown just
--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -218,7 +218,6 @@
     start: () => {
       for (const delayMs of [RESTORE_WAIT_MS + 1, FIRST_WRITE_WAIT_MS]) clock.schedule(delayMs, ownRecord.write);
       board.subscribe('links', ownRecord.write);
-      board.subscribe('links', durability.check);
       board.subscribe('store', handleNewEra);
       stopWatcher = startTopicWatcher(context, {
         topic: io.memberTopic,
--- a/src/control/requests/outgoingLinks.ts
+++ b/src/control/requests/outgoingLinks.ts
@@ -54,16 +54,12 @@
 
   const buildKey = (host: string, lane: LinkLane): string => `${lane} ${host}`;
   const receiveStatus = (peer: PeerState, frame: StatusFrame): void => {
-    const hasChanged =
-      peer.load.phase !== frame.load.phase ||
-      peer.load.targetId !== frame.load.targetId ||
-      peer.held?.revision !== frame.held?.revision;
+    const hasChanged = peer.load.phase !== frame.load.phase || peer.load.targetId !== frame.load.targetId;
     updateLoad(peer, frame.load);
     peer.configurationVersion = frame.configurationVersion;
     peer.isStoreLost = frame.isStoreLost ?? false;
     peer.memberCount = frame.memberCount;
     peer.membersDigest = frame.membersDigest;
-    peer.held = frame.held;
     observeStoreEra(board, frame.storeEra, peer.host);
     if (hasChanged) options.publishChange();
   };
--- a/src/control/requests/peerState.ts
+++ b/src/control/requests/peerState.ts
@@ -1,4 +1,4 @@
-import type { LinkLane, LoadReport, Profile, RecordVersion } from '../../schema/linkFrame.js';
+import type { LinkLane, LoadReport, Profile } from '../../schema/linkFrame.js';
 
 /** One connection to a peer on one lane. */
 export interface LinkState {
@@ -25,8 +25,6 @@
   memberCount: number;
   /** Undefined until a status with a digest was received. */
   membersDigest: number | undefined;
-  /** The version of this node's own record that the peer holds; undefined until it was received. */
-  held: RecordVersion | undefined;
   profile: Profile;
   /** False if the link only serves the quotas: this node then sends no requests over it. */
   takesRuns: boolean;
@@ -47,7 +45,6 @@
     isStoreLost: false,
     memberCount: 0,
     membersDigest: undefined,
-    held: undefined,
     profile: createEmptyProfile(),
     takesRuns: true,
     lastTargetId: '',
--- a/src/control/requests/requestPosts.ts
+++ b/src/control/requests/requestPosts.ts
@@ -32,10 +32,7 @@
   members:
     | { type: 'apply'; members: readonly NodeMember[]; source: string; isComplete: boolean }
     | { type: 'publishTarget'; target: PublishedTarget }
-    /**
-     * Calls `run` once the published state of the target outlasts this process: once the store has it, or, if the store is
-     * late, enough peers do.
-     */
+    /** Calls `run` once the store has the published state of the target, so that it outlasts all processes. */
     | { type: 'whenDurable'; run: () => void };
   store: { era: number; source: string };
   target:
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -56,7 +56,7 @@
     const { id, sequence, service, address } = section;
     report(phase, { target: id, sequence, service, address, reason });
   };
-  /** Acknowledges that the target leaves, which binds later processes of this host too, once they will learn of it. */
+  /** Acknowledges that the target leaves once the store has that, since it binds all later processes of this host. */
   const acknowledgeLeaving = (acknowledge: () => void): void => {
     board.post('members', { type: 'whenDurable', run: acknowledge });
   };
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -174,10 +174,6 @@
   failure: runFailureSchema,
   load: loadReportSchema,
 });
-/** Names one version of the record of a known host. */
-export const recordVersionSchema = Type.Object({ incarnation: Type.String(), revision: Type.Integer() });
-export type RecordVersion = Static<typeof recordVersionSchema>;
-
 export const statusFrameSchema = Type.Object({
   type: Type.Literal('status'),
   load: loadReportSchema,
@@ -189,8 +185,6 @@
   membersDigest: Type.Optional(Type.Integer()),
   /** True while the sender cannot read the configuration from the store. */
   isStoreLost: Type.Optional(Type.Boolean()),
-  /** The newest record of the receiver that the sender holds. */
-  held: Type.Optional(recordVersionSchema),
   /** The highest era of the store that the sender heard of. */
   storeEra: Type.Optional(Type.Integer()),
 });
