Remember leaves by the start of the target

Cause: a leave was applied by the id alone. One of an unknown id was acknowledged and dropped, one of a known id was taken for the start in place, and the start time that the target names in it was not read. The log line 'leave of another target' tells the first from the second. Ruled out: a record of the store, as no process is restarted in the case.

Change: a leave covers the start that it names and earlier ones of the same id, known or not. Such starts are part of the node's record, so that later processes and peers have them, and every path that would take a start into use asks for them. A late leave of an earlier start no longer takes the present one out of service.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -1,4 +1,5 @@
 import type { Controller } from '../context.js';
+import { mergeDepartures } from '../../policy/departures.js';
 import { updateDigest } from '../../policy/membersDigest.js';
 import { isAlteredCopy, isNewerMember } from '../../policy/memberOrder.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
@@ -6,7 +7,7 @@
 import type { KeyedRecord } from '../../schema/keyedStore.js';
 import { isAddress } from '../../schema/address.js';
 import { nodeMemberSchema } from '../../schema/nodeMember.js';
-import type { NodeMember } from '../../schema/nodeMember.js';
+import type { Departure, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import { compileSchema } from '../../schema/validate.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
@@ -76,6 +77,8 @@
       ? mergePublishedTargets(target, previousTarget)
       : mergePublishedTargets(previousTarget, target);
     if (isNewer) section.previousOrder = { startedAtMs, revision };
+    const departures = mergeDepartures(section.self.departures, record.departures);
+    if (departures !== undefined && departures !== section.self.departures) updateSelf({ departures });
     const inputs = { startedAtMs, revision, target: target?.id, phase: target?.phase, isNewer, source };
     board.post('decisions', { kind: 'memberChanged', outcome: 'record of an earlier process', inputs });
     // A late write of the earlier process took the place of this one's record.
@@ -84,6 +87,10 @@
     if (incarnation !== section.self.incarnation && startedAtMs >= section.self.startedAtMs)
       updateSelf({ startedAtMs: startedAtMs + 1 });
   };
+  const publishTarget = (target: PublishedTarget | undefined, added: readonly Departure[]): void => {
+    const departures = mergeDepartures(section.self.departures, added);
+    updateSelf({ ...(target === undefined ? {} : { target }), ...(departures === undefined ? {} : { departures }) });
+  };
   const remove = (host: string, reason: string): boolean => {
     const known = section.byHost.get(host);
     if (known === undefined) return false;
@@ -210,7 +217,7 @@
       durability.add(section.self.revision, post.run);
       return;
     }
-    updateSelf({ target: post.target });
+    publishTarget(post.target, post.departures);
     members.publishChange();
     ownRecord.write();
   });
--- a/src/control/requests/ownRecordWriter.ts
+++ b/src/control/requests/ownRecordWriter.ts
@@ -3,6 +3,7 @@
 import type { StoreEra } from '../../policy/storeEra.js';
 import { isStoreReadByFew } from '../../policy/storeReaders.js';
 import type { StoreWrite } from '../../schema/keyedStore.js';
+import type { NodeMember } from '../../schema/nodeMember.js';
 import type { RequestContext } from './context.js';
 import type { DurabilityWaits } from './durabilityWaits.js';
 import { isHistoryKnown } from './hostHistory.js';
@@ -59,7 +60,9 @@
     const isRestorable =
       previousTarget !== undefined &&
       findPublishedTargetFault(previousTarget, board.read('settings').current) === undefined;
-    return isRestorable || (isStoreReadByFew(byHost) && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS);
+    if (isRestorable) return true;
+    const isUnused = self.departures === undefined && isStoreReadByFew(byHost);
+    return isUnused && clock.now() - startedAtMs < FIRST_WRITE_WAIT_MS;
   };
   const setWrittenRevision = (revision: number): void => {
     writtenRevision = revision;
@@ -71,7 +74,7 @@
     if (isFirstWriteDelayed()) return;
     isWriting = true;
     const begun = board.read('store').era;
-    io.writeMember(self, (outcome) => {
+    io.writeMember(self as NodeMember, (outcome) => {
       isWriting = false;
       if (outcome.type === 'written') hasWritten = true;
       if (isInStore(board, outcome, begun)) setWrittenRevision(self.revision);
--- a/src/control/requests/requestPosts.ts
+++ b/src/control/requests/requestPosts.ts
@@ -1,7 +1,7 @@
 import type { StopPlan } from '../../policy/stopPlan.js';
 import type { Decision } from '../../schema/decision.js';
 import type { QuotaAskFrame } from '../../schema/linkFrame.js';
-import type { Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
+import type { Departure, Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
 import type { QuotaPost } from './quotaSection.js';
@@ -21,6 +21,8 @@
 export interface LeavePost {
   type: 'leave';
   id: string;
+  /** Unix time at which the target started (ms); undefined if it does not say. */
+  startedAtMs: number | undefined;
   acknowledge: () => void;
 }
 
@@ -31,7 +33,8 @@
   routes: { configuration: RouteConfiguration; source: string };
   members:
     | { type: 'apply'; members: readonly NodeMember[]; source: string; isComplete: boolean }
-    | { type: 'publishTarget'; target: PublishedTarget }
+    /** `target` is undefined while none is known; `departures` are those not published before. */
+    | { type: 'publishTarget'; target: PublishedTarget | undefined; departures: readonly Departure[] }
     /** Calls `run` once the store has the published state of the target, so that it outlasts all processes. */
     | { type: 'whenDurable'; run: () => void };
   store: { era: number; source: string };
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -3,8 +3,9 @@
 import { isSenderAlive, updateSeries } from '../../policy/heartbeatSeries.js';
 import type { HeartbeatSeries } from '../../policy/heartbeatSeries.js';
 import { findPublishedTargetFault, findTargetFault, isTargetId } from '../../policy/ownTarget.js';
-import { isFurtherLeaving } from '../../policy/targetHistory.js';
-import type { Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
+import { findFurthestPhase, isFurtherLeaving } from '../../policy/departures.js';
+import type { TargetStart } from '../../policy/departures.js';
+import type { Departure, Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
 import { createTargetRate } from './targetRate.js';
@@ -12,6 +13,7 @@
 import type { HeartbeatPost, LeavePost } from './requestPosts.js';
 import { isHistoryKnown, RESTORE_WAIT_MS } from './hostHistory.js';
 import type { TargetNotice } from './runPort.js';
+import { buildPublishedTarget } from './targetState.js';
 
 /** Number of missed heartbeat periods after which an ejected target is removed. */
 const MISSED_HEARTBEATS = 4;
@@ -30,7 +32,7 @@
   let foreignTarget: string | undefined;
   /** True once the target answered since this process knows it. */
   let hasAnswered = false;
-  const starts = createTargetStarts(section);
+  const starts = createTargetStarts(context, section);
   /** Heartbeats that were ignored as older than the last accepted one. */
   let ignored: HeartbeatSeries | undefined;
   /** The last heartbeat that may be stale, since the history is not known yet; the next one in order confirms it. */
@@ -39,15 +41,10 @@
   const report = (outcome: string, inputs: Record<string, string | number | undefined>): void => {
     board.post('decisions', { kind: 'targetChanged', outcome, inputs });
   };
-  const describeTarget = (): PublishedTarget => {
-    const { id, startedAtMs: targetStartedAtMs, sequence, phase, service, address, slots, ratePerSecond } = section;
-    const named = ratePerSecond === undefined ? {} : { ratePerSecond };
-    const state = { sequence: Math.max(0, sequence), phase, service, address, slots, ...named };
-    return { id, startedAtMs: targetStartedAtMs, ...state };
-  };
   const publish = (): void => {
     // First, so that an error in a subscriber does not keep the record from what is acknowledged next.
-    board.post('members', { type: 'publishTarget', target: describeTarget() });
+    const published = buildPublishedTarget(section);
+    board.post('members', { type: 'publishTarget', target: published, departures: starts.takeDepartures() });
     target.publishChange();
   };
   const rate = createTargetRate(context, { section, publish });
@@ -60,26 +57,22 @@
   const acknowledgeLeaving = (acknowledge: () => void): void => {
     board.post('members', { type: 'whenDurable', run: acknowledge });
   };
-  const adopt = (id: string, heartbeat: Heartbeat): void => {
-    if (!isSameStart(section, id, heartbeat.startedAtMs)) {
-      starts.recordReplaced();
-      rate.reset();
-      hasAnswered = false;
-    }
+  const replaceStart = (id: string, startedAtMs: number): void => {
+    if (isSameStart(section, id, startedAtMs)) return;
+    starts.recordReplaced();
+    rate.reset();
+    hasAnswered = false;
     section.id = id;
-    section.startedAtMs = heartbeat.startedAtMs;
+    section.startedAtMs = startedAtMs;
+    section.sequence = -1;
+  };
+  const adopt = (id: string, heartbeat: Heartbeat): void => {
+    replaceStart(id, heartbeat.startedAtMs);
     section.service = heartbeat.service;
     section.address = heartbeat.address;
     section.slots = heartbeat.slots;
     section.ejectedUntilMs = 0;
   };
-  /** True if this or an earlier process of this node acknowledged that this start of the target leaves. */
-  const hasLeft = (id: string, targetStartedAtMs: number): boolean => {
-    if (starts.wasLeaving(id, targetStartedAtMs)) return true;
-    const { previousTarget } = board.read('members');
-    const isLeaving = previousTarget?.phase === 'draining' || previousTarget?.phase === 'left';
-    return isLeaving && isSameStart(previousTarget, id, targetStartedAtMs);
-  };
   const isConfirmed = (id: string, heartbeat: Heartbeat): boolean => {
     if (isHistoryKnown(board, clock.now())) return true;
     const previous = unconfirmed;
@@ -121,8 +114,17 @@
     }
     const inputs = { target: id, sequence: heartbeat.sequence, known: section.id, knownSequence: section.sequence };
     board.post('decisions', { kind: 'heartbeatIgnored', outcome: 'older than the last accepted heartbeat', inputs });
-    // While requests are sent, a drain that is not obeyed is not acknowledged either: the sender may be the real target.
-    if (heartbeat.state === 'ready' || phase !== 'ready') acknowledge();
+    if (heartbeat.state === 'ready') acknowledge();
+    // While requests are sent under this id, a drain that is not obeyed is not acknowledged either: the sender may be the real target.
+    else if (id !== section.id || phase !== 'ready') recordDeparture({ id, ...heartbeat }, 'draining', acknowledge);
+  };
+  /** Remembers the leave of a start that is not in place, so that no later message takes it into use. */
+  const recordDeparture = (start: TargetStart, phase: Departure['phase'], acknowledge: () => void): void => {
+    if (starts.recordDeparture(start, phase)) {
+      report('leave of another start', { target: start.id, startedAtMs: start.startedAtMs, known: section.id });
+      publish();
+    }
+    acknowledgeLeaving(acknowledge);
   };
   const receiveHeartbeat = (id: string, heartbeat: Heartbeat, acknowledge: () => void): void => {
     const isKnown = isSameStart(section, id, heartbeat.startedAtMs);
@@ -130,7 +132,8 @@
       handleOlder(id, heartbeat, acknowledge);
       return;
     }
-    if (!isKnown && heartbeat.state === 'ready' && !hasLeft(id, heartbeat.startedAtMs)) {
+    const departure = starts.findDeparture({ id, startedAtMs: heartbeat.startedAtMs });
+    if (!isKnown && heartbeat.state === 'ready' && departure === undefined) {
       if (!isConfirmed(id, heartbeat)) {
         acknowledge();
         return;
@@ -143,9 +146,7 @@
     section.sequence = heartbeat.sequence;
     section.lastHeartbeatMs = clock.now();
     section.coldUntilMs = clock.now() + heartbeat.coldLeftMs;
-    const isLeaving =
-      heartbeat.state === 'draining' || previousPhase === 'draining' || hasLeft(id, heartbeat.startedAtMs);
-    const phase = previousPhase === 'left' ? 'left' : isLeaving ? 'draining' : 'ready';
+    const phase = findFurthestPhase([heartbeat.state, previousPhase, departure?.phase ?? 'none']);
     if (phase !== previousPhase) {
       enterPhase(phase, 'heartbeat');
       publish();
@@ -153,7 +154,7 @@
     if (phase === 'ready') acknowledge();
     else acknowledgeLeaving(acknowledge);
   };
-  const receiveLeave = (id: string, acknowledge: () => void): void => {
+  const receiveLeave = ({ id, startedAtMs: namedStartMs, acknowledge }: LeavePost): void => {
     const { previousTarget } = board.read('members');
     if (section.id === '' && previousTarget?.id === id) restoreTarget(previousTarget);
     if (!isTargetId(id)) {
@@ -161,18 +162,25 @@
       acknowledge();
       return;
     }
+    if (namedStartMs === undefined && starts.mayLeaveLate(id)) {
+      report('leave of an earlier or the present start', { target: id, known: section.startedAtMs });
+      return;
+    }
     if (section.id !== id) {
-      // Records the start time, since heartbeats that an unknown target sent before its leave must be ignored later.
-      if (section.id !== '') {
-        report('leave of another target', { target: id, known: section.id });
-        // Until the known target has answered, it may be the other one that is at this host.
-        if (hasAnswered || section.phase !== 'ready') acknowledge();
-        return;
-      }
-      section.id = id;
-      section.startedAtMs = clock.wallTime();
+      // Heartbeats that the target sent before its leave may arrive later.
+      recordDeparture({ id, startedAtMs: namedStartMs ?? clock.wallTime() }, 'left', acknowledge);
+      return;
     }
-    if (section.phase !== 'left') {
+    const leavingStartMs = namedStartMs ?? section.startedAtMs;
+    if (leavingStartMs < section.startedAtMs) {
+      // If another sender named the later start, requests under this id still reach the target that leaves.
+      const isObeyed = section.phase !== 'ready';
+      recordDeparture({ id, startedAtMs: leavingStartMs }, 'left', isObeyed ? acknowledge : () => undefined);
+      return;
+    }
+    const isKnown = leavingStartMs === section.startedAtMs;
+    replaceStart(id, leavingStartMs);
+    if (!isKnown || section.phase !== 'left') {
       enterPhase('left', 'leave');
       publish();
     }
@@ -192,7 +200,8 @@
     section.slots = previous.slots;
     rate.restore(previous);
     section.lastHeartbeatMs = clock.now();
-    enterPhase(previous.phase, 'published by an earlier process');
+    const departure = starts.findDeparture(previous);
+    enterPhase(findFurthestPhase([previous.phase, departure?.phase ?? 'none']), 'published by an earlier process');
     publish();
   };
   const reportForeignTarget = ({ id, service, address }: PublishedTarget, fault: string): void => {
@@ -201,7 +210,15 @@
     const inputs = { target: id, service, address, fault };
     board.post('decisions', { kind: 'faultFound', outcome: 'published target not restored', inputs });
   };
+  /** A peer that was not reached at first may know that the start in place has left. */
+  const applyDeparture = (): void => {
+    const departure = starts.findDeparture(section);
+    if (departure === undefined || !isFurtherLeaving(departure.phase, section.phase)) return;
+    enterPhase(departure.phase, 'acknowledged by an earlier process');
+    publish();
+  };
   const restorePreviousTarget = (): void => {
+    if (section.id !== '') applyDeparture();
     const { previousTarget } = board.read('members');
     if (previousTarget === undefined || previousTarget.id === '') return;
     if (section.id === '') {
@@ -209,11 +226,6 @@
       return;
     }
     if (!isSameStart(section, previousTarget.id, previousTarget.startedAtMs)) return;
-    // A peer that was not reached at first may know of a leave that the store did not have.
-    if (isFurtherLeaving(previousTarget.phase, section.phase)) {
-      enterPhase(previousTarget.phase, 'acknowledged by an earlier process');
-      publish();
-    }
     if (hasAnswered || section.ratePerSecond === previousTarget.ratePerSecond) return;
     rate.restore(previousTarget);
     target.publishChange();
@@ -256,16 +268,16 @@
     const nowMs = clock.now();
     if (nowMs < probedAtMs + MIN_PROBE_INTERVAL_MS || section.address === '') return;
     probedAtMs = nowMs;
-    const { id } = section;
+    const { id, startedAtMs } = section;
     io.probeTarget(section.address, (isUp) => {
-      if (!isUp && section.id === id) eject('refuses connections', true);
+      if (!isUp && isSameStart(section, id, startedAtMs)) eject('refuses connections', true);
     });
   };
   /** Handles a message of a target; after an error it is not acknowledged, and the target sends it again. */
   const receiveMessage = (post: HeartbeatPost | LeavePost): void => {
     try {
       if (post.type === 'heartbeat') checkHeartbeat(post);
-      else receiveLeave(post.id, post.acknowledge);
+      else receiveLeave(post);
     } catch (error) {
       reportInternalError(board, { unit: 'heartbeat', error });
     }
--- a/src/control/requests/targetState.ts
+++ b/src/control/requests/targetState.ts
@@ -1,4 +1,4 @@
-import type { TargetPhase } from '../../schema/nodeMember.js';
+import type { PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 
 /** State of the local target. Times are monotonic (ms) unless noted otherwise. */
 export interface TargetState {
@@ -19,3 +19,11 @@
   /** Time of the last answer that named a limit. */
   rateNamedAtMs: number;
 }
+
+/** Builds what is published of the local target; undefined while none is known. */
+export function buildPublishedTarget(state: Readonly<TargetState>): PublishedTarget | undefined {
+  const { id, startedAtMs, sequence, phase, service, address, slots, ratePerSecond } = state;
+  if (id === '') return undefined;
+  const named = ratePerSecond === undefined ? {} : { ratePerSecond };
+  return { id, startedAtMs, sequence: Math.max(0, sequence), phase, service, address, slots, ...named };
+}
--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -24,7 +24,7 @@
   settings: RequestSettings;
   headerNames: RequestHeaderNames;
   /** Converts the heartbeat body that the target sends into the fields of a heartbeat. */
-  decodeHeartbeat: (body: unknown) => unknown;
+  decodeTargetMessage: (body: unknown) => unknown;
   configurationTopic: KeyedTopic;
   memberTopic: KeyedTopic;
   writeMember: RequestIo['writeMember'];
@@ -117,7 +117,7 @@
     ...(maxListenerBytes === undefined ? {} : { maxHeldBytes: maxListenerBytes }),
     reportEvictions,
     isReady: () => board.read('node').phase === 'ready',
-    decodeHeartbeat: options.decodeHeartbeat,
+    decodeTargetMessage: options.decodeTargetMessage,
     receiveHeartbeat: node.receiveHeartbeat,
     receiveLeave: node.receiveLeave,
     reportInvalidHeartbeat: (outcome, inputs) => {
--- a/src/http/controlRoutes.ts
+++ b/src/http/controlRoutes.ts
@@ -1,14 +1,14 @@
 import type { AcceptRequest, ClientReply, ClientRequest } from '../control/requests/entry.js';
 import type { RunHandle } from '../control/requests/runPort.js';
 import { targetIdSchema } from '../schema/headText.js';
-import { heartbeatSchema } from '../schema/nodeMember.js';
+import { heartbeatSchema, leaveSchema } from '../schema/nodeMember.js';
 import type { Heartbeat } from '../schema/nodeMember.js';
 import { compileSchema, formatFault } from '../schema/validate.js';
 import { parseJsonBody } from './parseJsonBody.js';
 
 export interface TargetRouteOptions {
-  /** Maps the JSON body that the target sent to the fields of a heartbeat; the result is validated afterwards. */
-  decodeHeartbeat: (body: unknown) => unknown;
+  /** Maps the JSON body of a heartbeat or a leave to their fields; the result is validated afterwards. */
+  decodeTargetMessage: (body: unknown) => unknown;
   /** Handles a heartbeat; calls `acknowledge` or `refuse` once to send the response. */
   receiveHeartbeat: (
     id: string,
@@ -16,13 +16,17 @@
     acknowledge: () => void,
     refuse: (fault: string) => void,
   ) => void;
-  /** Handles the announcement that the local target leaves; calls `acknowledge` once to send the response. */
-  receiveLeave: (id: string, acknowledge: () => void) => void;
+  /**
+   * Handles the announcement that the local target leaves; calls `acknowledge` once to send the response. `startedAtMs` is the
+   * Unix time at which the target started, if it names it.
+   */
+  receiveLeave: (id: string, acknowledge: () => void, startedAtMs?: number) => void;
   /** Called with the kind of the error, the target and the first fault of an invalid heartbeat, or with an internal error. */
   reportInvalidHeartbeat: (outcome: string, inputs: Record<string, string>) => void;
 }
 
 const heartbeatValidator = compileSchema(heartbeatSchema);
+const leaveValidator = compileSchema(leaveSchema);
 const targetIdValidator = compileSchema(targetIdSchema);
 /** Time within which a message of the target is acknowledged or refused (ms); it waits for a second. */
 const MAX_ACKNOWLEDGE_MS = 900;
@@ -39,11 +43,11 @@
  * Creates the handler of heartbeats and of announcements that the target leaves.
  *
  * @example
- * const accept = createTargetRoutes({ decodeHeartbeat, receiveHeartbeat, receiveLeave, reportInvalidHeartbeat });
+ * const accept = createTargetRoutes({ decodeTargetMessage, receiveHeartbeat, receiveLeave, reportInvalidHeartbeat });
  */
 export function createTargetRoutes(options: TargetRouteOptions): AcceptRequest {
   const receiveHeartbeat = (id: string, body: unknown, reply: ClientReply): RunHandle => {
-    const value = options.decodeHeartbeat(body);
+    const value = options.decodeTargetMessage(body);
     if (heartbeatValidator.isValid(value)) {
       const acknowledgement = createAcknowledgement(reply);
       options.receiveHeartbeat(id, value, acknowledgement.acknowledge, acknowledgement.refuse);
@@ -66,7 +70,10 @@
     }
     if (message === 'heartbeat') return receiveHeartbeat(id, parseJsonBody(request.body), reply);
     const acknowledgement = createAcknowledgement(reply);
-    options.receiveLeave(id, acknowledgement.acknowledge);
+    const leave = options.decodeTargetMessage(parseJsonBody(request.body));
+    // A leave without a body, or with one that cannot be read, names no start.
+    const startedAtMs = leaveValidator.isValid(leave) ? leave.startedAtMs : undefined;
+    options.receiveLeave(id, acknowledgement.acknowledge, startedAtMs);
     return acknowledgement.handle;
   };
 }
--- a/src/node/createRequestNode.ts
+++ b/src/node/createRequestNode.ts
@@ -44,7 +44,8 @@
   readonly board: RequestBoard;
   /** Calls `acknowledge`, or `refuse` with the reason if the heartbeat is not that of this host's target. */
   receiveHeartbeat(id: string, heartbeat: Heartbeat, acknowledge: () => void, refuse?: (fault: string) => void): void;
-  receiveLeave(id: string, acknowledge: () => void): void;
+  /** `startedAtMs` is the Unix time at which the target started, if it names it. */
+  receiveLeave(id: string, acknowledge: () => void, startedAtMs?: number): void;
   start(): void;
   /** Stops accepting work for the local target; calls `done` once idle or when the grace time is almost over. */
   stop(done: () => void): void;
@@ -111,8 +112,8 @@
     receiveHeartbeat: (id, heartbeat, acknowledge, refuse = () => undefined) => {
       board.post('target', { type: 'heartbeat', id, heartbeat, acknowledge, refuse });
     },
-    receiveLeave: (id, acknowledge) => {
-      board.post('target', { type: 'leave', id, acknowledge });
+    receiveLeave: (id, acknowledge, startedAtMs) => {
+      board.post('target', { type: 'leave', id, startedAtMs, acknowledge });
     },
     start: () => {
       for (const controller of controllers) controller.start();
--- a/src/policy/targetHistory.ts
+++ b/src/policy/targetHistory.ts
@@ -1,19 +1,7 @@
-import type { NodeMember, PublishedTarget, TargetPhase } from '../schema/nodeMember.js';
+import type { NodeMember, PublishedTarget } from '../schema/nodeMember.js';
+import { isFurtherLeaving, mergeDepartures } from './departures.js';
 import { isSameStart } from './heartbeatOrder.js';
 
-/** Order of the phases of one start of a target: it may leave, but not come back. */
-const leavingRanks: Record<TargetPhase, number> = { none: 0, ready: 0, draining: 1, left: 2 };
-
-/**
- * True when a target in the first phase has come further in leaving than in the second.
- *
- * @example
- * isFurtherLeaving('left', 'draining'); // true
- */
-export function isFurtherLeaving(phase: TargetPhase, than: TargetPhase): boolean {
-  return leavingRanks[phase] > leavingRanks[than];
-}
-
 /** True when a published state says of the same start of a target that it has come further in leaving. */
 function isLeavingFurther(target: PublishedTarget | undefined, than: PublishedTarget | undefined): boolean {
   if (target === undefined || than === undefined) return false;
@@ -37,7 +25,7 @@
 }
 
 /**
- * Returns a record of a host with what an older one says of its target, as far as that still holds.
+ * Returns a record of a host with what an older one says of its target and of those that left, as far as that still holds.
  *
  * @example
  * // A restarted process may not know yet that its target has left.
@@ -45,7 +33,9 @@
  */
 export function mergeTargets(newer: NodeMember, older: NodeMember | undefined): NodeMember {
   const target = mergePublishedTargets(newer.target, older?.target);
-  return target === undefined || target === newer.target ? newer : { ...newer, target };
+  const departures = mergeDepartures(newer.departures, older?.departures);
+  if (target === newer.target && departures === newer.departures) return newer;
+  return { ...newer, ...(target === undefined ? {} : { target }), ...(departures === undefined ? {} : { departures }) };
 }
 
 /** True when a process may not know what its host is known to have acknowledged; `current` is its own record. */
--- a/src/schema/nodeMember.ts
+++ b/src/schema/nodeMember.ts
@@ -53,6 +53,22 @@
 });
 export type PublishedTarget = Static<typeof publishedTargetSchema>;
 
+/** A start of a target that announced that it leaves. Earlier starts of the same id have ended. */
+export const departureSchema = Type.Object({
+  id: Type.String({ minLength: 1 }),
+  startedAtMs: unixTime,
+  phase: Type.Union([Type.Literal('draining'), Type.Literal('left')]),
+  /** Unix time at which its node heard of it (ms). */
+  atMs: unixTime,
+});
+export type Departure = Static<typeof departureSchema>;
+
+/** The announcement of a target that it leaves. */
+export const leaveSchema = Type.Object({
+  /** Unix time at which the target started (ms); absent if it does not say. */
+  startedAtMs: Type.Optional(unixTime),
+});
+
 /** Membership record of one node. */
 export const nodeMemberSchema = Type.Object({
   host: Type.String({ minLength: 1 }),
@@ -69,5 +85,7 @@
   /** Increases with each change of the record since the process started. */
   revision: counter,
   target: Type.Optional(publishedTargetSchema),
+  /** Starts of targets at this host that left, other than `target`, oldest first; absent if there are none. */
+  departures: Type.Optional(Type.Array(departureSchema)),
 });
 export type NodeMember = Static<typeof nodeMemberSchema>;
--- a/tests/requests/controlServers.test.ts
+++ b/tests/requests/controlServers.test.ts
@@ -11,7 +11,9 @@
 describe('the listener for messages of the target', () => {
   let targetListen: string;
   let servers: ControlServers;
+  let namedStarts: (number | undefined)[];
   beforeEach(async () => {
+    namedStarts = [];
     targetListen = await findFreeAddress();
     servers = await startControlServers({
       names: testHeaderNames,
@@ -20,9 +22,10 @@
       readyListen: await findFreeAddress(),
       metricsListen: await findFreeAddress(),
       isReady: () => true,
-      decodeHeartbeat: (body) => body,
+      decodeTargetMessage: (body) => body,
       receiveHeartbeat: () => undefined,
-      receiveLeave: (id, acknowledge) => {
+      receiveLeave: (id, acknowledge, startedAtMs) => {
+        namedStarts.push(startedAtMs);
         if (id === 'broken') throw new FailureError({ kind: 'fileUnreadable', message: 'broken', path: '' });
         if (id !== 'lost') acknowledge();
       },
@@ -45,6 +48,13 @@
     expect(statuses).toEqual([200, 503, 200, 404, 404, 400]);
   });
 
+  // Guards against a leave that is taken for that of another start, and against one that is refused for its body.
+  it('should pass on the start time that a leave names, and take any other body for none', async () => {
+    const bodies = ['{"startedAtMs":1700000000000}', '{"startedAtMs":"x"}', '{"startedAtMs":-1}', '[', '', '7'];
+    for (const body of bodies) await fetch(`http://${targetListen}/v1/targets/durable/leave`, { method: 'POST', body });
+    expect(namedStarts).toEqual([1_700_000_000_000, undefined, undefined, undefined, undefined, undefined]);
+  });
+
   // Guards against a process that ends because of an error in the handling of one message.
   it('should fail only the message whose handling fails', async () => {
     const send = (id: string) => fetch(`http://${targetListen}/v1/targets/${id}/leave`, { method: 'POST' });
--- a/tests/requests/headText.test.ts
+++ b/tests/requests/headText.test.ts
@@ -32,7 +32,7 @@
       readyListen: await findFreeAddress(),
       metricsListen: await findFreeAddress(),
       isReady: () => true,
-      decodeHeartbeat: (body) => body,
+      decodeTargetMessage: (body) => body,
       receiveHeartbeat: (_id, _heartbeat, acknowledge) => {
         acknowledge();
       },
--- a/tests/requests/metrics.test.ts
+++ b/tests/requests/metrics.test.ts
@@ -43,7 +43,7 @@
       readyListen: await findFreeAddress(),
       metricsListen,
       isReady: () => true,
-      decodeHeartbeat: (body) => body,
+      decodeTargetMessage: (body) => body,
       receiveHeartbeat: () => undefined,
       receiveLeave: () => undefined,
       reportInvalidHeartbeat: () => undefined,
