Write the own record again when a late write of the same process replaced it

Cause: the writer trusted the response to its last write; only records of earlier processes made it write again. Ruled out: a leave that was never written (the store has it for a while).

Change: the record at the highest offset counts, also when it is an older revision of the same process; the response to a write tells its offset. Deletions and malformed records under the key take the same path.

--- a/src/control/requests/memberController.ts
+++ b/src/control/requests/memberController.ts
@@ -81,8 +81,6 @@
     if (departures !== undefined && departures !== section.self.departures) updateSelf({ departures });
     const inputs = { startedAtMs, revision, target: target?.id, phase: target?.phase, isNewer, source };
     board.post('decisions', { kind: 'memberChanged', outcome: 'record of an earlier process', inputs });
-    // A late write of the earlier process took the place of this one's record.
-    if (source === STORE_SOURCE && ownRecord.hasWritten()) ownRecord.markLost();
     // The wall clock may have been set back since the earlier process started.
     if (incarnation !== section.self.incarnation && startedAtMs >= section.self.startedAtMs)
       updateSelf({ startedAtMs: startedAtMs + 1 });
@@ -153,10 +151,8 @@
   const updateStoreState = (isReached: boolean): void => {
     section.storeReadAtMs = isReached ? clock.now() : undefined;
   };
-  /** Handles a deletion in the store. A node whose own record was deleted writes it again. */
   const removeDeleted = (host: string): void => {
-    if (host === section.self.host) ownRecord.markLost();
-    else if (remove(host, 'its record was deleted')) members.publishChange();
+    if (remove(host, 'its record was deleted')) members.publishChange();
   };
   const recordComplete = (): void => {
     section.isComplete = true;
@@ -184,21 +180,21 @@
     ownRecord.write();
     return changed;
   };
-  /** Reports a malformed record. A node whose own record was replaced by one writes it again. */
-  const handleMalformed = ({ key, value, offset }: KeyedRecord): void => {
+  const reportMalformed = ({ key, value, offset }: KeyedRecord): void => {
     const [fault] = validator.listFaults(value);
     const inputs = { host: key, offset, path: fault?.path, found: fault?.found };
     board.post('decisions', { kind: 'faultFound', outcome: 'malformed member record', inputs });
-    if (key === section.self.host) ownRecord.markLost();
   };
   /** Handles deletions and malformed records; returns the valid ones. */
   const selectValid = (records: readonly KeyedRecord[]): NodeMember[] => {
     const valid: NodeMember[] = [];
     for (const record of records) {
-      const { key, value } = record;
-      if (value === undefined) removeDeleted(key);
-      else if (validator.isValid(value)) valid.push(value);
-      else handleMalformed(record);
+      const { key, value, offset } = record;
+      const member = validator.isValid(value) ? value : undefined;
+      if (key === section.self.host) ownRecord.observe(member, offset);
+      if (member !== undefined) valid.push(member);
+      else if (value === undefined) removeDeleted(key);
+      else reportMalformed(record);
     }
     return valid;
   };
--- a/src/control/requests/ownRecordWriter.ts
+++ b/src/control/requests/ownRecordWriter.ts
@@ -20,12 +20,14 @@
 
 /** Keeps this node's own record in the platform's store up to date. */
 export interface OwnRecordWriter {
-  /** True once the store has had a record of this process. */
-  hasWritten(): boolean;
   /** Writes the record unless the store has its last revision. */
   write(): void;
-  /** Notes that the store has lost the record, or has another one in its place; the next `write` writes it again. */
-  markLost(): void;
+  /**
+   * Notes what the store has under the key of this host at an offset; undefined for a deletion or a malformed record. The last
+   * record counts, whatever was written before it: a write without a response may be carried out over a newer one. The next
+   * `write` writes the present record again if the store has another one.
+   */
+  observe(record: NodeMember | undefined, offset: number): void;
   /** Writes the record again, since the store has lost what was written after the copy that it was restored from. */
   restart(): void;
   stop(): void;
@@ -43,6 +45,8 @@
   const { board, clock, random, io } = context;
   const startedAtMs = clock.now();
   let writtenRevision = -1;
+  /** Offset of the last record under the key of this host that this process knows of; -1 if there is none. */
+  let lastOffset = -1;
   let hasWritten = false;
   let isWriting = false;
   /** The revision that was refused, until its next attempt is due. */
@@ -68,6 +72,13 @@
     writtenRevision = revision;
     durability.setWrittenRevision(revision);
   };
+  const observeWritten = (revision: number, outcome: StoreWrite): void => {
+    const offset = outcome.type === 'written' ? outcome.offset : undefined;
+    // A later record was read before the response arrived.
+    if (offset !== undefined && offset < lastOffset) return;
+    lastOffset = offset ?? lastOffset;
+    setWrittenRevision(revision);
+  };
   const write = (): void => {
     const { self } = board.read('members');
     if (isWriting || isStopped || failedRevision === self.revision || writtenRevision >= self.revision) return;
@@ -77,7 +88,7 @@
     io.writeMember(self as NodeMember, (outcome) => {
       isWriting = false;
       if (outcome.type === 'written') hasWritten = true;
-      if (isInStore(board, outcome, begun)) setWrittenRevision(self.revision);
+      if (isInStore(board, outcome, begun)) observeWritten(self.revision, outcome);
       else if (begun === board.read('store').era) {
         scheduleRetry(self.revision, outcome);
         return;
@@ -97,12 +108,21 @@
     failedRevision = revision;
   };
   return {
-    hasWritten: () => hasWritten,
     write,
-    markLost: () => {
-      setWrittenRevision(-1);
+    observe: (record, offset) => {
+      if (offset <= lastOffset) return;
+      lastOffset = offset;
+      const { incarnation, revision } = board.read('members').self;
+      const isOwn = record?.incarnation === incarnation && record.revision <= revision;
+      const storedRevision = isOwn ? record.revision : -1;
+      if (storedRevision < writtenRevision) {
+        const inputs = { offset, storedRevision, writtenRevision, incarnation: record?.incarnation };
+        board.post('decisions', { kind: 'storeChanged', outcome: 'own record replaced in the store', inputs });
+      }
+      setWrittenRevision(storedRevision);
     },
     restart: () => {
+      lastOffset = -1;
       cancelRetry();
       failedRevision = -1;
       setWrittenRevision(-1);
--- a/src/schema/keyedStore.ts
+++ b/src/schema/keyedStore.ts
@@ -26,7 +26,8 @@
 
 /** Result of a write; after `unknown` the write may have been applied, or be applied later. */
 export const storeWriteSchema = Type.Union([
-  Type.Object({ type: Type.Literal('written'), era }),
+  /** `offset` is that of the record; absent if the store does not tell it. */
+  Type.Object({ type: Type.Literal('written'), offset: Type.Optional(Type.Integer({ minimum: 0 })), era }),
   Type.Object({ type: Type.Literal('refused'), detail: Type.String(), era }),
   Type.Object({ type: Type.Literal('unknown'), detail: Type.String() }),
 ]);
--- a/tests/requests/ownRecord.test.ts
+++ b/tests/requests/ownRecord.test.ts
@@ -1,6 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createRequestFleet } from '../fixtures/requestFleet.js';
+import { stockConfiguration, stockHosts } from '../fixtures/stockFleet.js';
+import { readStored } from '../fixtures/storeCopyFleet.js';
 
 describe('the record of a host in the store', () => {
   // Guards against a host that later processes do not find, since another writer replaced its record.
@@ -14,4 +16,47 @@
       expect(newest).toEqual(fleet.nodes.get('a1')?.board.read('members').self);
     });
   }
+
+  // Guards against a late write of the same process that replaces an acknowledged leave, and is found by the next process.
+  for (const isRead of [true, false])
+    it(`should be written again when a late write of the same process replaced it${isRead ? '' : ' before the response to the newer one'}`, () => {
+      const fleet = createRequestFleet({
+        hosts: stockHosts,
+        configuration: stockConfiguration,
+        sendsHeartbeats: false,
+      });
+      fleet.store.delayWrites('a2', { count: 1, lateMs: 2500 });
+      for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+      if (!isRead) fleet.store.delayResponses('a2', { count: 1, lateMs: 700 });
+      let isAcknowledged = false;
+      for (let attempt = 0; attempt < 3; attempt++) {
+        fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+          isAcknowledged = true;
+        });
+        fleet.clock.advance(1000);
+      }
+      expect(isAcknowledged).toEqual(true);
+      fleet.clock.advance(3000);
+      const newest = readStored(fleet, 'a2');
+      expect([newest?.target?.phase, newest?.revision]).toEqual([
+        'left',
+        fleet.nodes.get('a2')?.board.read('members').self.revision,
+      ]);
+      for (const { host } of stockHosts) fleet.killNode(host);
+      for (const { host } of stockHosts) fleet.startNode(host);
+      fleet.clock.advance(2000);
+      for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+      expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+    });
+
+  // Guards against a node that writes its record again for each older one that it reads behind its last write.
+  it('should be written once for each change, also when its older revisions are read later', () => {
+    const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
+    const before = fleet.store.calls.writes;
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    fleet.sendHeartbeat('a2', { sequence: 3, state: 'draining' });
+    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => undefined);
+    fleet.clock.advance(30_000);
+    expect(fleet.store.calls.writes - before).toEqual(3);
+  });
 });
