--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -167,7 +167,7 @@
       abandonEntry(entry, limitRefusal(entry, step.refusal));
       return;
     }
-    const candidate = chooseNext(entry);
+    const candidate = chooseAfter(entry, attempt, failure);
     const isRetryFutile = failure.kind === 'targetFailed' && (isDemandLimited() || !isHealthy(candidate));
     if (candidate === undefined || isRetryFutile) {
       abandonEntry(entry, limitRefusal(entry, createNoTargetRefusal(entry, failure)));
@@ -176,6 +176,13 @@
     if (step.type === 'retry') board.post('budgets', { type: 'retry', service: entry.service });
     send(entry, candidate);
   };
+  /** Chooses the next target; one that may only have closed an idle connection is used again if there is no other. */
+  const chooseAfter = (entry: Entry, { host }: RunAttempt, { isStale }: RunFailure): TargetCandidate | undefined => {
+    const candidate = chooseNext(entry);
+    if (candidate !== undefined || isStale !== true) return candidate;
+    entry.triedHosts.delete(host);
+    return chooseNext(entry);
+  };
   /** Returns the error response of a target if there is one, since it is more specific than a refusal by the node. */
   const abandonEntry = (entry: Entry, refusal: Refusal): void => {
     if (entry.failedAnswer === undefined || entry.isAnswering) callbacks.refuse(entry, refusal);
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -99,8 +99,11 @@
   };
   const fail = (run: Run, failure: RunFailure): void => {
     if (run.phase !== 'running') return;
-    samples.addFailure(failure.kind !== 'timedOut');
-    recovery.observeRun(run, true);
+    // A connection that the target closed while it was idle says nothing of its health.
+    if (failure.isStale !== true) {
+      samples.addFailure(failure.kind !== 'timedOut');
+      recovery.observeRun(run, true);
+    }
     samples.addServed(failure.ran !== 'no');
     if (failure.kind === 'connectionLost') {
       board.post('quarantine', { type: 'requestLost', fingerprint: computeFingerprint(run.request) });
--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -23,8 +23,10 @@
   readonly isConnected: boolean;
   /** True while the connection can carry another request. */
   readonly isReusable: boolean;
-  /** True if it carried a request before, so that the target may have closed it while it was idle. */
+  /** True if it carried a request before the present one. */
   readonly isReused: boolean;
+  /** Monotonic time (ms) at which the pool handed it out. */
+  takenAtMs: number;
   /** Id of the previous request; empty if there was none. */
   lastRequestId: string;
   /** Monotonic time (ms) at which the connection became idle. */
@@ -160,6 +162,7 @@
       return state.useCount > 1;
     },
     lastRequestId: '',
+    takenAtMs: 0,
     idleSinceMs: 0,
     idleTimeoutMs: DEFAULT_IDLE_TIMEOUT_MS,
     start: ({ head, body, method, isStreamed }) => {
--- a/src/http/targetConnectionPool.ts
+++ b/src/http/targetConnectionPool.ts
@@ -8,11 +8,18 @@
   take(address: string, maxIdleMs: number): TargetConnection;
   /** Returns a connection to the pool for reuse. */
   release(address: string, connection: TargetConnection): void;
+  /**
+   * Handles the failure of a connection before any answer. Returns true if it was stale, since the target closed it while it was
+   * idle; then closes the connections that have been idle for longer.
+   */
+  discardStale(address: string, failed: TargetConnection): boolean;
   /** Closes all idle connections. */
   stop(): void;
 }
 
 const SWEEP_INTERVAL_MS = 1000;
+/** Time after its reuse in which the failure of a connection shows that it was closed before (ms). */
+const MAX_STALE_FAILURE_MS = 100;
 
 /** Creates the pool of connections to the target on this host, which keeps idle connections by address. */
 export function createTargetConnectionPool(clock: Clock): TargetConnectionPool {
@@ -40,13 +47,16 @@
       for (let latest = idle?.at(-1); idle !== undefined && latest !== undefined; latest = idle.at(-1)) {
         if (isUsable(latest, maxIdleMs)) {
           idle.pop();
+          latest.takenAtMs = clock.now();
           return latest;
         }
         if (isUsable(latest, Infinity)) break;
         idle.pop();
         latest.destroy();
       }
-      return openTargetConnection(address);
+      const opened = openTargetConnection(address);
+      opened.takenAtMs = clock.now();
+      return opened;
     },
     release: (address, connection) => {
       connection.idleSinceMs = clock.now();
@@ -54,6 +64,12 @@
       if (idle === undefined) idleByAddress.set(address, [connection]);
       else idle.push(connection);
     },
+    discardStale: (address, { isReused, takenAtMs, idleSinceMs }) => {
+      if (!isReused || clock.now() - takenAtMs > MAX_STALE_FAILURE_MS) return false;
+      const idle = idleByAddress.get(address) ?? [];
+      for (const connection of idle) if (connection.idleSinceMs <= idleSinceMs) connection.destroy();
+      return true;
+    },
     stop: () => {
       stopSweeps();
       for (const idle of idleByAddress.values()) for (const connection of idle) connection.destroy();
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -77,6 +77,8 @@
   ran: ranSchema,
   /** True when the request was written to a target, so that it counts as an arrival there. */
   hasArrived: Type.Boolean(),
+  /** True when a reused connection failed at once: the target may have closed it while it was idle. Absent otherwise. */
+  isStale: Type.Optional(Type.Boolean()),
   detail: Type.String(),
   /** Time until the target is expected to have room (ms); absent if unknown. */
   roomMs: Type.Optional(Type.Number()),
