Blame crashes on what no target has answered, and refuse it after three

And each crash blamed all that ran there alike: no success was ever reported, and the fingerprint left out the caller. Ruled out: reports that do not reach all nodes (a test of the fake fleet).

--- a/src/control/requests/entryAttempts.ts
+++ b/src/control/requests/entryAttempts.ts
@@ -5,6 +5,7 @@
 import { limitRetryDelay } from '../../policy/shedDelay.js';
 import { chooseTarget, chooseTrial } from '../../policy/targetChoice.js';
 import { createDefaultSpeeds } from '../../policy/targetSpeed.js';
+import type { SuspectVerdict } from '../../policy/quarantine.js';
 import type { TargetCandidate } from '../../policy/targetChoice.js';
 import type { RunFailure } from '../../schema/linkFrame.js';
 import type { Refusal } from '../../schema/refusal.js';
@@ -14,6 +15,7 @@
 import type { Entry } from './entry.js';
 import type { RunAnswer, RunAttempt } from './runPort.js';
 import type { RequestSections } from './sections.js';
+import { readSuspectVerdict } from './suspectRuns.js';
 
 /** Callbacks that report the outcome of an entry to its owner. */
 export interface EntryCallbacks {
@@ -30,6 +32,8 @@
   sendEntry(entry: Entry): void;
   /** Limits the delay after which the client of a refused request should retry (ms) to what it honours; adds jitter. */
   limitRetryDelay(entry: Entry, delayMs: number): number;
+  /** Returns how the request is handled by what is known of crashes. */
+  readVerdict(entry: Entry): SuspectVerdict;
   /** Cancels the current attempt. */
   cancelEntry(entry: Entry): void;
 }
@@ -97,6 +101,11 @@
     if (isOwnHost) board.post('runs', { type: 'accept', attempt });
     else board.post('links', { type: 'send', attempt, isUrgent: entry.isUrgent });
   };
+  const readVerdict = ({ request, organisation }: Entry): SuspectVerdict => {
+    const callerService = board.read('settings').current.service;
+    const fingerprinted = { ...request, callerService, organisation: organisation?.name };
+    return readSuspectVerdict(board, fingerprinted, clock.now());
+  };
   const describeAttempt = (entry: Entry, failure: RunFailure): FailedAttempt => ({
     failure,
     isIdempotent: entry.route.isIdempotent,
@@ -104,6 +113,7 @@
     arrivals: entry.arrivals,
     maxAttempts: entry.route.maxAttempts,
     offers: entry.offers,
+    verdict: readVerdict(entry),
     hasRetryToken: hasRetryToken(board.read('budgets').byService.get(entry.service)),
     timeLeftMs: entry.deadlineAtMs - clock.now(),
     expectedMs: latencyByRoute.get(entry.route.name)?.meanMs ?? 0,
@@ -216,6 +226,7 @@
       else send(entry, candidate);
     },
     limitRetryDelay: limitEntryDelay,
+    readVerdict,
     cancelEntry: (entry) => {
       entry.attempt?.handle?.cancel();
     },
--- a/src/control/requests/entryController.ts
+++ b/src/control/requests/entryController.ts
@@ -1,12 +1,10 @@
 import { hashToUnit } from '../../core/hash.js';
 import { addMatch, addMatches } from '../../policy/callMatches.js';
 import { RETRY_AFTER_MS } from '../../policy/nextStep.js';
-import { computeFingerprint } from '../../policy/fingerprint.js';
 import { formatKind } from '../../policy/requestKind.js';
 import { choosePart } from '../../policy/partChoice.js';
 import { findParentRun } from '../../policy/parentRun.js';
 import { estimateRoomDelay } from '../../policy/shedDelay.js';
-import { resolveSuspect } from '../../policy/quarantine.js';
 import { computeStopRetryDelay, isTakenWhileStopping } from '../../policy/stopPlan.js';
 import { findCaller } from '../../policy/organisations.js';
 import { findRoute, listParts } from '../../policy/routeTable.js';
@@ -234,7 +232,7 @@
     return false;
   };
   const startEntry = (entry: Entry): void => {
-    if (isQuarantined(entry.request)) {
+    if (attempts.readVerdict(entry) === 'refuse') {
       refuse(entry, { kind: 'quarantined', detail: 'requests with this fingerprint crash their targets' });
       return;
     }
@@ -258,11 +256,6 @@
     const kind = formatKind(route, priority);
     return organisationFractions.get(kind)?.get(organisation?.name ?? '') ?? fractions.get(kind);
   };
-  const isQuarantined = (request: ClientRequest): boolean => {
-    const { byFingerprint } = board.read('quarantine');
-    if (byFingerprint.size === 0) return false;
-    return resolveSuspect(byFingerprint.get(computeFingerprint(request)), clock.now()) === 'refuse';
-  };
   const buildHandle = (entry: Entry): RunHandle => ({
     cancel: () => {
       if (entry.isEnded) return;
--- a/src/control/requests/linkController.ts
+++ b/src/control/requests/linkController.ts
@@ -115,8 +115,7 @@
       outgoing.send(post.frame, post.host);
       return;
     }
-    const { reportId, fingerprints } = post;
-    outgoing.send({ type: 'crash', reportId, fingerprints: [...fingerprints] });
+    outgoing.send({ type: 'crash', ...post.report });
   });
   return {
     acceptLink,
--- a/src/control/requests/peerUpdates.ts
+++ b/src/control/requests/peerUpdates.ts
@@ -98,8 +98,7 @@
       } else if (frame.type === 'configuration') {
         board.post('routes', { configuration: frame.configuration, source: host });
       } else if (frame.type === 'crash') {
-        const { reportId, fingerprints } = frame;
-        board.post('quarantine', { type: 'report', reportId, fingerprints, source: host });
+        board.post('quarantine', { type: 'report', report: frame, source: host });
       } else if (frame.type === 'pull') {
         respondToPull(frame.what, connection);
       } else if (frame.type === 'quotaAsk') {
--- a/src/control/requests/requestPosts.ts
+++ b/src/control/requests/requestPosts.ts
@@ -1,6 +1,6 @@
 import type { StopPlan } from '../../policy/stopPlan.js';
 import type { Decision } from '../../schema/decision.js';
-import type { QuotaAskFrame } from '../../schema/linkFrame.js';
+import type { CrashReport, QuotaAskFrame } from '../../schema/linkFrame.js';
 import type { Departure, Heartbeat, NodeMember, PublishedTarget } from '../../schema/nodeMember.js';
 import type { RequestSettings } from '../../schema/requestSettings.js';
 import type { RouteConfiguration } from '../../schema/routeConfiguration.js';
@@ -51,7 +51,7 @@
   links:
     /** `isUrgent`: it may take the lane of urgent requests. */
     | { type: 'send'; attempt: RunAttempt; isUrgent: boolean }
-    | { type: 'crash'; reportId: string; fingerprints: readonly number[] }
+    | { type: 'crash'; report: CrashReport }
     /** Passes records that were read from the store to the peers in the own data centre. */
     | { type: 'members'; members: readonly NodeMember[] }
     | { type: 'quotaAsk'; host: string; frame: QuotaAskFrame };
@@ -63,8 +63,12 @@
   budgets: { type: 'request'; service: string } | { type: 'retry'; service: string };
   quotas: QuotaPost;
   quarantine:
-    | { type: 'report'; reportId: string; fingerprints: readonly number[]; source: string }
+    | { type: 'report'; report: CrashReport; source: string }
     | { type: 'requestLost'; fingerprint: number }
+    /** The local target answered a request that ran at a crash. */
+    | { type: 'requestAnswered'; fingerprint: number }
+    /** A single request runs after a quarantine. */
+    | { type: 'trialStarted'; fingerprint: number }
     | { type: 'targetCrashed'; targetId: string };
   decisions: Decision;
 }
--- a/src/control/requests/run.ts
+++ b/src/control/requests/run.ts
@@ -1,5 +1,6 @@
 import { computeEffectivePriority } from '../../policy/excessRequests.js';
 import type { RunUnderWay } from '../../policy/parentRun.js';
+import type { SuspectVerdict } from '../../policy/quarantine.js';
 import type { QueuedRun } from '../../policy/runQueue.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { RunEvents, RunHandle } from './runPort.js';
@@ -14,6 +15,8 @@
   /** Receives the outcome. */
   readonly events: RunEvents;
   phase: 'queued' | 'running' | 'ended';
+  /** How the request was handled by what was known of crashes on its arrival. */
+  readonly verdict: SuspectVerdict;
   /** 0 until the request is sent to the target. */
   startedAtMs: number;
   /** True once the target answered with an error. */
@@ -29,11 +32,12 @@
 export function createRun(options: {
   request: RunRequest;
   events: RunEvents;
+  verdict: SuspectVerdict;
   nowMs: number;
   /** Expected duration (ms). */
   costMs: number;
 }): Run {
-  const { request, events, nowMs, costMs } = options;
+  const { request, events, verdict, nowMs, costMs } = options;
   return {
     request,
     route: request.route,
@@ -45,6 +49,7 @@
     deadlineAtMs: nowMs + request.timeLeftMs,
     worthUntilMs: nowMs + request.worthLeftMs,
     events,
+    verdict,
     phase: 'queued',
     startedAtMs: 0,
     isDropped: false,
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -1,5 +1,4 @@
 import { isTargetFailure } from '../../policy/nextStep.js';
-import { computeFingerprint } from '../../policy/fingerprint.js';
 import type { RunFailure, RunFailureKind } from '../../schema/linkFrame.js';
 import type { Controller } from '../context.js';
 import type { RequestContext } from './context.js';
@@ -10,6 +9,7 @@
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
 import { createRunSamples } from './runSamples.js';
 import { addPace } from '../../policy/paceHint.js';
+import { createSuspectRuns } from './suspectRuns.js';
 import { createTargetGate } from './targetGate.js';
 import { createTargetRecovery } from './targetRecovery.js';
 import { createWaitingBodies } from './waitingBodies.js';
@@ -19,6 +19,7 @@
 const ABANDON_DELAY_MS = 15;
 /** Failures that show that the target as a whole does not work. */
 const ejectingFailures: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
+const QUARANTINED = 'requests with this fingerprint crash their targets';
 /** Number of consecutive requests without an answer in time after which the target is ejected. */
 const EJECT_AFTER_TIMEOUTS = 5;
 
@@ -31,6 +32,7 @@
   const samples = createRunSamples(section, clock);
   const bodies = createWaitingBodies();
   const recovery = createTargetRecovery(context, section);
+  const suspects = createSuspectRuns(context);
   let consecutiveTimeouts = 0;
 
   const countResult = (result: string): void => {
@@ -72,6 +74,7 @@
   const end = (run: Run, outcome: string, detail: string): void => {
     run.phase = 'ended';
     run.cancelDeadline();
+    suspects.end(run);
     running.delete(run);
     countResult(outcome);
     reportRun(run, outcome, detail);
@@ -92,6 +95,7 @@
     samples.addFailure(run.hasFailed);
     // A target may fail requests because of their calls, which says nothing about its own room.
     if (!run.hasFailed) recovery.observeRun(run, false);
+    if (!run.hasFailed && !answer.isStreamed) suspects.recordAnswer(run.request);
     samples.addServed(true);
     board.post('target', { type: 'answered' });
     if (!answer.isStreamed) endAnswered(run, `status ${answer.status}`);
@@ -105,8 +109,8 @@
       recovery.observeRun(run, true);
     }
     samples.addServed(failure.ran !== 'no');
-    if (failure.kind === 'connectionLost') {
-      board.post('quarantine', { type: 'requestLost', fingerprint: computeFingerprint(run.request) });
+    if (failure.kind === 'connectionLost' || failure.kind === 'answerTruncated') {
+      suspects.recordLost(run.request);
       board.post('target', { type: 'suspect' });
     }
     if (ejectingFailures.has(failure.kind)) {
@@ -164,7 +168,10 @@
   };
   const receivePart = (run: Run, data: Uint8Array, isLast: boolean): void => {
     if (run.phase !== 'running') return;
-    if (isLast) endAnswered(run, 'streamed');
+    if (isLast) {
+      if (!run.hasFailed) suspects.recordAnswer(run.request);
+      endAnswered(run, 'streamed');
+    }
     run.events.part(data, isLast);
   };
   const takeBody = (run: Run): WaitingBody | undefined => {
@@ -200,11 +207,13 @@
     while (running.size < limit && queue.length > 0 && gate.admitNext()) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
       if (run === undefined) return;
-      if (run.deadlineAtMs > clock.now())
+      if (run.deadlineAtMs <= clock.now()) endExpired(run);
+      // The crashes may have been reported while it waited.
+      else if (suspects.isRefused(run)) refuseRun(run, 'quarantined', QUARANTINED);
+      else
         runContained(run, () => {
           start(run);
         });
-      else endExpired(run);
     }
   };
   const gate = createTargetGate(context, { section, startQueued });
@@ -212,6 +221,7 @@
   const endQueued = (run: Run): void => {
     run.phase = 'ended';
     run.cancelDeadline();
+    suspects.end(run);
     takeBody(run);
   };
   const refuseRun = (run: Run, kind: RunFailureKind, detail: string): void => {
@@ -274,8 +284,17 @@
       refuse(events, 'leaving', `the target ${id} is leaving`);
       return;
     }
+    const verdict = suspects.readVerdict(request);
+    if (verdict === 'refuse') {
+      refuse(events, 'quarantined', QUARANTINED);
+      return;
+    }
+    if (verdict === 'wait') {
+      refuse(events, 'queueFull', `the target ${id} already runs a request that is suspected of crashing targets`);
+      return;
+    }
     const costMs = Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs);
-    const run = createRun({ request, events, nowMs, costMs });
+    const run = createRun({ request, events, verdict, nowMs, costMs });
     const waitMs = gate.findExcessiveWait(run);
     if (waitMs !== undefined) {
       const { ratePerSecond } = board.read('target');
@@ -289,6 +308,7 @@
       refuse(events, 'queueFull', detail, slotWaitMs);
       return;
     }
+    suspects.add(run);
     run.cancelDeadline = deadlines.add(computeQueueDeadline(run), () => {
       expire(run);
     });
--- a/src/policy/nextStep.ts
+++ b/src/policy/nextStep.ts
@@ -1,4 +1,5 @@
 import type { RunFailure } from '../schema/linkFrame.js';
+import type { SuspectVerdict } from './quarantine.js';
 import type { Refusal } from '../schema/refusal.js';
 
 /** State of a request after a failed attempt. */
@@ -13,6 +14,8 @@
   /** Nodes that refused the request before it reached a target. */
   offers: number;
   hasRetryToken: boolean;
+  /** How the request is handled by what is known of crashes. */
+  verdict: SuspectVerdict;
   timeLeftMs: number;
   /** Minimum expected duration of another attempt (ms). */
   expectedMs: number;
@@ -46,6 +49,8 @@
 export function decideNextStep(attempt: FailedAttempt): NextStep {
   const { failure, isRepeatable } = attempt;
   const hasTime = attempt.timeLeftMs > attempt.expectedMs;
+  if (attempt.verdict === 'refuse')
+    return { type: 'refuse', refusal: buildRefusal({ ...failure, kind: 'quarantined' }) };
   if (!failure.hasArrived) {
     if (isRepeatable && hasTime && attempt.offers < MAX_OFFERS) return { type: 'offer' };
     return { type: 'refuse', refusal: buildRefusal(failure) };
@@ -57,7 +62,8 @@
 /** True when a request that may have reached a target may be sent to another one. */
 function isRetryAllowed(attempt: FailedAttempt): boolean {
   const { failure, isRepeatable, isIdempotent, timeLeftMs, expectedMs, arrivals, maxAttempts } = attempt;
-  const mayRepeat = isRepeatable && (failure.ran === 'no' || isIdempotent);
+  // A suspect that may have run may have crashed the target, and would crash the next one.
+  const mayRepeat = isRepeatable && (failure.ran === 'no' || (isIdempotent && attempt.verdict === 'run'));
   return mayRepeat && timeLeftMs > expectedMs && arrivals < maxAttempts && attempt.hasRetryToken;
 }
 
--- a/src/policy/quarantine.ts
+++ b/src/policy/quarantine.ts
@@ -7,8 +7,10 @@
 export type SuspectVerdict = 'run' | 'runSuspect' | 'trial' | 'refuse';
 
 export interface QuarantineOptions {
-  /** Duration for which a fingerprint is refused after its second crash (ms); doubled by each crash in a trial. */
+  /** Duration for which a fingerprint is refused after its last crash (ms); doubled by each crash in a trial. */
   quarantineMs: number;
+  /** Number of crashes without a success between them after which a fingerprint is refused; 2 by default. */
+  maxCrashes?: 2 | 3;
 }
 
 /** Maximum duration of a quarantine; see docs/design.md, section 4.8. */
@@ -17,15 +19,19 @@
 const TRIAL_TIMEOUT_MS = 60_000;
 
 /**
- * Applies a crash report: the first marks a fingerprint as suspect, a second one without a success between them
- * quarantines it.
+ * Applies a crash report: the next to last of `maxCrashes` marks a fingerprint as suspect, the last one without a success
+ * between them quarantines it.
  */
 export function applyCrash(
   known: SuspectState | undefined,
   nowMs: number,
-  { quarantineMs }: QuarantineOptions,
+  { quarantineMs, maxCrashes = 2 }: QuarantineOptions,
 ): SuspectState {
-  if (known === undefined) return { phase: 'suspect', untilMs: nowMs, periodMs: quarantineMs };
+  if (known === undefined) {
+    const phase = maxCrashes > 2 ? 'reported' : 'suspect';
+    return { phase, untilMs: nowMs, periodMs: quarantineMs };
+  }
+  if (known.phase === 'reported') return { ...known, phase: 'suspect', untilMs: nowMs };
   if (known.phase === 'quarantined' && nowMs < known.untilMs) return { ...known };
   const periodMs = known.phase === 'suspect' ? known.periodMs : Math.min(MAX_QUARANTINE_MS, known.periodMs * 2);
   return { phase: 'quarantined', untilMs: nowMs + periodMs, periodMs };
@@ -44,7 +50,7 @@
  * resolveSuspect({ phase: 'suspect', ... }, nowMs); // runSuspect
  */
 export function resolveSuspect(known: SuspectState | undefined, nowMs: number): SuspectVerdict {
-  if (known === undefined) return 'run';
+  if (known === undefined || known.phase === 'reported') return 'run';
   if (known.phase === 'suspect') return 'runSuspect';
   return nowMs < known.untilMs ? 'refuse' : 'trial';
 }
--- a/src/schema/linkFrame.ts
+++ b/src/schema/linkFrame.ts
@@ -206,12 +206,18 @@
   type: Type.Literal('configuration'),
   configuration: routeConfigurationSchema,
 });
-/** Fingerprints of the requests that were running when a target crashed. */
-export const crashFrameSchema = Type.Object({
-  type: Type.Literal('crash'),
+/** What a node learned of fingerprints; each report is forwarded once. */
+export const crashReportSchema = Type.Object({
   reportId: Type.String(),
+  /** Those of the requests that were running when a target crashed. */
   fingerprints: Type.Array(Type.Integer()),
+  /** Those that a target answered, which ends the suspicion; absent if there are none. */
+  cleared: Type.Optional(Type.Array(Type.Integer())),
+  /** Those of which a single request runs after a quarantine; absent if there are none. */
+  trials: Type.Optional(Type.Array(Type.Integer())),
 });
+export type CrashReport = Static<typeof crashReportSchema>;
+export const crashFrameSchema = Type.Composite([Type.Object({ type: Type.Literal('crash') }), crashReportSchema]);
 
 /** Tokens of one organisation that a host wants. */
 export const quotaWantSchema = Type.Object({
--- a/src/schema/state.ts
+++ b/src/schema/state.ts
@@ -114,9 +114,17 @@
 
 /** State of a request fingerprint that was running when a target crashed. Times in ms. */
 export const suspectStateSchema = Type.Object({
-  /** `suspect` after one crash, `quarantined` after two, `trial` while a single request may run after a quarantine. */
-  phase: Type.Union([Type.Literal('suspect'), Type.Literal('quarantined'), Type.Literal('trial')]),
-  /** Monotonic time at which the quarantine or the trial ends; for a suspect the time of the crash. */
+  /**
+   * `reported` after a crash that raises no suspicion yet, `suspect` after the next to last crash before the quarantine,
+   * `quarantined` after the last one, `trial` while a single request may run after a quarantine.
+   */
+  phase: Type.Union([
+    Type.Literal('reported'),
+    Type.Literal('suspect'),
+    Type.Literal('quarantined'),
+    Type.Literal('trial'),
+  ]),
+  /** Monotonic time at which the quarantine or the trial ends; before the quarantine the time of the crash. */
   untilMs: Type.Number(),
   /** Duration of the quarantine. */
   periodMs: Type.Number(),
