Test that heads with invalid field names and status 000 reach no client

Clients of another installation got answers in whose head the name of a field held a blank or a control byte, and answers with the status 000. The code as it is already refuses both: nothing of it is changed.

--- a/tests/trust/targetStatus.test.ts
+++ b/tests/trust/targetStatus.test.ts
@@ -2,16 +2,30 @@
 import { expect } from 'earl';
 import { createTargetClient } from '../../src/http/targetClient.js';
 import type { TargetOutcome } from '../../src/schema/call.js';
+import { formatName, INVALID_NAME_BYTES, listBrokenNames } from '../fixtures/brokenHeads.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
+import type { RawTarget } from '../fixtures/rawTarget.js';
 
-describe('the status that a target responds with', () => {
+describe('the head of a response to a service call', () => {
   const cleanups: (() => unknown)[] = [];
   afterEach(async () => {
     for (const run of cleanups.splice(0)) await run();
   });
 
+  function sendCall(target: RawTarget): Promise<TargetOutcome> {
+    const client = createTargetClient({ connections: 1 });
+    cleanups.push(client.stop, target.stop);
+    return new Promise((resolve) => {
+      const call = { service: 's', operation: 'o', contentType: 'text/plain', body: new Uint8Array() };
+      const context = { token: 't', requestId: 'r', deadlineMs: 1000, address: `http://${target.address}` };
+      client.callTarget({ ...call, ...context }, resolve);
+    });
+  }
+
   // Guards against an answer that the reply to the caller refuses by throwing, and that peers refuse by ending the stream.
   for (const [status, type] of [
+    ['000', 'failure'],
+    ['099', 'failure'],
     [200, 'answer'],
     [599, 'answer'],
     [600, 'failure'],
@@ -21,14 +35,20 @@
       const target = await startRawTarget((socket) => {
         socket.write(`HTTP/1.1 ${status} x\r\nContent-Length: 0\r\n\r\n`);
       });
-      const client = createTargetClient({ connections: 1 });
-      cleanups.push(client.stop, target.stop);
-      const outcome = await new Promise<TargetOutcome>((resolve) => {
-        const call = { service: 's', operation: 'o', contentType: 'text/plain', body: new Uint8Array() };
-        const context = { token: 't', requestId: 'r', deadlineMs: 1000, address: `http://${target.address}` };
-        client.callTarget({ ...call, ...context }, resolve);
-      });
+      const outcome = await sendCall(target);
       expect(outcome.type).toEqual(type);
     });
   }
+
+  // Guards against an answer with a line or a body that is not the target's.
+  it('should not be passed on with a field name that holds an invalid byte', async () => {
+    const passedOn: string[] = [];
+    for (const name of ['X-Odd', ...INVALID_NAME_BYTES.flatMap(listBrokenNames)]) {
+      const target = await startRawTarget((socket) => {
+        socket.end(`HTTP/1.1 200 OK\r\n${name}: 5\r\nContent-Length: 4\r\n\r\nbody`, 'latin1');
+      });
+      if ((await sendCall(target)).type === 'answer') passedOn.push(formatName(name));
+    }
+    expect(passedOn).toEqual(['X-Odd']);
+  });
 });
