Resume a connection to a target at the end of each response

Cause: the last part of an answer can use up the credit and pause the connection. The grant that would resume it comes after the request has ended and is dropped, and the connection goes back to the pool paused. Ruled out: a response that is skipped as a repeated one (no byte of it is read).

Change: reading resumes when a response ends. Test: 'should read the next response after an answer whose last part used up its flow control' times out before and passes now.

--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -111,6 +111,8 @@
       if (!shouldKeepAlive || !state.isRequestWritten) state.isReusable = false;
       const ended = events;
       events = undefined;
+      // A pause belongs to the response that ended: nobody resumes reading for the next one.
+      socket.resume();
       ended?.end();
     },
   });
--- a/tests/requests/targetSenderConnections.test.ts
+++ b/tests/requests/targetSenderConnections.test.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
+import { STREAM_WINDOW_BYTES } from '../../src/schema/linkFrame.js';
 import { buildRunRequest, collectRun } from '../fixtures/requests.js';
 import { waitUntil } from '../fixtures/sampleFleet.js';
 import { createTargetSends, OK_HEAD } from '../fixtures/targetSends.js';
@@ -121,6 +122,46 @@
     expect(target.received[0]?.includes('GET')).toEqual(false);
   });
 
+  // Guards against a request that gets no answer until its time limit, on a connection that the last answer left paused.
+  it('should read the next response after an answer whose last part used up its flow control', async () => {
+    const body = 'x'.repeat(300_000);
+    const target = await startTarget((socket, _chunk, index) => {
+      if (index === 0) socket.write(`${OK_HEAD}Content-Length: ${body.length}\r\n\r\n${body}`);
+      else socket.write(`${OK_HEAD.replace('r1', 'r2')}Content-Length: 0\r\n\r\n`);
+    });
+    const send = createSend();
+    const sent = { address: target.address, targetId: 'i-1' };
+    const first = collectRun();
+    let receivedBytes = 0;
+    let creditBytes = STREAM_WINDOW_BYTES;
+    const handle = send(
+      { ...sent, request: buildRunRequest() },
+      {
+        ...first.events,
+        answer: (answer) => {
+          receivedBytes += answer.body.length;
+          first.events.answer(answer);
+        },
+        part: (data, isLast) => {
+          receivedBytes += data.length;
+          first.events.part(data, isLast);
+          creditBytes -= data.length;
+          // A credit of one byte lets each part use it up; after the last one nobody grants any more.
+          if (creditBytes > 0 || receivedBytes === body.length) return;
+          setImmediate(handle.grantAnswer, 1 - creditBytes);
+          creditBytes = 1;
+        },
+      },
+    );
+    expect((await first.end).type).toEqual('answered');
+    const second = collectRun();
+    send({ ...sent, request: buildRunRequest({ requestId: 'r2' }) }, second.events);
+    let hasEnded = false;
+    void second.end.then(() => (hasEnded = true));
+    await waitUntil('the second response was read', () => hasEnded);
+    expect([(await second.end).type, target.connections.length]).toEqual(['answered', 1]);
+  });
+
   // Guards against a second send that no retry policy decides on: to a leaving target, or with a request that crashed it.
   for (const lateMs of [0, 200]) {
     it(`should not send an idempotent request again when its reused connection is reset after ${lateMs} ms`, async () => {
