--- a/src/soak/faultPlan.ts
+++ b/src/soak/faultPlan.ts
@@ -1,9 +1,11 @@
 import { createRandom, generateExponential } from '../core/random.js';
-import { faultKindSchema } from './soakTypes.js';
+import { fleetFaultSchema, senderFaultSchema } from './soakTypes.js';
 import type { FaultKind, PlannedFault } from './soakTypes.js';
 
 /** Mean time between the starts of two faults; shorter than most faults, so that they overlap. */
 const MEAN_INTERVAL_MS = 900;
+/** Mean time between the starts of two faults of senders. */
+const MEAN_SENDER_INTERVAL_MS = 2500;
 const MIN_FAULT_MS = 300;
 const MAX_FAULT_MS = 2500;
 /** Time from the start of the load to the first fault. */
@@ -11,20 +13,35 @@
 /** Time without faults at the end of a run, in which the fleet recovers. */
 export const RECOVERY_MS = 6000;
 
+export interface FaultPlanOptions {
+  seed: number;
+  hosts: readonly string[];
+  durationMs: number;
+}
+
 /**
  * Generates a series of overlapping faults; the same seed gives the same series.
  *
  * @example
  * const plan = createFaultPlan({ seed: 7, hosts: ['a1', 'a2'], durationMs: 30_000 });
  */
-export function createFaultPlan(options: {
-  seed: number;
-  hosts: readonly string[];
-  durationMs: number;
-}): PlannedFault[] {
-  const { seed, hosts, durationMs } = options;
+export function createFaultPlan(options: FaultPlanOptions): PlannedFault[] {
+  const fleetKinds = fleetFaultSchema.anyOf.map((literal) => literal.const);
+  const senderKinds = senderFaultSchema.anyOf.map((literal) => literal.const);
+  // A series of its own, so that a seed keeps the faults of the fleet that it had before there were senders.
+  const senderSeries = { ...options, seed: ~options.seed, meanIntervalMs: MEAN_SENDER_INTERVAL_MS };
+  return [
+    ...createSeries(fleetKinds, { ...options, meanIntervalMs: MEAN_INTERVAL_MS }),
+    ...createSeries(senderKinds, senderSeries),
+  ].sort((left, right) => left.atMs - right.atMs);
+}
+
+function createSeries(
+  kinds: readonly FaultKind[],
+  options: FaultPlanOptions & { meanIntervalMs: number },
+): PlannedFault[] {
+  const { seed, hosts, durationMs, meanIntervalMs } = options;
   const random = createRandom(seed);
-  const kinds = faultKindSchema.anyOf.map((literal) => literal.const) as FaultKind[];
   const plan: PlannedFault[] = [];
   const lastMs = durationMs - RECOVERY_MS - MAX_FAULT_MS;
   let atMs = FIRST_FAULT_AT_MS;
@@ -35,7 +52,7 @@
       host: hosts[Math.floor(random() * hosts.length)] ?? '',
       durationMs: Math.round(MIN_FAULT_MS + random() * (MAX_FAULT_MS - MIN_FAULT_MS)),
     });
-    atMs += generateExponential(random, MEAN_INTERVAL_MS);
+    atMs += generateExponential(random, meanIntervalMs);
   }
   return plan;
 }
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -2,8 +2,17 @@
 import { checkInvariants } from './checkInvariants.js';
 import type { SoakBounds } from './checkInvariants.js';
 import { RECOVERY_MS, createFaultPlan } from './faultPlan.js';
-import { soakRoutes } from './soakTypes.js';
-import type { PlannedFault, SoakFleet, SoakRecords, SoakStoreFault, SoakTargetFault, Violation } from './soakTypes.js';
+import { senderFaultSchema, soakRoutes } from './soakTypes.js';
+import type {
+  FaultKind,
+  PlannedFault,
+  SoakFleet,
+  SoakRecords,
+  SoakSenderFault,
+  SoakStoreFault,
+  SoakTargetFault,
+  Violation,
+} from './soakTypes.js';
 
 export interface SoakOptions {
   seed: number;
@@ -39,6 +48,7 @@
   targetLosesAnswers: 'losesAnswer',
   targetRejects: 'rejects',
 };
+const senderFaults: ReadonlySet<string> = new Set(senderFaultSchema.anyOf.map((literal) => literal.const));
 /** Interval at which each node is checked for the version of its configuration. */
 const VERSION_CHECK_INTERVAL_MS = 400;
 const LOOP_INTERVAL_MS = 10;
@@ -94,6 +104,9 @@
       fleet.setTargetFault(host, targetFault);
       await wait(durationMs);
       fleet.setTargetFault(host, 'none');
+    } else if (isSenderFault(kind)) {
+      await fleet.runSenderFault({ kind, host, durationMs });
+      return;
     } else if (kind === 'publish') {
       published.version++;
       published.atMs = performance.now();
@@ -148,3 +161,7 @@
   const served = records.requests.filter(({ status }) => status === 200).length;
   return { seed, faults, requests: records.requests.length, served, violations };
 }
+
+function isSenderFault(kind: FaultKind): kind is SoakSenderFault {
+  return senderFaults.has(kind);
+}
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -1,8 +1,19 @@
 import { Type } from '@sinclair/typebox';
 import type { Static } from '@sinclair/typebox';
 
-/** Faults that a soak test injects. */
-export const faultKindSchema = Type.Union([
+/** What clients and writers that nobody controls send. It excuses no violation of an invariant. */
+export const senderFaultSchema = Type.Union([
+  /** Many clients at one listener of the node that do not keep to its protocol or its limits. */
+  Type.Literal('clientCrowd'),
+  /** Heartbeats of the host's target with an address to which no connection can be opened. */
+  Type.Literal('oddHeartbeats'),
+  /** Member records of hosts that do not exist, which are too large or cannot be reached. */
+  Type.Literal('oddRecords'),
+]);
+export type SoakSenderFault = Static<typeof senderFaultSchema>;
+
+/** Faults of nodes, targets, the store and the operator that a soak test injects. */
+export const fleetFaultSchema = Type.Union([
   /** Stops the node gracefully (SIGTERM), then starts it again. */
   Type.Literal('stopNode'),
   /** Kills the node (SIGKILL), then starts it again. */
@@ -35,6 +46,8 @@
   /** Publishes a new version of the configuration. */
   Type.Literal('publish'),
 ]);
+
+export const faultKindSchema = Type.Union([fleetFaultSchema, senderFaultSchema]);
 export type FaultKind = Static<typeof faultKindSchema>;
 
 /** A fault of a fault plan. */
@@ -127,6 +140,8 @@
   setTargetFault(host: string, fault: SoakTargetFault): void;
   /** Drains a target and starts another in its place; resolves with undefined if the drain was not acknowledged. */
   replaceTarget(host: string): Promise<AcknowledgedDrain | undefined>;
+  /** Resolves at the end of the fault. */
+  runSenderFault(fault: { kind: SoakSenderFault; host: string; durationMs: number }): Promise<void>;
   publish(version: number): void;
   /** Resolves with status -1 if the connection was refused. */
   send(host: string, request: { requestId: string; route: string }): Promise<{ status: number; body: string }>;
