Split the admission of runs and the ejection of targets from their controllers

The refusals of a run stood in `accept` as five early returns that mix decision and answer. Change: runAdmission.ts decides whether a run is taken and returns a typed refusal, runReport.ts builds the decision of its end, targetEjection.ts holds the ejection and probes of the local target. The verdict on arrival has one type, ArrivalVerdict. The example of startSet.ts names what the set is used for. No change of behaviour.

--- a/src/control/requests/run.ts
+++ b/src/control/requests/run.ts
@@ -8,6 +8,12 @@
 /** Share of the mean duration of its route below which the time left of a request is too short to start it. */
 const MIN_DURATION_SHARE = 0.5;
 
+/**
+ * How a request is handled on its arrival by what is known of crashes: of several suspects one runs and the others `wait` at
+ * another node, as a crash could be due to each of them.
+ */
+export type ArrivalVerdict = SuspectVerdict | 'wait';
+
 /** One request at the node of its target. Times are monotonic (ms). */
 export interface Run extends QueuedRun, RunUnderWay {
   readonly request: RunRequest;
@@ -16,7 +22,7 @@
   readonly events: RunEvents;
   phase: 'queued' | 'running' | 'ended';
   /** How the request was handled by what was known of crashes on its arrival. */
-  readonly verdict: SuspectVerdict;
+  readonly verdict: ArrivalVerdict;
   /** 0 until the request is sent to the target. */
   startedAtMs: number;
   /** True once the target answered with an error. */
@@ -32,7 +38,7 @@
 export function createRun(options: {
   request: RunRequest;
   events: RunEvents;
-  verdict: SuspectVerdict;
+  verdict: ArrivalVerdict;
   nowMs: number;
   /** Expected duration (ms). */
   costMs: number;
--- a/src/control/requests/runController.ts
+++ b/src/control/requests/runController.ts
@@ -6,7 +6,10 @@
 import { readAdvertisedPhase, readRunLimit } from './localLoad.js';
 import { computeQueueDeadline, createRun } from './run.js';
 import type { Run } from './run.js';
+import { createRunAdmission, quarantined } from './runAdmission.js';
+import type { RunRefusal } from './runAdmission.js';
 import type { RunAnswer, RunAttempt, RunEvents } from './runPort.js';
+import { reportRunEnd } from './runReport.js';
 import { createRunSamples } from './runSamples.js';
 import { addPace } from '../../policy/paceHint.js';
 import { createSuspectRuns } from './suspectRuns.js';
@@ -19,7 +22,6 @@
 const ABANDON_DELAY_MS = 15;
 /** Failures that show that the target as a whole does not work. */
 const ejectingFailures: ReadonlySet<RunFailureKind> = new Set(['unreachable', 'misdirected']);
-const QUARANTINED = 'requests with this fingerprint crash their targets';
 /** Number of consecutive requests without an answer in time after which the target is ejected. */
 const EJECT_AFTER_TIMEOUTS = 5;
 
@@ -35,10 +37,13 @@
   const suspects = createSuspectRuns(context);
   let consecutiveTimeouts = 0;
 
+  const reportRun = (run: Run, outcome: string, detail: string): void => {
+    reportRunEnd(context, { run, section, outcome, detail });
+  };
   const countResult = (result: string): void => {
     counts.set(result, (counts.get(result) ?? 0) + 1);
   };
-  const refuse = (events: RunEvents, kind: RunFailureKind, detail: string, roomMs?: number): void => {
+  const refuse = (events: RunEvents, { kind, detail, roomMs }: RunRefusal): void => {
     countResult(kind);
     events.fail({
       kind,
@@ -48,29 +53,6 @@
       ...(roomMs === undefined ? {} : { roomMs: Math.round(roomMs) }),
     });
   };
-  const reportRun = (run: Run, outcome: string, detail: string): void => {
-    const nowMs = clock.now();
-    const { requestId, service, route, organisation } = run.request;
-    const { id: target, phase } = board.read('target');
-    const inputs = {
-      service,
-      route,
-      ...(organisation === undefined ? {} : { organisation }),
-      target,
-      targetPhase: phase,
-      waitedMs: Math.round((run.startedAtMs || nowMs) - run.arrivedAtMs),
-      ranMs: run.startedAtMs === 0 ? 0 : Math.round(nowMs - run.startedAtMs),
-      running: running.size,
-      queued: queue.length,
-      detail,
-    };
-    board.post('decisions', {
-      kind: outcome === 'answered' ? 'runEnded' : 'runFailed',
-      id: requestId,
-      outcome,
-      inputs,
-    });
-  };
   const end = (run: Run, outcome: string, detail: string): void => {
     run.phase = 'ended';
     run.cancelDeadline();
@@ -197,19 +179,19 @@
     if (isKept) return;
     queue.drop(run);
     reportRun(run, 'queueFull', `no room for its body beside ${bodies.bytes} bytes of others`);
-    refuseRun(run, 'queueFull', 'the node keeps no more bodies of waiting requests');
+    refuseRun(run, { kind: 'queueFull', detail: 'the node keeps no more bodies of waiting requests' });
   };
   const startQueued = (): void => {
     const limit = readRunLimit(board);
     gate.updateRate();
     for (const run of gate.takeTooLate())
-      refuseRun(run, 'queueFull', 'the target takes fewer requests than wait for it');
+      refuseRun(run, { kind: 'queueFull', detail: 'the target takes fewer requests than wait for it' });
     while (running.size < limit && queue.length > 0 && gate.admitNext()) {
       const run = queue.takeNext(clock.now(), duration.meanMs);
       if (run === undefined) return;
       if (run.deadlineAtMs <= clock.now()) endExpired(run);
       // The crashes may have been reported while it waited.
-      else if (suspects.isRefused(run)) refuseRun(run, 'quarantined', QUARANTINED);
+      else if (suspects.isRefused(run)) refuseRun(run, quarantined);
       else
         runContained(run, () => {
           start(run);
@@ -217,6 +199,7 @@
     }
   };
   const gate = createTargetGate(context, { section, startQueued });
+  const admission = createRunAdmission(context, { section, gate });
   /** Ends a request that was not sent to the target. */
   const endQueued = (run: Run): void => {
     run.phase = 'ended';
@@ -224,9 +207,9 @@
     suspects.end(run);
     takeBody(run);
   };
-  const refuseRun = (run: Run, kind: RunFailureKind, detail: string): void => {
+  const refuseRun = (run: Run, refusal: RunRefusal): void => {
     endQueued(run);
-    refuse(run.events, kind, detail);
+    refuse(run.events, refusal);
   };
   /** After a pause of this process, an answer may be read before the deadline timer runs. */
   const endExpired = (run: Run): void => {
@@ -274,38 +257,17 @@
   const accept = (attempt: RunAttempt): void => {
     const { request, events } = attempt;
     const nowMs = clock.now();
-    const { service, id } = board.read('target');
-    const phase = readAdvertisedPhase(board, nowMs);
-    if (service !== request.service || phase === 'none' || phase === 'left') {
-      refuse(events, 'noTarget', `the target ${id} is ${phase} and serves ${service}`);
-      return;
-    }
-    if (phase === 'draining') {
-      refuse(events, 'leaving', `the target ${id} is leaving`);
-      return;
-    }
     const verdict = suspects.readVerdict(request);
-    if (verdict === 'refuse') {
-      refuse(events, 'quarantined', QUARANTINED);
-      return;
-    }
-    if (verdict === 'wait') {
-      refuse(events, 'queueFull', `the target ${id} already runs a request that is suspected of crashing targets`);
+    const refusal = admission.findTargetRefusal(request, verdict);
+    if (refusal !== undefined) {
+      refuse(events, refusal);
       return;
     }
     const costMs = Math.max(1, durationByRoute.get(request.route)?.meanMs ?? duration.meanMs);
     const run = createRun({ request, events, verdict, nowMs, costMs });
-    const waitMs = gate.findExcessiveWait(run);
-    if (waitMs !== undefined) {
-      const { ratePerSecond } = board.read('target');
-      const detail = `the target ${id} takes ${ratePerSecond ?? 0} requests/s, a wait of ${Math.round(waitMs)} ms`;
-      refuse(events, 'queueFull', detail, waitMs);
-      return;
-    }
-    const slotWaitMs = estimateSlotWait(run);
-    if (nowMs + slotWaitMs + run.costMs > run.deadlineAtMs && slotWaitMs > 0) {
-      const detail = `${queue.length} requests wait, which takes ${Math.round(slotWaitMs)} ms`;
-      refuse(events, 'queueFull', detail, slotWaitMs);
+    const waitRefusal = admission.findWaitRefusal(run);
+    if (waitRefusal !== undefined) {
+      refuse(events, waitRefusal);
       return;
     }
     suspects.add(run);
@@ -324,16 +286,11 @@
     queue.add(run);
     startQueued();
   };
-  /** Estimates how long a new request would wait for a slot (ms); 0 if none waits before it. */
-  const estimateSlotWait = (run: Run): number => {
-    const limit = readRunLimit(board);
-    return running.size < limit ? 0 : (queue.countAhead(run) / limit) * duration.meanMs;
-  };
   const refuseQueued = (): void => {
     const phase = readAdvertisedPhase(board, clock.now());
     if (phase === 'ready') return;
     for (const run of queue.takeAll())
-      refuseRun(run, phase === 'draining' ? 'leaving' : 'noTarget', `the target is ${phase}`);
+      refuseRun(run, { kind: phase === 'draining' ? 'leaving' : 'noTarget', detail: `the target is ${phase}` });
   };
   const handleTargetChange = (): void => {
     recovery.followTarget();
--- a/src/control/requests/startSet.ts
+++ b/src/control/requests/startSet.ts
@@ -13,8 +13,8 @@
  * Creates an empty set.
  *
  * @example
- * const departed = createStartSet();
- * departed.add('i-1', 1_600_000_000_000);
+ * const refuted = createStartSet();
+ * refuted.add('i-1', 1_600_000_000_000);
  */
 export function createStartSet(): StartSet {
   const keys = new Set<string>();
--- a/src/control/requests/suspectRuns.ts
+++ b/src/control/requests/suspectRuns.ts
@@ -4,7 +4,7 @@
 import type { SuspectVerdict } from '../../policy/quarantine.js';
 import type { RunRequest } from '../../schema/linkFrame.js';
 import type { RequestContext } from './context.js';
-import type { Run } from './run.js';
+import type { ArrivalVerdict, Run } from './run.js';
 import type { RequestBoard } from './sections.js';
 
 /** Time after an answer in which a request with the same fingerprint is not blamed for a crash (ms). */
@@ -22,11 +22,8 @@
 
 /** The requests at the local target that are suspected of crashing targets. */
 export interface SuspectRuns {
-  /**
-   * Returns how a request is handled: one of several suspects waits at another node, as a crash could be due to each of them.
-   * `wait` stands for that.
-   */
-  readVerdict(request: RunRequest): SuspectVerdict | 'wait';
+  /** Returns how a request is handled that arrives now. */
+  readVerdict(request: RunRequest): ArrivalVerdict;
   /** Notes that a request is taken, whose verdict is that of its arrival. */
   add(run: Run): void;
   /** True if a request may not start, since crashes were reported while it waited. */
--- a/src/control/requests/targetController.ts
+++ b/src/control/requests/targetController.ts
@@ -8,6 +8,7 @@
 import type { Departure, Heartbeat, PublishedTarget, TargetPhase } from '../../schema/nodeMember.js';
 import { reportInternalError } from './containment.js';
 import type { RequestContext } from './context.js';
+import { createTargetEjection } from './targetEjection.js';
 import { createTargetRate } from './targetRate.js';
 import { createTargetStarts } from './targetStarts.js';
 import type { HeartbeatPost, LeavePost } from './requestPosts.js';
@@ -15,19 +16,11 @@
 import type { TargetNotice } from './runPort.js';
 import { buildPublishedTarget } from './targetState.js';
 
-/** Number of missed heartbeat periods after which an ejected target is removed. */
-const MISSED_HEARTBEATS = 4;
-/** Time for which a target that refused connections or stopped answering is ejected (ms). */
-const EJECTION_MS = 400;
-/** Minimum time between two probes of a target (ms). */
-const MIN_PROBE_INTERVAL_MS = 200;
-
 /** Writes the state of the local target, from heartbeats, leaves and the state that an earlier process published. */
 export function createTargetController(context: RequestContext): Controller {
-  const { board, clock, io } = context;
+  const { board, clock } = context;
   const target = board.claim('target', 'targetController');
   const { section } = target;
-  let probedAtMs = -Infinity;
   /** Id of the last published target that was not restored. */
   let foreignTarget: string | undefined;
   /** True once the target answered since this process knows it. */
@@ -53,6 +46,16 @@
     const { id, sequence, service, address } = section;
     report(phase, { target: id, sequence, service, address, reason });
   };
+  const ejection = createTargetEjection(context, {
+    section,
+    publishChange: () => {
+      target.publishChange();
+    },
+    remove: (reason) => {
+      enterPhase('none', reason);
+      publish();
+    },
+  });
   /** Acknowledges that the target leaves once the store has that, since it binds all later processes of this host. */
   const acknowledgeLeaving = (acknowledge: () => void): void => {
     board.post('members', { type: 'whenDurable', run: acknowledge });
@@ -238,41 +241,9 @@
     enterPhase('draining', 'named in an answer');
     publish();
   };
-  const checkHeartbeats = (): void => {
-    const { heartbeatMs } = board.read('settings').current;
-    const sinceHeartbeatMs = clock.now() - section.lastHeartbeatMs;
-    if (section.phase !== 'ready' || sinceHeartbeatMs < MISSED_HEARTBEATS * heartbeatMs) return;
-    if (section.ejectedUntilMs === 0) return;
-    enterPhase('none', `no heartbeat for ${Math.round(sinceHeartbeatMs)} ms`);
-    publish();
-  };
-  const restoreEjected = (): void => {
-    if (section.ejectedUntilMs === 0) return;
-    section.ejectedUntilMs = 0;
-    report('answers again', { target: section.id });
-    target.publishChange();
-  };
-  const eject = (reason: string, isDown: boolean): void => {
-    const wasEjected = section.ejectedUntilMs !== 0;
-    section.ejectedUntilMs = clock.now() + EJECTION_MS;
-    if (!wasEjected) report('ejected', { target: section.id, reason });
-    if (isDown) board.post('quarantine', { type: 'targetCrashed', targetId: section.id });
-    checkHeartbeats();
-    target.publishChange();
-  };
   const receiveRefutation = (id: string, startedAtMs: number): void => {
     if (starts.recordRefuted(id, startedAtMs)) report('refuted', { target: id, address: section.address });
   };
-  /** Checks with a new connection whether the target crashed, after a connection to it was lost. */
-  const probe = (): void => {
-    const nowMs = clock.now();
-    if (nowMs < probedAtMs + MIN_PROBE_INTERVAL_MS || section.address === '') return;
-    probedAtMs = nowMs;
-    const { id, startedAtMs } = section;
-    io.probeTarget(section.address, (isUp) => {
-      if (!isUp && isSameStart(section, id, startedAtMs)) eject('refuses connections', true);
-    });
-  };
   /** Handles a message of a target; after an error it is not acknowledged, and the target sends it again. */
   const receiveMessage = (post: HeartbeatPost | LeavePost): void => {
     try {
@@ -284,12 +255,12 @@
   };
   target.handlePosts((post) => {
     if (post.type === 'heartbeat' || post.type === 'leave') receiveMessage(post);
-    else if (post.type === 'answered') restoreEjected();
-    else if (post.type === 'suspect') probe();
+    else if (post.type === 'answered') ejection.restore();
+    else if (post.type === 'suspect') ejection.probe();
     else if (post.type === 'refuted') receiveRefutation(post.id, post.startedAtMs);
     else if (post.type === 'notice') {
       if (isSameStart(section, post.id, post.startedAtMs)) receiveNotice(post.notice, post.sentAtMs);
-    } else eject(post.reason, post.isDown);
+    } else ejection.eject(post.reason, post.isDown);
   });
   return {
     start: () => {
