Let the store refuse late writes of a node's own record by a fencing token

What callers saw: a target that was told that its leave is recorded gets requests again. Cause: writes of one key are ordered by their arrival at the store, not by when they were sent. Ruled out: `at`, which makes a write conditional on the end of the partition, since all nodes write to the same one; sequence numbers of one epoch, since after a write without a response the next one has either number, and a wrong one gets the response of the other. Change: each write of the own record has an epoch of its own at the store, from `src/policy/fencingTokens.ts`: the start of the process (Unix ms) or one more than the last. The store turns away lower ones with 409, reported as `fenced`. After a clock that was set back the token advances by 1 s, 2 s, 4 s and so on. The stand-in store keeps producers, epochs and repeats. No further call is made.

--- a/src/control/requests/context.ts
+++ b/src/control/requests/context.ts
@@ -52,6 +52,12 @@
   durationMs: number;
 }
 
+/** A write of the record of this host. */
+export interface MemberWrite {
+  readonly member: NodeMember;
+  readonly fencingToken: number;
+}
+
 /** The side effects of a request node, passed in as functions. */
 export interface RequestIo {
   sendToTarget: SendToTarget;
@@ -62,7 +68,8 @@
   configurationTopic: KeyedTopic;
   /** Records of type `NodeMember`, keyed by host. */
   memberTopic: KeyedTopic;
-  writeMember: (member: NodeMember, done: (outcome: StoreWrite) => void) => void;
+  /** Writes the record of this host, unless the store has accepted one with a higher fencing token. */
+  writeMember: (write: MemberWrite, done: (outcome: StoreWrite) => void) => void;
   /** Deletes the record of a host that no longer exists. */
   dropMember: (host: string, done: (outcome: StoreWrite) => void) => void;
   recordDuration: (sample: DurationSample) => void;
--- a/src/control/requests/ownRecordWriter.ts
+++ b/src/control/requests/ownRecordWriter.ts
@@ -1,3 +1,9 @@
+import {
+  recordAcceptedToken,
+  createFencingTokens,
+  advanceFencingTokens,
+  takeFencingToken,
+} from '../../policy/fencingTokens.js';
 import { findPublishedTargetFault } from '../../policy/ownTarget.js';
 import { isWriteOfEra } from '../../policy/storeEra.js';
 import type { StoreEra } from '../../policy/storeEra.js';
@@ -24,7 +30,7 @@
   write(): void;
   /**
    * Notes what the store has under the key of this host at an offset; undefined for a deletion or a malformed record. The last
-   * record counts, whatever was written before it: a write without a response may be carried out over a newer one. The next
+   * record counts, whatever was written before it: a store may carry out a write without a response over a newer one. The next
    * `write` writes the present record again if the store has another one.
    */
   observe(record: NodeMember | undefined, offset: number): void;
@@ -44,6 +50,7 @@
 export function createOwnRecordWriter(context: RequestContext, durability: DurabilityWaits): OwnRecordWriter {
   const { board, clock, random, io } = context;
   const startedAtMs = clock.now();
+  const tokens = createFencingTokens();
   let writtenRevision = -1;
   /** Offset of the last record under the key of this host that this process knows of; -1 if there is none. */
   let lastOffset = -1;
@@ -85,20 +92,24 @@
     if (isFirstWriteDelayed()) return;
     isWriting = true;
     const begun = board.read('store').era;
-    io.writeMember(self as NodeMember, (outcome) => {
+    const fencingToken = takeFencingToken(tokens, self.startedAtMs);
+    io.writeMember({ member: self as NodeMember, fencingToken }, (outcome) => {
       isWriting = false;
-      if (outcome.type === 'written') hasWritten = true;
+      if (outcome.type === 'written') {
+        hasWritten = true;
+        recordAcceptedToken(tokens);
+      } else if (outcome.type === 'fenced') advanceFencingTokens(tokens);
       if (isInStore(board, outcome, begun)) observeWritten(self.revision, outcome);
       else if (begun === board.read('store').era) {
-        scheduleRetry(self.revision, outcome);
+        scheduleRetry(self.revision, fencingToken, outcome);
         return;
       }
       write();
     });
   };
-  const scheduleRetry = (revision: number, outcome: StoreWrite): void => {
+  const scheduleRetry = (revision: number, fencingToken: number, outcome: StoreWrite): void => {
     const detail = outcome.type === 'written' ? 'response of an earlier era' : outcome.detail;
-    const inputs = { revision, detail };
+    const inputs = { revision, fencingToken, detail };
     board.post('decisions', { kind: 'storeChanged', outcome: `own record ${outcome.type}`, inputs });
     cancelRetry();
     cancelRetry = clock.schedule(WRITE_RETRY_MS * (0.5 + random()), () => {
--- a/src/schema/keyedStore.ts
+++ b/src/schema/keyedStore.ts
@@ -29,6 +29,8 @@
   /** `offset` is that of the record; absent if the store does not tell it. */
   Type.Object({ type: Type.Literal('written'), offset: Type.Optional(Type.Integer({ minimum: 0 })), era }),
   Type.Object({ type: Type.Literal('refused'), detail: Type.String(), era }),
+  /** The store has accepted a write of the same key with a higher fencing token. */
+  Type.Object({ type: Type.Literal('fenced'), detail: Type.String(), era }),
   Type.Object({ type: Type.Literal('unknown'), detail: Type.String() }),
 ]);
 export type StoreWrite = Static<typeof storeWriteSchema>;
--- a/tests/requests/ownRecord.test.ts
+++ b/tests/requests/ownRecord.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import type { NodeMember } from '../../src/schema/nodeMember.js';
 import { createRequestFleet } from '../fixtures/requestFleet.js';
 import { stockConfiguration, stockHosts } from '../fixtures/stockFleet.js';
 import { readStored } from '../fixtures/storeCopyFleet.js';
@@ -49,6 +50,39 @@
       expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
     });
 
+  // Guards against a late write over an acknowledged leave, while no process lives that would notice it.
+  it('should keep the leave when an earlier write is carried out after all nodes were killed', () => {
+    const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
+    fleet.store.isFencing = true;
+    fleet.store.delayWrites('a2', { count: 1, lateMs: 6000 });
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    fleet.clock.advance(1000);
+    let isAcknowledged = false;
+    for (let attempt = 0; attempt < 3; attempt++) {
+      fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
+        isAcknowledged = true;
+      });
+      fleet.clock.advance(1000);
+    }
+    expect(isAcknowledged).toEqual(true);
+    for (const { host } of stockHosts) fleet.killNode(host);
+    fleet.clock.advance(6000);
+    for (const { host } of stockHosts) fleet.startNode(host);
+    fleet.clock.advance(2000);
+    for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
+    expect(fleet.nodes.get('a2')?.board.read('target').phase).toEqual('left');
+  });
+
+  // Guards against a host that is fenced off for as long as the wall clock was set back.
+  it('should be written although an earlier process used higher tokens', () => {
+    const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration });
+    fleet.store.isFencing = true;
+    const DAY_MS = 86_400_000;
+    fleet.store.write('a2', 'a2', undefined, () => undefined, fleet.clock.wallTime() + DAY_MS);
+    fleet.clock.advance(20_000);
+    expect(readStored(fleet, 'a2')).toEqual(fleet.nodes.get('a2')?.board.read('members').self as NodeMember);
+  });
+
   // Guards against a node that writes its record again for each older one that it reads behind its last write.
   it('should be written once for each change, also when its older revisions are read later', () => {
     const fleet = createRequestFleet({ hosts: stockHosts, configuration: stockConfiguration, sendsHeartbeats: false });
--- a/tests/requests/pausedProcess.test.ts
+++ b/tests/requests/pausedProcess.test.ts
@@ -45,8 +45,8 @@
     dialLink: () => () => undefined,
     configurationTopic: store.openTopic('a1', 'configuration'),
     memberTopic: store.openTopic('a1', 'members'),
-    writeMember: (member, done) => {
-      store.write('a1', member.host, member, done);
+    writeMember: ({ member, fencingToken }, done) => {
+      store.write('a1', member.host, member, done, fencingToken);
     },
     dropMember: () => undefined,
     recordDuration: () => undefined,
