--- a/src/soak/checkInvariants.ts
+++ b/src/soak/checkInvariants.ts
@@ -19,6 +19,7 @@
 const MIN_RECOVERED_SHARE = 0.95;
 /** Time before and after a disturbance in which its effects are accepted. */
 const DISTURBANCE_MARGIN_MS = 1500;
+const MAX_CRASHES = 3;
 const MAX_EXAMPLES = 3;
 
 /**
@@ -56,6 +57,7 @@
   return [
     ...findings.flatMap(([invariant, requests]) => buildViolations(invariant, requests.map(describeRequest))),
     ...buildViolations('a drained target does not receive requests', listLateArrivals(records, bounds)),
+    ...buildViolations('a request that crashes targets is refused after three', listRepeatedCrashes(records)),
     ...buildViolations('retries stay within their budget', listBudgetViolations(records, bounds)),
     ...buildViolations('service recovers after the faults', checkRecovery(records, bounds)),
   ];
@@ -116,6 +118,10 @@
   );
 }
 
+function listRepeatedCrashes({ crashes }: SoakRecords): string[] {
+  return crashes.filter((count) => count > MAX_CRASHES).map((count) => `${count} targets crashed`);
+}
+
 /** Counts repeated arrivals of the same request within every window that starts at one of them. */
 function listBudgetViolations({ arrivals, requests }: SoakRecords, bounds: SoakBounds): string[] {
   const { retryRatio, retryExtra, retryWindowMs } = bounds;
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -2,12 +2,14 @@
 import { checkInvariants } from './checkInvariants.js';
 import type { SoakBounds } from './checkInvariants.js';
 import { RECOVERY_MS, createFaultPlan } from './faultPlan.js';
-import { senderFaultSchema, soakRoutes } from './soakTypes.js';
+import type { FaultPlanOptions } from './faultPlan.js';
+import { scenarioSchema, senderFaultSchema, soakRoutes } from './soakTypes.js';
 import type {
   FaultKind,
   PlannedFault,
   SoakFleet,
   SoakRecords,
+  SoakScenario,
   SoakSenderFault,
   SoakStoreFault,
   SoakTargetFault,
@@ -21,6 +23,8 @@
   /** Requests per second of all clients. */
   perSecond: number;
   startFleet: () => Promise<SoakFleet>;
+  /** Plans the faults. Default: `createFaultPlan`. */
+  planFaults?: (options: FaultPlanOptions) => PlannedFault[];
 }
 
 export interface SoakReport {
@@ -48,6 +52,7 @@
   targetLosesAnswers: 'losesAnswer',
   targetRejects: 'rejects',
 };
+const scenarioKinds: ReadonlySet<string> = new Set(scenarioSchema.anyOf.map((literal) => literal.const));
 const senderFaults: ReadonlySet<string> = new Set(senderFaultSchema.anyOf.map((literal) => literal.const));
 /** Interval at which each node is checked for the version of its configuration. */
 const VERSION_CHECK_INTERVAL_MS = 400;
@@ -60,15 +65,17 @@
  * const report = await runSoak({ seed: 7, durationMs: 30_000, bounds, perSecond: 150, startFleet });
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, durationMs, bounds, perSecond } = options;
+  const { seed, durationMs, bounds, perSecond, planFaults = createFaultPlan } = options;
   const fleet = await options.startFleet();
   const names = fleet.hosts.map(({ name }) => name);
-  const faults = createFaultPlan({ seed, hosts: names, durationMs });
-  const records: SoakRecords = { requests: [], arrivals: [], drains: [], disturbances: [] };
+  const faults = planFaults({ seed, hosts: names, durationMs });
+  const records: SoakRecords = { requests: [], arrivals: [], drains: [], disturbances: [], crashes: [] };
   const startMs = performance.now();
   const published = { version: 1, atMs: startMs };
   /** Hosts whose node or target is being stopped, frozen or replaced: at most one such fault per host at a time. */
   const hostsWithFault = new Set<string>();
+  /** True from the wait of a scenario for the faults of hosts to its end; no others begin then. */
+  let isScenarioRunning = false;
   const pending = new Set<Promise<void>>();
 
   const sendRequest = async (
@@ -107,11 +114,14 @@
     } else if (isSenderFault(kind)) {
       await fleet.runSenderFault({ kind, host, durationMs });
       return;
+    } else if (isScenario(kind)) {
+      await runScenario(kind, host);
+      return;
     } else if (kind === 'publish') {
       published.version++;
       published.atMs = performance.now();
       fleet.publish(published.version);
-    } else if (!hostsWithFault.has(host)) {
+    } else if (!isScenarioRunning && !hostsWithFault.has(host)) {
       hostsWithFault.add(host);
       await runHostFault(kind, host, durationMs);
       hostsWithFault.delete(host);
@@ -131,6 +141,19 @@
       await fleet.startNode(host);
     }
   };
+  const runScenario = async (kind: SoakScenario, host: string): Promise<void> => {
+    if (isScenarioRunning) return;
+    isScenarioRunning = true;
+    while (hostsWithFault.size > 0) await wait(LOOP_INTERVAL_MS);
+    const fromMs = performance.now();
+    const { drain, crashes, hasKilledNodes = false } = await fleet.runScenario({ kind, host });
+    isScenarioRunning = false;
+    if (drain !== undefined) records.drains.push(drain);
+    if (crashes !== undefined) records.crashes.push(crashes);
+    const untilMs = performance.now();
+    for (const name of names)
+      records.disturbances.push({ kind: hasKilledNodes ? 'killNode' : kind, host: name, fromMs, untilMs });
+  };
   const timers = faults.map((fault) =>
     setTimeout(() => {
       trackPending(runFault(fault));
@@ -162,6 +185,10 @@
   return { seed, faults, requests: records.requests.length, served, violations };
 }
 
+function isScenario(kind: FaultKind): kind is SoakScenario {
+  return scenarioKinds.has(kind);
+}
+
 function isSenderFault(kind: FaultKind): kind is SoakSenderFault {
   return senderFaults.has(kind);
 }
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -47,7 +47,20 @@
   Type.Literal('publish'),
 ]);
 
-export const faultKindSchema = Type.Union([fleetFaultSchema, senderFaultSchema]);
+/** Faults and messages in an order that faults at random hardly ever have. No other fault of a node or target runs meanwhile. */
+export const scenarioSchema = Type.Union([
+  /** The target leaves while the store refuses all calls, then all nodes are killed and started again. */
+  Type.Literal('leaveWithoutStore'),
+  /** The target leaves, all nodes are killed, and an earlier write of its node is carried out before they start again. */
+  Type.Literal('lateWriteOverLeave'),
+  /** A new target leaves before its first heartbeat arrives. */
+  Type.Literal('leaveBeforeHeartbeat'),
+  /** A client sends a request again and again that crashes each target which runs it. */
+  Type.Literal('crashingRequest'),
+]);
+export type SoakScenario = Static<typeof scenarioSchema>;
+
+export const faultKindSchema = Type.Union([fleetFaultSchema, senderFaultSchema, scenarioSchema]);
 export type FaultKind = Static<typeof faultKindSchema>;
 
 /** A fault of a fault plan. */
@@ -98,6 +111,16 @@
   atMs: number;
 }
 
+/** What the targets saw in a scenario. */
+export interface ScenarioResult {
+  /** The leave that was acknowledged, if any. */
+  drain?: AcknowledgedDrain | undefined;
+  /** Number of targets that the same request crashed. */
+  crashes?: number;
+  /** True if all nodes were killed. */
+  hasKilledNodes?: boolean;
+}
+
 /** An injected fault with its start and end (monotonic). Some invariants do not cover requests sent in between. */
 export interface SoakDisturbance {
   kind: FaultKind;
@@ -111,6 +134,8 @@
   arrivals: SoakArrival[];
   drains: AcknowledgedDrain[];
   disturbances: SoakDisturbance[];
+  /** By scenario: the number of targets that the same request crashed. */
+  crashes: number[];
 }
 
 /** A violated invariant with examples. */
@@ -142,6 +167,8 @@
   replaceTarget(host: string): Promise<AcknowledgedDrain | undefined>;
   /** Resolves at the end of the fault. */
   runSenderFault(fault: { kind: SoakSenderFault; host: string; durationMs: number }): Promise<void>;
+  /** Resolves at the end of the scenario, when a target serves at the host again. */
+  runScenario(scenario: { kind: SoakScenario; host: string }): Promise<ScenarioResult>;
   publish(version: number): void;
   /** Resolves with status -1 if the connection was refused. */
   send(host: string, request: { requestId: string; route: string }): Promise<{ status: number; body: string }>;
--- a/tests/soak/checkInvariants.test.ts
+++ b/tests/soak/checkInvariants.test.ts
@@ -36,7 +36,8 @@
 }
 
 function listViolated(records: Partial<SoakRecords>): string[] {
-  const all = { requests: [buildRequest()], arrivals: [buildArrival()], drains: [], disturbances: [], ...records };
+  const empty = { drains: [], disturbances: [], crashes: [] };
+  const all = { requests: [buildRequest()], arrivals: [buildArrival()], ...empty, ...records };
   return checkInvariants(all, bounds).map(({ invariant }) => invariant);
 }
 
@@ -45,6 +46,11 @@
     expect(listViolated({})).toEqual([]);
   });
 
+  it('should report a request that crashed four targets, but not one that crashed three', () => {
+    expect(listViolated({ crashes: [0, 3] })).toEqual([]);
+    expect(listViolated({ crashes: [3, 4] })).toEqual(['a request that crashes targets is refused after three']);
+  });
+
   it('should report a non-idempotent request that ran twice, but not an idempotent one', () => {
     const arrivals = [buildArrival(), buildArrival({ target: 'i-2' })];
     expect(listViolated({ arrivals })).toEqual(['a non-idempotent request runs at most once']);
