--- a/src/control/requests/ownRecordWriter.ts
+++ b/src/control/requests/ownRecordWriter.ts
@@ -1,7 +1,7 @@
 import {
-  recordAcceptedToken,
-  createFencingTokens,
   advanceFencingTokens,
+  createFencingTokens,
+  recordAcceptedToken,
   takeFencingToken,
 } from '../../policy/fencingTokens.js';
 import { findPublishedTargetFault } from '../../policy/ownTarget.js';
