--- a/tests/requests/fencingTokens.test.ts
+++ b/tests/requests/fencingTokens.test.ts
@@ -1,9 +1,9 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import {
-  recordAcceptedToken,
-  createFencingTokens,
   advanceFencingTokens,
+  createFencingTokens,
+  recordAcceptedToken,
   takeFencingToken,
 } from '../../src/policy/fencingTokens.js';
 
--- a/tests/requests/leavingRestarts.test.ts
+++ b/tests/requests/leavingRestarts.test.ts
@@ -3,6 +3,7 @@
 import { createRandom } from '../../src/core/random.js';
 import { createRequestFleet } from '../fixtures/requestFleet.js';
 import { listRuns, sendPeriodically, stockConfiguration, stockHosts } from '../fixtures/stockFleet.js';
+import { sendLeave } from '../fixtures/storeCopyFleet.js';
 
 describe('a target that left, while nodes are restarted', () => {
   // Guards against accepting a late heartbeat after the node was killed right after it acknowledged the leave.
@@ -203,12 +204,7 @@
       fleet.store.delayWrites('a2', { count: Math.floor(random() * 3), lateMs: 3000 });
       let isAcknowledged = false;
       // Delayed writes end without a response; the target repeats its leave until one is answered.
-      for (let attempt = 0; attempt < 5 && !isAcknowledged; attempt++) {
-        fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
-          isAcknowledged = true;
-        });
-        fleet.clock.advance(1000);
-      }
+      for (let attempt = 0; attempt < 5 && !isAcknowledged; attempt++) isAcknowledged = sendLeave(fleet);
       expect(isAcknowledged).toEqual(true);
       for (let step = 0; step < 12; step++) {
         faults[Math.floor(random() * faults.length)]?.();
--- a/tests/requests/ownRecord.test.ts
+++ b/tests/requests/ownRecord.test.ts
@@ -2,21 +2,8 @@
 import { expect } from 'earl';
 import type { NodeMember } from '../../src/schema/nodeMember.js';
 import { createRequestFleet } from '../fixtures/requestFleet.js';
-import type { RequestFleet } from '../fixtures/requestFleet.js';
 import { stockConfiguration, stockHosts } from '../fixtures/stockFleet.js';
-import { readStored } from '../fixtures/storeCopyFleet.js';
-
-/** Lets the target of `a2` send its leave three times, a second apart; returns whether it was acknowledged. */
-function sendLeaves(fleet: RequestFleet): boolean {
-  let isAcknowledged = false;
-  for (let attempt = 0; attempt < 3; attempt++) {
-    fleet.nodes.get('a2')?.receiveLeave('i-a2', () => {
-      isAcknowledged = true;
-    });
-    fleet.clock.advance(1000);
-  }
-  return isAcknowledged;
-}
+import { readStored, sendLeave } from '../fixtures/storeCopyFleet.js';
 
 describe('the record of a host in the store', () => {
   // Guards against a host that later processes do not find, since another writer replaced its record.
@@ -42,7 +29,7 @@
       fleet.store.delayWrites('a2', { count: 1, lateMs: 2500 });
       for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
       if (!isRead) fleet.store.delayResponses('a2', { count: 1, lateMs: 700 });
-      expect(sendLeaves(fleet)).toEqual(true);
+      expect([1, 2, 3].map(() => sendLeave(fleet)).includes(true)).toEqual(true);
       fleet.clock.advance(3000);
       const newest = readStored(fleet, 'a2');
       expect([newest?.target?.phase, newest?.revision]).toEqual([
@@ -63,7 +50,7 @@
     fleet.store.delayWrites('a2', { count: 1, lateMs: 6000 });
     for (const sequence of [1, 2]) fleet.sendHeartbeat('a2', { sequence });
     fleet.clock.advance(1000);
-    expect(sendLeaves(fleet)).toEqual(true);
+    expect([1, 2, 3].map(() => sendLeave(fleet)).includes(true)).toEqual(true);
     for (const { host } of stockHosts) fleet.killNode(host);
     fleet.clock.advance(6000);
     for (const { host } of stockHosts) fleet.startNode(host);
