Log the release of Node and of its HTTP parser at the start

Ruled out: the start line of the bundle's launcher; it reports on the code cache only, on standard error. Change: the node posts `nodeChanged` with the outcome `listening`, the release of Node and that of its parser. Result: nodeProcess tests, 22 of 22, one of them new.

--- a/src/daemon/startRequestDaemon.ts
+++ b/src/daemon/startRequestDaemon.ts
@@ -127,6 +127,9 @@
   });
   for (const [listener, budget] of [...controlServers.budgets, ...node.linkCounts])
     metrics.addListener(listener, budget);
+  // Releases of Node differ in what their HTTP parser accepts.
+  const inputs = { node: process.version, httpParser: process.versions['llhttp'] ?? '' };
+  board.post('decisions', { kind: 'nodeChanged', outcome: 'listening', inputs });
   node.start();
   return {
     reload: (changed) => {
