Send every form of broken head to the readers that use undici

Ruled out: undici leaves this to the release of Node; its parser is part of the package. Change: tests only.

--- a/tests/requests/brokenHeads.test.ts
+++ b/tests/requests/brokenHeads.test.ts
@@ -2,11 +2,9 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { Socket } from 'node:net';
-import { BROKEN_LINES } from '../../src/standins/brokenLines.js';
 import { createTargetSends, OK_HEAD } from '../fixtures/targetSends.js';
-import { formatName, INVALID_NAME_BYTES, listBrokenNames } from '../fixtures/brokenHeads.js';
+import { listNamedLines, VALID_NAME } from '../fixtures/brokenHeads.js';
 
-const VALID_NAME = 'X-Odd';
 const BODY = 'body';
 const WHOLE_TAIL = `Content-Length: ${BODY.length}\r\n\r\n${BODY}`;
 /** Length of the pieces in which a head arrives where it does not arrive at once (bytes). */
@@ -14,12 +12,7 @@
 const MANY_FIELDS = Array.from({ length: 60 }, (_, index) => `X-Field-${index}: ${index}\r\n`).join('');
 const STREAMED_BYTES = 100_000;
 
-/** Lines by their names; the valid one shows that the answer would be passed on. */
-const lines: [string, string][] = [
-  [VALID_NAME, `${VALID_NAME}: 5\r\n`],
-  ...INVALID_NAME_BYTES.flatMap(listBrokenNames).map((name): [string, string] => [formatName(name), `${name}: 5\r\n`]),
-  ...BROKEN_LINES,
-];
+const lines = listNamedLines();
 
 /** Writes a response in pieces that arrive one by one. */
 function writePieces(socket: Socket, text: string): void {
--- a/tests/trust/targetStatus.test.ts
+++ b/tests/trust/targetStatus.test.ts
@@ -2,10 +2,12 @@
 import { expect } from 'earl';
 import { createTargetClient } from '../../src/http/targetClient.js';
 import type { TargetOutcome } from '../../src/schema/call.js';
-import { formatName, INVALID_NAME_BYTES, listBrokenNames } from '../fixtures/brokenHeads.js';
+import { listNamedLines, VALID_NAME } from '../fixtures/brokenHeads.js';
 import { startRawTarget } from '../fixtures/rawTarget.js';
 import type { RawTarget } from '../fixtures/rawTarget.js';
 
+const CHUNKED_ANSWER = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n';
+
 describe('the head of a response to a service call', () => {
   const cleanups: (() => unknown)[] = [];
   afterEach(async () => {
@@ -41,14 +43,19 @@
   }
 
   // Guards against an answer with a line or a body that is not the target's.
-  it('should not be passed on with a field name that holds an invalid byte', async () => {
-    const passedOn: string[] = [];
-    for (const name of ['X-Odd', ...INVALID_NAME_BYTES.flatMap(listBrokenNames)]) {
-      const target = await startRawTarget((socket) => {
-        socket.end(`HTTP/1.1 200 OK\r\n${name}: 5\r\nContent-Length: 4\r\n\r\nbody`, 'latin1');
-      });
-      if ((await sendCall(target)).type === 'answer') passedOn.push(formatName(name));
-    }
-    expect(passedOn).toEqual(['X-Odd']);
-  });
+  for (const [where, build] of [
+    ['after the status', (line: string) => `HTTP/1.1 200 OK\r\n${line}Content-Length: 4\r\n\r\nbody`],
+    ['as the last field', (line: string) => `HTTP/1.1 200 OK\r\nContent-Length: 4\r\n${line}\r\nbody`],
+    ['in the trailers', (line: string) => `${CHUNKED_ANSWER}${line}\r\n`],
+  ] as const)
+    it(`should not be passed on with an invalid line: ${where}`, async () => {
+      const passedOn: string[] = [];
+      for (const [name, line] of listNamedLines()) {
+        const target = await startRawTarget((socket) => {
+          socket.end(build(line), 'latin1');
+        });
+        if ((await sendCall(target)).type === 'answer') passedOn.push(name);
+      }
+      expect(passedOn).toEqual([VALID_NAME]);
+    });
 });
