Find the length of a body once, in the message parser

Cause: with the framing of messages in messageFraming.ts, three places found the end of a body from the same headers: the framing, the reader of requests and the check for bodies that end with the connection. Ruled out: that the last one is needed for connections to targets. Such a body ends with the `end` event of its socket, which marks the connection as not reusable before the answer is complete, whatever the parser says of keep-alive. Change: the head that the parser reports carries the framing of its body; whether a body follows at all is asked before it (`isWithoutBody`), so that `head` returns nothing. isCloseDelimited is gone. Behaviour stays.

--- a/src/http/messageFraming.ts
+++ b/src/http/messageFraming.ts
@@ -95,21 +95,29 @@
   };
 }
 
+export interface FramedHead {
+  kind: MessageKind;
+  /** Undefined for a request. */
+  status: number | undefined;
+  /** Alternating names and values. */
+  rawHeaders: readonly string[];
+  /** True if no body follows regardless of the headers. */
+  isWithoutBody: boolean;
+}
+
 /**
  * Returns how the body of a message is delimited (RFC 9112, section 6.3), or undefined if its head does not say so clearly:
  * several lengths, a length beside a transfer coding, or a transfer coding other than `chunked`.
  *
  * @example
- * findBodyFraming('response', { status: 200, rawHeaders: ['Content-Length', '4'] }); // { type: 'length', bytes: 4 }
+ * const rawHeaders = ['Content-Length', '4'];
+ * findBodyFraming({ kind: 'response', status: 200, rawHeaders, isWithoutBody: false }); // { type: 'length', bytes: 4 }
  */
-export function findBodyFraming(
-  kind: MessageKind,
-  { status, rawHeaders }: { status: number; rawHeaders: readonly string[] },
-): BodyFraming | undefined {
+export function findBodyFraming({ kind, status, rawHeaders, isWithoutBody }: FramedHead): BodyFraming | undefined {
   const codings = listHeader(rawHeaders, 'transfer-encoding');
   const lengths = listHeader(rawHeaders, 'content-length');
   if (codings.length + lengths.length > 1) return undefined;
-  if (kind === 'response' && isWithoutBody(status)) return { type: 'none' };
+  if (isWithoutBody || (status !== undefined && isBodilessStatus(status))) return { type: 'none' };
   const [coding] = codings;
   if (coding !== undefined) return coding.trim().toLowerCase() === 'chunked' ? { type: 'chunked' } : undefined;
   const [length] = lengths;
@@ -119,7 +127,7 @@
   return bytes === 0 ? { type: 'none' } : { type: 'length', bytes };
 }
 
-function isWithoutBody(status: number): boolean {
+function isBodilessStatus(status: number): boolean {
   const { min, max } = INFORMATIONAL_STATUSES;
   return (status >= min && status <= max) || status === NO_CONTENT || status === NOT_MODIFIED;
 }
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -1,6 +1,6 @@
 import { HTTPParser, methods } from 'node:_http_common';
 import { createMessageFraming, findBodyFraming } from './messageFraming.js';
-import type { MessageKind } from './messageFraming.js';
+import type { BodyFraming, MessageKind } from './messageFraming.js';
 
 /** The start line and headers of a request or response. */
 export interface MessageHead {
@@ -11,6 +11,7 @@
   status: number;
   /** Alternating names and values. */
   rawHeaders: string[];
+  body: BodyFraming;
   /** True if the connection may carry another message after this one. */
   shouldKeepAlive: boolean;
   /** True if the peer asks to switch to another protocol. */
@@ -21,8 +22,9 @@
 export interface MessageEvents {
   /** Called on the first byte of a message. */
   begin?(): void;
-  /** Returns true if no body follows regardless of the headers, as in the response to a HEAD request. */
-  head(head: MessageHead): boolean;
+  /** Returns true if no body follows regardless of the headers, as in the response to a HEAD request. Default: false. */
+  isWithoutBody?(): boolean;
+  head(head: MessageHead): void;
   body(chunk: Buffer): void;
   end(): void;
 }
@@ -100,23 +102,25 @@
   ): number => {
     isHeadComplete = true;
     isSwitched = isUpgrade;
-    const head = {
+    const rawHeaders = headers ?? flushed.headers;
+    const isWithoutBody = events.isWithoutBody?.() ?? false;
+    const body = findBodyFraming({ kind, status, rawHeaders, isWithoutBody });
+    if (body === undefined) {
+      headFault = buildSyntaxError('the head does not tell the length of the body');
+      return SKIP_BODY;
+    }
+    framing.startBody(body);
+    events.head({
       method: method === undefined ? '' : (methods[method] ?? ''),
       url: url ?? flushed.url,
       status: status ?? 0,
-      rawHeaders: headers ?? flushed.headers,
+      rawHeaders,
+      body,
       shouldKeepAlive,
       isUpgrade,
       minorVersion,
-    };
-    const body = findBodyFraming(kind, head);
-    if (body === undefined) {
-      headFault = buildSyntaxError('the head does not tell the length of the body');
-      return SKIP_BODY;
-    }
-    const hasNoBody = events.head(head) || (kind === 'response' && body.type === 'none');
-    framing.startBody(hasNoBody ? { type: 'none' } : body);
-    return hasNoBody ? SKIP_BODY : 0;
+    });
+    return kind === 'response' && body.type === 'none' ? SKIP_BODY : 0;
   };
   parser[HTTPParser.kOnBody] = (chunk: Buffer): void => {
     events.body(chunk);
--- a/src/http/requestReader.ts
+++ b/src/http/requestReader.ts
@@ -1,6 +1,5 @@
 import type { RequestLimits } from '../schema/routeConfiguration.js';
 import { HEAD_OVERFLOW_CODE } from './checkRequestHead.js';
-import { findHeader } from './requestHeaders.js';
 import { createMessageParser } from './messageParser.js';
 import type { MessageHead, ParseError } from './messageParser.js';
 
@@ -96,12 +95,10 @@
       head: (message) => {
         observeEvent();
         eventCount += Math.floor(message.rawHeaders.length / 2 / HEADERS_PER_EVENT);
-        const length = findHeader(message.rawHeaders, 'content-length');
-        bodyLeftBytes = length === undefined ? 0 : Number(length);
+        bodyLeftBytes = message.body.type === 'length' ? message.body.bytes : 0;
         place = bodyLeftBytes > 0 ? 'body' : 'chunks';
         chunkBytes = framedBytes = 0;
         events.head(message, headBytes);
-        return false;
       },
       body: (part) => {
         observeEvent();
--- a/src/http/responseCheck.ts
+++ b/src/http/responseCheck.ts
@@ -40,14 +40,6 @@
   return undefined;
 }
 
-/** True if the body ends with the connection: the response has neither `Content-Length` nor `Transfer-Encoding`. */
-export function isCloseDelimited({ status, rawHeaders }: ResponseHead, method: string): boolean {
-  if (status === 204 || status === 304 || method === 'HEAD') return false;
-  return (
-    findHeader(rawHeaders, 'content-length') === undefined && findHeader(rawHeaders, 'transfer-encoding') === undefined
-  );
-}
-
 /** Returns the timeout of the `Keep-Alive` header (ms), for which the target keeps an idle connection open. */
 export function parseKeepAliveTimeout({ rawHeaders }: ResponseHead): number | undefined {
   const seconds = /timeout=(\d+)/.exec(findHeader(rawHeaders, 'keep-alive') ?? '')?.[1];
--- a/src/http/targetConnection.ts
+++ b/src/http/targetConnection.ts
@@ -95,10 +95,10 @@
       // The target sent bytes without a request.
       if (events === undefined) state.isReusable = false;
     },
+    isWithoutBody: () => state.method === 'HEAD',
     head: (message) => {
       shouldKeepAlive = message.shouldKeepAlive;
       isDiscarded = isInterimStatus(message.status) || events?.head(message.status, message.rawHeaders) !== 'accept';
-      return state.method === 'HEAD';
     },
     body: (chunk) => {
       if (isDiscarded) return;
--- a/src/http/targetSender.ts
+++ b/src/http/targetSender.ts
@@ -2,7 +2,7 @@
 import type { Ran } from '../schema/failure.js';
 import { STREAM_WINDOW_BYTES, MAX_UNSTREAMED_BODY_BYTES } from '../schema/linkFrame.js';
 import type { RunFailure, RunFailureKind } from '../schema/linkFrame.js';
-import { findResponseFault, isCloseDelimited, parseKeepAliveTimeout, parseTargetNotice } from './responseCheck.js';
+import { findResponseFault, parseKeepAliveTimeout, parseTargetNotice } from './responseCheck.js';
 import { encodeHeaderLabel, findHeader, selectEndToEndHeaders } from './requestHeaders.js';
 import type { RequestHeaderNames } from './requestHeaders.js';
 import type { TargetConnection } from './targetConnection.js';
@@ -41,7 +41,6 @@
   /** Status of the response; 0 until its head arrived. */
   status: number;
   headers: string[];
-  isCloseDelimited: boolean;
   /** True if the streamed request body is sent with chunked encoding. */
   isChunked: boolean;
   /** Parts of the response body that were received but not yet passed on. */
@@ -100,7 +99,6 @@
       return 'skip';
     }
     exchange.headers = selectEndToEndHeaders(rawHeaders, strippedHeaders);
-    exchange.isCloseDelimited = isCloseDelimited(head, request.method);
     const keepAliveMs = parseKeepAliveTimeout(head);
     if (keepAliveMs !== undefined) connection.idleTimeoutMs = keepAliveMs * IDLE_TIMEOUT_FRACTION;
     if (status === MISDIRECTED_REQUEST) {
@@ -149,7 +147,7 @@
     exchange.isReleased = true;
     const { connection, target } = exchange;
     connection.lastRequestId = target.request.requestId;
-    if (exchange.isCloseDelimited || !connection.isReusable) connection.destroy();
+    if (!connection.isReusable) connection.destroy();
     else pool.release(target.address, connection);
   };
   const handleFailure = (exchange: Exchange, detail: string, isInvalid: boolean): void => {
@@ -228,7 +226,6 @@
       isReleased: false,
       status: 0,
       headers: [],
-      isCloseDelimited: false,
       isChunked: request.isStreamed && findHeader(request.headers, 'content-length') === undefined,
       chunks: [],
       bytes: 0,
--- a/tests/requests/messageFraming.test.ts
+++ b/tests/requests/messageFraming.test.ts
@@ -59,7 +59,6 @@
   const parser = createMessageParser(kind, {
     head: ({ method, status, rawHeaders }) => {
       seen.push(`${method}${status} ${rawHeaders.join(',')} `);
-      return false;
     },
     body: (part) => {
       seen.push(`${seen.pop() ?? ''}${part.toString('latin1')}`);
