Name the release of Node that the tests run on

`engines` accepts releases that nothing was ever run on. Ruled out: refusing older releases at the start, as the users' machines may run one and the program of the platform serves there. Result: printed on 20.20.2 and, with the remark, on 20.9.0; messageFraming passes on both. Seen beside it on 20.9.0 and left: the first request to a listener of the older daemon ends it with ERR_REQUIRE_ESM (light-my-request); on 20.20.2 it gets 200.

--- a/scripts/runTests.js
+++ b/scripts/runTests.js
@@ -4,6 +4,8 @@
 import { tap } from 'node:test/reporters';
 
 const PARALLEL_TEST_FILES = 4;
+/** Release line of Node on which CI runs all tests; `engines` in package.json says what the program accepts. */
+const CI_NODE_LINE = 'v20.20.';
 const KNOWN_FAILURES_FILE = 'KNOWN-RED.txt';
 process.env.NODE_OPTIONS = '--enable-source-maps';
 
@@ -30,6 +32,10 @@
   return file.replace(/^dist\//, '').replace(/\.js$/, '.ts');
 }
 
+const { node, llhttp } = process.versions;
+const remark = process.version.startsWith(CI_NODE_LINE) ? '' : `, not the release line of CI, ${CI_NODE_LINE}x`;
+console.log(`# node v${node}, HTTP parser ${llhttp}${remark}`);
+
 const knownFailures = readKnownFailures();
 const failed = [];
 const passed = new Set();
