Report the end of a message only if parser and framing read the same body

Cause: where the parser found the end of a message before its framing does, the end was reported first and the fault only after it, so the answer had been passed on already; with both ends in one piece the difference was not seen at all. Change: the framing counts the bytes of each body, and the parser's end counts only with as many and at the same place. The end of the connection ends a body without a length in both.

--- a/src/http/messageFraming.ts
+++ b/src/http/messageFraming.ts
@@ -15,6 +15,8 @@
 export interface MessageFraming {
   /** True from the end of a head to the end of its message. */
   readonly isInMessage: boolean;
+  /** Bytes of the body that were read of the last message. */
+  readonly bodyBytes: number;
   /** What is wrong with the bytes that were read last; undefined if they are valid. */
   readonly fault: string | undefined;
   /**
@@ -23,6 +25,8 @@
    */
   read(bytes: Uint8Array, start: number): number;
   startBody(framing: BodyFraming): void;
+  /** Takes the end of the connection into account, which ends a body without a length. */
+  finish(): void;
 }
 
 const INFORMATIONAL_STATUSES = { min: 100, max: 199 };
@@ -35,6 +39,7 @@
   let place: 'head' | 'headEnd' | 'body' | 'chunkHeader' | 'chunk' | 'chunkEnd' | 'trailers' = 'head';
   /** Bytes of the body or chunk that are still to come. */
   let leftBytes = 0;
+  let bodyBytes = 0;
   const lines = createLineSyntax();
 
   const startHead = (): void => {
@@ -59,6 +64,7 @@
   const readBody = (availableBytes: number): number => {
     const readBytes = Math.min(leftBytes, availableBytes);
     leftBytes -= readBytes;
+    bodyBytes += readBytes;
     if (leftBytes === 0) {
       if (place === 'chunk') startLines('chunkEnd');
       else startHead();
@@ -70,6 +76,9 @@
     get isInMessage() {
       return place !== 'head';
     },
+    get bodyBytes() {
+      return bodyBytes;
+    },
     get fault() {
       return lines.fault;
     },
@@ -85,6 +94,7 @@
       return index;
     },
     startBody: (framing) => {
+      bodyBytes = 0;
       if (framing.type === 'none') startHead();
       else if (framing.type === 'chunked') startLines('chunkHeader');
       else {
@@ -92,6 +102,9 @@
         leftBytes = framing.type === 'length' ? framing.bytes : Infinity;
       }
     },
+    finish: () => {
+      if (place === 'body' && leftBytes === Infinity) startHead();
+    },
   };
 }
 
--- a/src/http/messageParser.ts
+++ b/src/http/messageParser.ts
@@ -78,8 +78,9 @@
   let flushed: { headers: string[]; url: string } = { headers: [], url: '' };
   let isHeadComplete = false;
   const framing = createMessageFraming(kind);
-  /** Set by a head that is not reported, as it does not tell where its message ends. */
-  let headFault: ParseError | undefined;
+  /** Why a head or the end of its message is not reported: its body is unclear, or the parser reads it in another way. */
+  let messageFault: ParseError | undefined;
+  let bodyBytes = 0;
   /** True after a request to switch protocols, which other bytes than HTTP may follow. */
   let isSwitched = false;
   if (events.begin !== undefined) parser[HTTPParser.kOnMessageBegin] = events.begin;
@@ -106,10 +107,11 @@
     const isWithoutBody = events.isWithoutBody?.() ?? false;
     const body = findBodyFraming({ kind, status, rawHeaders, isWithoutBody });
     if (body === undefined) {
-      headFault = buildSyntaxError('the head does not tell the length of the body');
+      messageFault = buildSyntaxError('the head does not tell the length of the body');
       return SKIP_BODY;
     }
     framing.startBody(body);
+    bodyBytes = 0;
     events.head({
       method: method === undefined ? '' : (methods[method] ?? ''),
       url: url ?? flushed.url,
@@ -123,16 +125,19 @@
     return kind === 'response' && body.type === 'none' ? SKIP_BODY : 0;
   };
   parser[HTTPParser.kOnBody] = (chunk: Buffer): void => {
+    bodyBytes += chunk.length;
     events.body(chunk);
   };
   parser[HTTPParser.kOnMessageComplete] = (): void => {
     flushed = { headers: [], url: '' };
     isHeadComplete = false;
-    if (headFault === undefined) events.end();
+    if (framing.isInMessage || bodyBytes !== framing.bodyBytes)
+      messageFault ??= buildSyntaxError('the parser found another body in the message');
+    if (messageFault === undefined) events.end();
   };
   /** Parses bytes that belong to one head or one body. */
   const parsePart = (part: Buffer): ParseError | undefined => {
-    const fault = describeParseError(parser.execute(part)) ?? headFault;
+    const fault = describeParseError(parser.execute(part)) ?? messageFault;
     if (fault !== undefined || isSwitched || framing.isInMessage === isHeadComplete) return fault;
     return buildSyntaxError('the parser found another end of the message');
   };
@@ -150,7 +155,10 @@
       }
       return undefined;
     },
-    finish: () => describeParseError(parser.finish()),
+    finish: () => {
+      framing.finish();
+      return describeParseError(parser.finish());
+    },
     close: () => {
       parser.close();
     },
--- a/tests/requests/messageFraming.test.ts
+++ b/tests/requests/messageFraming.test.ts
@@ -1,3 +1,4 @@
+import { HTTPParser } from 'node:_http_common';
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createLineSyntax } from '../../src/http/lineSyntax.js';
@@ -122,6 +123,25 @@
         expect(parseText(kind, text, pieceBytes)).toEqual(parseText(kind, text, Infinity));
   });
 
+  // Guards against a release of Node whose parser reads another body, or another end, than the framing of the message says.
+  for (const [read, expected] of [
+    ['0\r\n\r\n', '200 Transfer-Encoding,chunked '],
+    ['3\r\nbod\r\n', '200 Transfer-Encoding,chunked bod'],
+    ['9\r\nbody', '200 Transfer-Encoding,chunked body0\r\n\r\n'],
+  ] as const) {
+    it(`should not report the end of a message that the parser reads as another one: ${JSON.stringify(read)}`, (context) => {
+      const { execute } = HTTPParser.prototype;
+      context.mock.method(HTTPParser.prototype, 'execute', function (this: HTTPParser, chunk: Uint8Array) {
+        const text = Buffer.from(chunk).toString('latin1').replace('4\r\nbody\r\n', read);
+        return execute.call(this, Buffer.from(text, 'latin1'));
+      });
+      const text = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n';
+      const [message, code = ''] = parseText('response', text, Infinity);
+      expect(message).toEqual(expected);
+      expect(code).toMatchRegex(/^(HPE_\w+|INVALID_SYNTAX)$/);
+    });
+  }
+
   // Guards against a body whose end is guessed, so that its bytes are taken for the next message or the reverse.
   for (const fields of [
     'Content-Length: 4\r\nContent-Length: 5\r\n',
