Let the soak send broken heads to nodes with a lenient parser

Change: every second fault `targetGarbles` sends heads with an invalid line, the nodes run on a lenient parser (moved to src/standins), and a response that holds such a line is a violation.

--- a/src/soak/checkInvariants.ts
+++ b/src/soak/checkInvariants.ts
@@ -39,7 +39,8 @@
     (request) => notRunStatuses.has(request.status) && !request.isIdempotent && countRuns(request) > 0,
   );
   const mismatched = records.requests.filter(
-    ({ status, body, requestId }) => status === 200 && !body.endsWith(`:${requestId}`),
+    ({ status, body, requestId, hasBrokenLine }) =>
+      hasBrokenLine || (status === 200 && !body.endsWith(`:${requestId}`)),
   );
   // Not an interruption: an idle connection was closed while the request was sent on it, and no target received it.
   const isInterrupted = ({ status, body, requestId }: SoakRequest): boolean =>
--- a/src/soak/runSoak.ts
+++ b/src/soak/runSoak.ts
@@ -85,15 +85,15 @@
     const requestId = `s${seed}.${records.requests.length}.${Math.round(performance.now())}.${pending.size}`;
     const sentAtMs = performance.now();
     const { version, atMs } = published;
-    const { status, body } = await fleet.send(host, {
+    const response = await fleet.send(host, {
       requestId,
       route: route.name === 'versioned' ? `v${version}` : route.name,
     });
     const { service, isIdempotent } = route;
     const timing = { publishedVersion: version, publishedAtMs: atMs, sentAtMs, endedAtMs: performance.now() };
     // A refused connection, while the process is down, carries no request and is not recorded.
-    if (status === -1) return;
-    records.requests.push({ requestId, route: route.name, service, isIdempotent, host, status, body, ...timing });
+    if (response.status === -1) return;
+    records.requests.push({ requestId, route: route.name, service, isIdempotent, host, ...response, ...timing });
   };
   const trackPending = (work: Promise<void>): void => {
     pending.add(work);
--- a/src/soak/soakTypes.ts
+++ b/src/soak/soakTypes.ts
@@ -87,6 +87,8 @@
   status: Type.Integer(),
   /** Body of the response. With status 0: `keepAliveRace` if an idle connection was closed as the request was sent. */
   body: Type.String(),
+  /** True if the response holds a line of a broken head that a target sent. */
+  hasBrokenLine: Type.Boolean(),
   /** Newest version of the configuration when the request was sent. */
   publishedVersion: Type.Integer(),
   /** Time at which that version was published. */
@@ -171,7 +173,10 @@
   runScenario(scenario: { kind: SoakScenario; host: string }): Promise<ScenarioResult>;
   publish(version: number): void;
   /** Resolves with status -1 if the connection was refused. */
-  send(host: string, request: { requestId: string; route: string }): Promise<{ status: number; body: string }>;
+  send(
+    host: string,
+    request: { requestId: string; route: string },
+  ): Promise<Pick<SoakRequest, 'status' | 'body' | 'hasBrokenLine'>>;
   listArrivals(): SoakArrival[];
   stop(): Promise<void>;
 }
--- a/tests/requests/brokenHeads.test.ts
+++ b/tests/requests/brokenHeads.test.ts
@@ -1,4 +1,4 @@
-import '../fixtures/lenientParser.js';
+import '../../src/standins/lenientParser.js';
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import type { Socket } from 'node:net';
--- a/tests/requests/brokenRequests.test.ts
+++ b/tests/requests/brokenRequests.test.ts
@@ -1,4 +1,4 @@
-import '../fixtures/lenientParser.js';
+import '../../src/standins/lenientParser.js';
 import { afterEach, describe, it } from 'node:test';
 import { once } from 'node:events';
 import { setImmediate as waitForTurn, setTimeout as wait } from 'node:timers/promises';
--- a/tests/soak/checkInvariants.test.ts
+++ b/tests/soak/checkInvariants.test.ts
@@ -25,6 +25,7 @@
     status: 200,
     // Id of the target, then id of the request that it answered.
     body: 'i-1:r1',
+    hasBrokenLine: false,
     publishedVersion: 1,
     publishedAtMs: 0,
     ...change,
@@ -67,6 +68,13 @@
     expect(listViolated({ requests: refused, arrivals: rejected })).toEqual([]);
   });
 
+  it('should report a response with a line of a broken head, whatever its status', () => {
+    const broken = buildRequest({ requestId: 'r2', hasBrokenLine: true, status: 502, sentAtMs: 100 });
+    expect(listViolated({ requests: [buildRequest(), broken] })).toEqual([
+      'a response is complete and belongs to its request',
+    ]);
+  });
+
   it('should report a response of another request', () => {
     expect(listViolated({ requests: [buildRequest({ body: 'i-1:r2' })] })).toEqual([
       'a response is complete and belongs to its request',
