Add examples to the line syntax and the framing of messages

Cause: public functions have an example on their doc comment; these two had none. Change: comments only.

--- a/src/http/lineSyntax.ts
+++ b/src/http/lineSyntax.ts
@@ -18,7 +18,7 @@
   read(bytes: Uint8Array, start: number): number;
 }
 
-/** What precedes the next byte. */
+/** Where the next byte stands. `emptyLineEnd`, `lineEnd` and `lastLineEnd` follow a carriage return. */
 const places = [
   'invalid',
   'complete',
@@ -111,7 +111,14 @@
   return table;
 }
 
-/** Creates the check of the lines on one connection; `start` must be called before the first line. */
+/**
+ * Creates the check of the lines on one connection; `start` must be called before the first line.
+ *
+ * @example
+ * const lines = createLineSyntax();
+ * lines.start('trailers');
+ * lines.read(Buffer.from('X-Odd : 1\r\n'), 0); // 6; `fault` is 'invalid byte 0x20 in the name of a field'
+ */
 export function createLineSyntax(): LineSyntax {
   let place = COMPLETE;
   let chunkBytes = 0;
--- a/src/http/messageFraming.ts
+++ b/src/http/messageFraming.ts
@@ -34,7 +34,13 @@
 const NOT_MODIFIED = 304;
 const DIGITS = /^\d+$/;
 
-/** Creates the framing of one connection, on which messages of one kind arrive. */
+/**
+ * Creates the framing of one connection, on which messages of one kind arrive.
+ *
+ * @example
+ * const framing = createMessageFraming('response');
+ * const end = framing.read(bytes, 0); // position after the head, or `bytes.length` while it is not complete
+ */
 export function createMessageFraming(kind: MessageKind): MessageFraming {
   let place: 'head' | 'headEnd' | 'body' | 'chunkHeader' | 'chunk' | 'chunkEnd' | 'trailers' = 'head';
   /** Bytes of the body or chunk that are still to come. */
