--- a/src/standins/brokenLines.ts
+++ b/src/standins/brokenLines.ts
@@ -3,12 +3,12 @@
 
 /** Lines, with their line breaks, that make a head invalid (RFC 9112, section 5), by what is wrong with them. */
 export const BROKEN_LINES: ReadonlyMap<string, string> = new Map([
-  ['a blank within a name', `X Odd: ${ODD_VALUE}\r\n`],
-  ['a blank before the colon', `X-Odd : ${ODD_VALUE}\r\n`],
+  ['a space within a name', `X Odd: ${ODD_VALUE}\r\n`],
+  ['a space before the colon', `X-Odd : ${ODD_VALUE}\r\n`],
   ['a tab before the colon', `X-Odd\t: ${ODD_VALUE}\r\n`],
   ['no name', `: ${ODD_VALUE}\r\n`],
   ['no colon', `X-Odd\r\n`],
-  ['a blank at the start', ` X-Odd: ${ODD_VALUE}\r\n`],
+  ['a space at the start', ` X-Odd: ${ODD_VALUE}\r\n`],
   ['a tab at the start', `\tX-Odd: ${ODD_VALUE}\r\n`],
   ['a folded value', `X-Odd: folded\r\n ${ODD_VALUE}\r\n`],
   ['a bare LF at the start', `\nX-Odd: ${ODD_VALUE}\r\n`],
@@ -21,7 +21,7 @@
   ['a byte beyond ASCII in a name', `X\xe9Odd: ${ODD_VALUE}\r\n`],
   ['a control byte in a value', `X-Odd: ${ODD_VALUE}\x01\r\n`],
   ['a NUL in a value', `X-Odd: ${ODD_VALUE}\0\r\n`],
-  ['a blank within Content-Length', `Content -Length: 3\r\n`],
-  ['a blank after Content-Length', `Content-Length : 3\r\n`],
-  ['a blank after Transfer-Encoding', `Transfer-Encoding : chunked\r\n`],
+  ['a space within Content-Length', `Content -Length: 3\r\n`],
+  ['a space after Content-Length', `Content-Length : 3\r\n`],
+  ['a space after Transfer-Encoding', `Transfer-Encoding : chunked\r\n`],
 ]);
--- a/tests/requests/brokenRequests.test.ts
+++ b/tests/requests/brokenRequests.test.ts
@@ -12,7 +12,7 @@
 const FIELDS = 'Host: shop.example\r\ntest-id: r1\r\n';
 const BODY = 'body';
 const WHOLE_TAIL = `Content-Length: ${BODY.length}\r\n\r\n${BODY}`;
-const SOUND_REQUEST = `GET /stock/0 HTTP/1.1\r\n${FIELDS}\r\n`;
+const VALID_REQUEST = `GET /stock/0 HTTP/1.1\r\n${FIELDS}\r\n`;
 const CHUNKED_BODY = `Transfer-Encoding: chunked\r\n\r\n${BODY.length}\r\n${BODY}\r\n0\r\n`;
 
 const forms: [string, (line: string) => string][] = [
@@ -20,7 +20,7 @@
   ['as the last field', (line) => `${FIRST_LINE}${FIELDS}Content-Length: ${BODY.length}\r\n${line}\r\n${BODY}`],
   ['without a body', (line) => `GET /stock/1 HTTP/1.1\r\n${FIELDS}${line}\r\n`],
   ['in the trailers', (line) => `${FIRST_LINE}${FIELDS}${CHUNKED_BODY}${line}\r\n`],
-  ['behind another request', (line) => `${SOUND_REQUEST}${FIRST_LINE}${line}${FIELDS}${WHOLE_TAIL}`],
+  ['behind another request', (line) => `${VALID_REQUEST}${FIRST_LINE}${line}${FIELDS}${WHOLE_TAIL}`],
 ];
 
 /** Time in which a connection that is to be closed is closed (ms). */
@@ -55,7 +55,7 @@
   }
 
   for (const [where, build] of forms) {
-    const before = build('').startsWith(SOUND_REQUEST) ? ['/stock/0'] : [];
+    const before = build('').startsWith(VALID_REQUEST) ? ['/stock/0'] : [];
     for (const isInPieces of [false, true]) {
       it(`should be refused and end its connection: ${where}${isInPieces ? ', byte by byte' : ''}`, async () => {
         const passedOn: string[] = [];
