--- a/tests/requests/brokenHeads.test.ts
+++ b/tests/requests/brokenHeads.test.ts
@@ -55,6 +55,7 @@
           if (end.type !== 'failed' || end.failure.ran !== 'unknown') passedOn.push(name);
           target.stop();
         }
+        // The valid name shows that the answer would be passed on.
         expect(passedOn).toEqual([VALID_NAME]);
       });
     }
@@ -77,6 +78,7 @@
         expect(target.connections.length).toEqual(1);
         target.stop();
       }
+      // The valid name shows that the second answer would be passed on.
       expect(passedOn).toEqual([VALID_NAME]);
     });
 
